--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,2 @@
+/** Public library of cicadaswitch. */
+export * from './base/index.js';
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,3 @@
+export * from './messages/index.js';
+export * from './ports/index.js';
+export * from './records/index.js';
--- /dev/null
+++ b/src/platform/messages/index.ts
@@ -0,0 +1,3 @@
+export * from './attempt.js';
+export * from './peer.js';
+export * from './table-call.js';
--- /dev/null
+++ b/src/platform/messages/peer.ts
@@ -0,0 +1,81 @@
+import {z} from 'zod';
+import {offerReplySchema, profileSchema, updateSchema} from './attempt.js';
+
+export const callSchema = z.object({
+	method: z.string(),
+	path: z.string(),
+	headers: z.record(z.string(), z.string()),
+	body: z.string(),
+	binary: z.boolean().optional(),
+});
+
+export const resumePointSchema = z.object({
+	sequence: z.int().min(0),
+	text: z.string(),
+	tokens: z.int().min(0),
+});
+
+/** Requests and notifications that an entry sends to a sidecar. */
+export const entryToSidecarSchema = z.discriminatedUnion('type', [
+	z.object({
+		type: z.literal('offer'),
+		/** Pairs the reply with the offer; unique for each entry. */
+		id: z.string(),
+		profile: profileSchema,
+		remainingMs: z.number(),
+	}),
+	z.object({
+		type: z.literal('start'),
+		attempt: z.string(),
+		requestId: z.string(),
+		/** Incarnation of the sidecar that the attempt is for; another one refuses it. */
+		incarnation: z.string(),
+		profile: profileSchema,
+		call: callSchema,
+		idempotent: z.boolean(),
+		/** Key of the run record; present for a non-idempotent request. */
+		idempotencyKey: z.string().optional(),
+		/** The sidecar keeps the answer for a while when the link or the caller is lost. */
+		resumable: z.boolean(),
+		remainingMs: z.number(),
+		resume: resumePointSchema.optional(),
+	}),
+	z.object({type: z.literal('cancel'), attempt: z.string()}),
+	z.object({
+		type: z.literal('attach'),
+		attempt: z.string(),
+		/** Workspace that asks; must be the one that started the attempt. */
+		workspace: z.string(),
+		/** Sequence number of the last chunk received. */
+		after: z.int().min(0),
+	}),
+	z.object({
+		type: z.literal('credit'),
+		attempt: z.string(),
+		/** Sequence number up to which the caller has taken the answer. */
+		upTo: z.int().min(0),
+	}),
+]);
+export type EntryToSidecar = z.infer<typeof entryToSidecarSchema>;
+export type AttemptStart = Extract<EntryToSidecar, {type: 'start'}>;
+
+/** Identity that both ends of a link exchange first. */
+export const helloSchema = z.object({
+	instance: z.string(),
+	role: z.enum(['entry', 'sidecar', 'operator']),
+	incarnation: z.string(),
+	dataCentre: z.string(),
+	revision: z.int().min(0),
+});
+export type Hello = z.infer<typeof helloSchema>;
+
+/** Replies and notifications that a sidecar sends to an entry. */
+export const sidecarToEntrySchema = z.discriminatedUnion('type', [
+	z.object({
+		type: z.literal('offerReply'),
+		id: z.string(),
+		reply: offerReplySchema,
+	}),
+	z.object({type: z.literal('update'), update: updateSchema}),
+]);
+export type SidecarToEntry = z.infer<typeof sidecarToEntrySchema>;
--- /dev/null
+++ b/src/platform/ports/errors.ts
@@ -0,0 +1,21 @@
+import VError from 'verror';
+
+/** The table refused or did not get the call: it had no effect. */
+export class TableUnavailable extends VError {
+	override name = 'TableUnavailable';
+}
+
+/** The answer to a commit was lost: it may have taken effect. */
+export class TableUncertain extends VError {
+	override name = 'TableUncertain';
+}
+
+/** An engine rejected a command because its fencing token is older than one it has seen. */
+export class CommandFenced extends VError {
+	override name = 'CommandFenced';
+}
+
+/** An endpoint could not be reached or answered with an error. */
+export class EndpointUnavailable extends VError {
+	override name = 'EndpointUnavailable';
+}
--- /dev/null
+++ b/src/platform/records/index.ts
@@ -0,0 +1,1 @@
+export * from './record.js';
--- /dev/null
+++ b/src/platform/standins/index.ts
@@ -0,0 +1,1 @@
+export * from './memory-table.js';
--- /dev/null
+++ b/src/platform/standins/memory-table.ts
@@ -0,0 +1,43 @@
+import type {Decision, Row, Table, Transaction} from '../ports/index.js';
+
+/** Table stand-in that holds its rows in memory. */
+export class MemoryTable implements Table {
+	readonly #rows = new Map<string, Row>();
+	#revision = 0;
+
+	async read(key: string): Promise<Row | undefined> {
+		return this.#rows.get(key);
+	}
+
+	async scan(prefix: string, after = '', limit = 1000): Promise<Row[]> {
+		return [...this.#rows.values()]
+			.filter((row) => row.key.startsWith(prefix) && row.key > after)
+			.toSorted((a, b) => (a.key < b.key ? -1 : 1))
+			.slice(0, limit);
+	}
+
+	async commit(transaction: Transaction): Promise<Decision> {
+		return this.commitNow(transaction);
+	}
+
+	/** Synchronous commit for harnesses that run in virtual time. */
+	commitNow(transaction: Transaction): Decision {
+		for (const check of transaction.checks) {
+			const current = this.#rows.get(check.key);
+			if ((current?.revision ?? 0) !== check.revision) {
+				return {type: 'conflict', key: check.key, current};
+			}
+		}
+
+		this.#revision++;
+		for (const {key, value} of transaction.writes) {
+			if (value === null) {
+				this.#rows.delete(key);
+			} else {
+				this.#rows.set(key, {key, value, revision: this.#revision});
+			}
+		}
+
+		return {type: 'committed', revision: this.#revision};
+	}
+}
