Add the sidecar's state machine with first-come order

Cause: every request has to pass one place that sees all of an endpoint's work. Change: sidecar state machine (offer, start, cancel, attach, link loss, drain), scheduler interface with a fixed batch size. Before and after: no request path before; types and lint pass, no measurement yet. Conclusion: admission and order can be replaced behind the scheduler interface.

--- a/src/platform/ports/index.ts
+++ b/src/platform/ports/index.ts
@@ -1,4 +1,4 @@
-export * from './engine.js';
+export type * from './engine.js';
 export * from './errors.js';
-export * from './stores.js';
-export * from './table.js';
+export type * from './stores.js';
+export type * from './table.js';
--- a/src/platform/records/record.ts
+++ b/src/platform/records/record.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 
-const name = z.string().regex(/^[a-z\d][a-z\d._-]{0,62}$/, {
+const name = z.string().regex(/^[a-z\d][a-z\d._\-]{0,62}$/v, {
 	error:
 		'use 1 to 63 of a-z, 0-9, ".", "_" and "-", starting with a letter or digit',
 });
@@ -16,7 +16,7 @@
 	...envelope,
 	kind: z.literal('workspace'),
 	/** SHA-256 of each valid API key, in hexadecimal. */
-	keyHashes: z.array(z.string().regex(/^[\da-f]{64}$/)),
+	keyHashes: z.array(z.string().regex(/^[\da-f]{64}$/v)),
 	/** Relative share inside a class. */
 	weight: z.number().positive().default(1),
 	classes: z.array(name).min(1),
--- /dev/null
+++ b/src/services/sidecar/index.ts
@@ -0,0 +1,3 @@
+export type * from './message.js';
+export * from './scheduler.js';
+export * from './sidecar.js';
