Add schedule, placement, key and term records with upgrade paths

The design names eight kinds of records; four had no schema, and nothing said how a field of a later version survives an older writer.

--- a/src/platform/records/index.ts
+++ b/src/platform/records/index.ts
@@ -1,1 +1,3 @@
+export * from './log.js';
 export * from './record.js';
+export * from './upgrade.js';
--- a/src/platform/records/record.ts
+++ b/src/platform/records/record.ts
@@ -1,5 +1,15 @@
 import {z} from 'zod';
 
+/** Written by the writer with each accepted change; a file that an operator hands in may carry it for compare-and-set. */
+export const recordMetaSchema = z.looseObject({
+	/** Configuration revision of the record's last change. */
+	revision: z.int().positive(),
+	/** Operator whose write is in force. */
+	operator: z.string(),
+	writeId: z.string(),
+});
+export type RecordMeta = z.infer<typeof recordMetaSchema>;
+
 const name = z.string().regex(/^[a-z\d][a-z\d._\-]{0,62}$/v, {
 	error:
 		'use 1 to 63 of a-z, 0-9, ".", "_" and "-", starting with a letter or digit',
@@ -9,6 +19,7 @@
 	/** Version of the record's schema; readers keep fields of later versions that they do not know. */
 	schema: z.int().positive(),
 	name,
+	meta: recordMetaSchema.optional(),
 };
 
 /** A customer of an operator, with its API keys and the classes that it may use. */
@@ -68,15 +79,88 @@
 });
 export type EndpointRecord = z.infer<typeof endpointSchema>;
 
+/** Endpoint names; a trailing "*" matches any ending. */
+const endpointPatterns = z.array(z.string().min(1)).min(1);
+
+/** A planned action on endpoints, once or repeatedly. */
+export const scheduleSchema = z.looseObject({
+	...envelope,
+	kind: z.literal('schedule'),
+	endpoints: endpointPatterns,
+	action: z.discriminatedUnion('type', [
+		z.looseObject({type: z.literal('start')}),
+		z.looseObject({type: z.literal('stop')}),
+		z.looseObject({
+			type: z.literal('load'),
+			model: z.string().min(1),
+			version: z.string().min(1),
+		}),
+		z.looseObject({type: z.literal('unload'), model: z.string().min(1)}),
+		z.looseObject({type: z.literal('role'), role: z.string().min(1)}),
+	]),
+	/** First occurrence, ISO 8601 in UTC. */
+	startsAt: z.iso.datetime(),
+	/** Period of repetition, in minutes; absent for a single occurrence. */
+	everyMinutes: z.int().positive().optional(),
+	/** No occurrence at or after this time, ISO 8601 in UTC. */
+	endsAt: z.iso.datetime().optional(),
+	/** The action may remove the last serving endpoint of a model with demand. */
+	force: z.boolean().default(false),
+});
+export type Schedule = z.infer<typeof scheduleSchema>;
+
+/** A model version that endpoints hold. */
+export const placementSchema = z.looseObject({
+	...envelope,
+	kind: z.literal('placement'),
+	model: z.string().min(1),
+	version: z.string().min(1),
+	/** Size of the weights, in bytes; reserved at the weight store before loading. */
+	bytes: z.int().min(0),
+	endpoints: endpointPatterns,
+});
+export type Placement = z.infer<typeof placementSchema>;
+
+/** A key with which peers or operators authenticate; two may be valid at once for rotation. */
+export const keySchema = z.looseObject({
+	...envelope,
+	kind: z.literal('key'),
+	purpose: z.enum(['peer', 'operator']),
+	/** SHA-256 of the key, in hexadecimal. */
+	hash: z.string().regex(/^[\da-f]{64}$/v),
+	validFrom: z.iso.datetime().optional(),
+	validUntil: z.iso.datetime().optional(),
+});
+export type Key = z.infer<typeof keySchema>;
+
+/** The revisions over which an operator, named like the record, may write. */
+export const termSchema = z.looseObject({
+	...envelope,
+	kind: z.literal('term'),
+	/** First revision that the operator may write. */
+	startsAtRevision: z.int().positive(),
+	/** Last revision that the operator may write; absent while no end is set. */
+	endsAtRevision: z.int().positive().optional(),
+	/** Operator that takes over; required with an end, so that a handover cannot leave nobody able to write. */
+	successor: name.optional(),
+});
+export type Term = z.infer<typeof termSchema>;
+
 export const recordSchema = z.discriminatedUnion('kind', [
 	workspaceSchema,
 	requestClassSchema,
 	ruleSchema,
 	endpointSchema,
+	scheduleSchema,
+	placementSchema,
+	keySchema,
+	termSchema,
 ]);
 /** A versioned record that an operator writes. */
 export type ConfigRecord = z.infer<typeof recordSchema>;
 
+export type RecordKind = ConfigRecord['kind'];
+
 /** Key of a record's row in the table. */
 export function recordKey(record: {kind: string; name: string}): string {
 	return `record/${record.kind}/${record.name}`;
