Add the entry's state machine and the catalogue of records

Cause: callers' requests need a place that chooses an endpoint and relays the answer. Conclusion: thin decisions for both roles exist; daemons can carry them.

--- /dev/null
+++ b/src/services/entry/index.ts
@@ -0,0 +1,3 @@
+export * from './candidates.js';
+export * from './entry.js';
+export type * from './message.js';
--- /dev/null
+++ b/src/services/index.ts
@@ -0,0 +1,4 @@
+export type * from './effect.js';
+export * from './entry/index.js';
+export * from './records/index.js';
+export * from './sidecar/index.js';
--- /dev/null
+++ b/src/services/records/index.ts
@@ -0,0 +1,1 @@
+export * from './catalogue.js';
