Add the writer of records

Operators' writes had no owner. A term that ends must name a successor whose term follows without a gap.

--- a/src/platform/standins/memory-table.ts
+++ b/src/platform/standins/memory-table.ts
@@ -6,10 +6,20 @@
 	#revision = 0;
 
 	async read(key: string): Promise<Row | undefined> {
-		return this.#rows.get(key);
+		return this.readNow(key);
 	}
 
 	async scan(prefix: string, after = '', limit = 1000): Promise<Row[]> {
+		return this.scanNow(prefix, after, limit);
+	}
+
+	/** Synchronous read for harnesses that run in virtual time. */
+	readNow(key: string): Row | undefined {
+		return this.#rows.get(key);
+	}
+
+	/** Synchronous scan for harnesses that run in virtual time. */
+	scanNow(prefix: string, after = '', limit = 1000): Row[] {
 		return [...this.#rows.values()]
 			.filter((row) => row.key.startsWith(prefix) && row.key > after)
 			.toSorted((a, b) => (a.key < b.key ? -1 : 1))
--- /dev/null
+++ b/src/services/records/plan.ts
@@ -0,0 +1,306 @@
+import {
+	headKey,
+	headSchema,
+	logKey,
+	mergeRecord,
+	readRecord,
+	recordKey,
+	recordMetaSchema,
+	termSchema,
+	type LogEntry,
+	type RecordMeta,
+	type Row,
+	type RowCheck,
+	type RowWrite,
+	type StoredRecord,
+	type Term,
+	type Transaction,
+	type VersionedFields,
+} from '../../platform/index.js';
+import type {Edit, WriteResult} from './message.js';
+
+/** Log entries that the table keeps: more than five days at 18,000 changes a day. */
+export const logRetention = 100_000;
+/** Edits in one write; bounds the size of a log entry, which travels as one message. */
+export const maxEdits = 100;
+
+type Rows = ReadonlyMap<string, Row | undefined>;
+
+/** A stored record with the data of its last write, if the writer wrote it. */
+export type Stored = {
+	readonly fields: VersionedFields;
+	readonly meta: RecordMeta | undefined;
+};
+
+/** What a write does next: commit a transaction, or end with a result. */
+export type Plan =
+	| {
+			readonly type: 'commit';
+			readonly transaction: Transaction;
+			readonly revision: number;
+	  }
+	| {readonly type: 'end'; readonly result: WriteResult};
+
+export function editKey(edit: Edit): string {
+	return recordKey(edit);
+}
+
+export function termKey(operator: string): string {
+	return recordKey({kind: 'term', name: operator});
+}
+
+/** Reads a record's row; undefined when there is none. */
+export function readStored(row: Row | undefined): Stored | undefined {
+	if (!row) {
+		return undefined;
+	}
+
+	const value: unknown = JSON.parse(row.value);
+	const fields: VersionedFields = {schema: 1, ...new Object(value)};
+	const meta = recordMetaSchema.safeParse(fields.meta);
+	return {fields, meta: meta.success ? meta.data : undefined};
+}
+
+/** Keys whose rows a write has to read before it can be planned. */
+export function keysToRead(operator: string, edits: readonly Edit[]): string[] {
+	const successors = edits.flatMap((edit) => {
+		const successor = edit.record?.successor;
+		return edit.kind === 'term' && typeof successor === 'string'
+			? [termKey(successor)]
+			: [];
+	});
+	return [
+		...new Set([
+			headKey,
+			termKey(operator),
+			...edits.map((edit) => editKey(edit)),
+			...successors,
+		]),
+	];
+}
+
+export function headRevision(row: Row | undefined): number {
+	return row ? headSchema.parse(JSON.parse(row.value)).revision : 0;
+}
+
+function termOf(row: Row | undefined): Term | undefined {
+	const stored = readStored(row);
+	return stored && termSchema.safeParse(stored.fields).data;
+}
+
+function covers(term: Term, revision: number): boolean {
+	return (
+		term.startsAtRevision <= revision &&
+		revision <= (term.endsAtRevision ?? revision)
+	);
+}
+
+function checkTerm(
+	operator: string,
+	term: Term | undefined,
+	revision: number,
+): WriteResult | undefined {
+	if (!term) {
+		return {type: 'noTerm', operator, revision, reason: 'missing'};
+	}
+
+	if (covers(term, revision)) {
+		return undefined;
+	}
+
+	const reason = revision < term.startsAtRevision ? 'notStarted' : 'ended';
+	const {endsAtRevision} = term;
+	return {type: 'noTerm', operator, revision, reason, endsAtRevision};
+}
+
+/** Rules of a handover: no gap without an operator, and no reopening of a past revision range. */
+function termProblems(
+	edit: Edit,
+	edits: readonly Edit[],
+	rows: Rows,
+	revision: number,
+): string[] {
+	const where = `term/${edit.name}`;
+	if (edit.record === null) {
+		return [`${where}: a term cannot be deleted; set endsAtRevision`];
+	}
+
+	const term = termSchema.safeParse(edit.record).data;
+	const previous = termOf(rows.get(editKey(edit)));
+	const problems: string[] = [];
+	if (!term) {
+		return problems;
+	}
+
+	const ended =
+		previous &&
+		!covers(previous, Math.max(revision, previous.startsAtRevision));
+	if ((!previous || ended) && term.startsAtRevision < revision) {
+		problems.push(`${where}: startsAtRevision must be at least ${revision}`);
+	}
+
+	const {endsAtRevision: end, successor} = term;
+	if (end === undefined) {
+		return problems;
+	}
+
+	if (end < revision) {
+		problems.push(`${where}: endsAtRevision must be at least ${revision}`);
+	}
+
+	const next = successor === undefined ? undefined : termKey(successor);
+	const edited = edits.find((other) => editKey(other) === next)?.record;
+	const following = edited
+		? termSchema.safeParse(edited).data
+		: next === undefined
+			? undefined
+			: termOf(rows.get(next));
+	if (
+		!following ||
+		next === termKey(edit.name) ||
+		!covers(following, end + 1)
+	) {
+		problems.push(
+			`${where}: successor must name an operator whose term covers revision ${end + 1}`,
+		);
+	}
+
+	return problems;
+}
+
+/** Problems of the edits that can be told without reading the table. */
+export function editProblems(edits: readonly Edit[]): string[] {
+	const problems: string[] = [];
+	if (edits.length === 0 || edits.length > maxEdits) {
+		problems.push(`a write has 1 to ${maxEdits} edits, not ${edits.length}`);
+	}
+
+	const keys = new Set<string>();
+	for (const edit of edits) {
+		const key = editKey(edit);
+		if (keys.has(key)) {
+			problems.push(`${edit.kind}/${edit.name}: edited twice in one write`);
+		}
+
+		keys.add(key);
+		if (edit.record === null) {
+			continue;
+		}
+
+		const reading = readRecord(edit.record);
+		if (reading.type === 'invalid') {
+			problems.push(
+				...reading.problems.map((text) => `${edit.kind}/${edit.name}: ${text}`),
+			);
+		}
+
+		if (edit.record.kind !== edit.kind || edit.record.name !== edit.name) {
+			problems.push(
+				`${edit.kind}/${edit.name}: kind or name differs from the record`,
+			);
+		}
+	}
+
+	return problems;
+}
+
+/** Plans a write from the rows that it has read; `expected` holds the record revisions that it is based on, by key. */
+export function planWrite(
+	write: {
+		readonly id: string;
+		readonly operator: string;
+		readonly edits: readonly Edit[];
+	},
+	rows: Rows,
+	expected: ReadonlyMap<string, number>,
+): Plan {
+	const {id, operator, edits} = write;
+	const revision = headRevision(rows.get(headKey)) + 1;
+	const ownTerm = termKey(operator);
+	// The very first write gives its operator a term.
+	const term =
+		revision === 1
+			? termSchema.safeParse(
+					edits.find((edit) => editKey(edit) === ownTerm)?.record,
+				).data
+			: termOf(rows.get(ownTerm));
+	const refused = checkTerm(operator, term, revision);
+	if (refused) {
+		return {type: 'end', result: refused};
+	}
+
+	for (const edit of edits) {
+		const key = editKey(edit);
+		const stored = readStored(rows.get(key));
+		if ((stored?.meta?.revision ?? 0) !== expected.get(key)) {
+			return {
+				type: 'end',
+				result: {
+					type: 'conflict',
+					key,
+					mine: edit.record,
+					theirs: stored?.fields,
+					winner: stored?.meta,
+				},
+			};
+		}
+	}
+
+	const problems = edits
+		.filter((edit) => edit.kind === 'term')
+		.flatMap((edit) => termProblems(edit, edits, rows, revision));
+	if (problems.length > 0) {
+		return {type: 'end', result: {type: 'invalid', problems}};
+	}
+
+	return {
+		type: 'commit',
+		revision,
+		transaction: transactionOf(write, rows, revision),
+	};
+}
+
+function transactionOf(
+	write: {
+		readonly id: string;
+		readonly operator: string;
+		readonly edits: readonly Edit[];
+	},
+	rows: Rows,
+	revision: number,
+): Transaction {
+	const {id: writeId, operator, edits} = write;
+	const meta = {revision, operator, writeId};
+	const changes = edits.map((edit) => {
+		const key = editKey(edit);
+		const stored = readStored(rows.get(key))?.fields;
+		const record: StoredRecord | null =
+			edit.record === null
+				? null
+				: {
+						...mergeRecord(edit.kind, stored, edit.record),
+						kind: edit.kind,
+						name: edit.name,
+						meta,
+					};
+		return {key, record};
+	});
+	const entry: LogEntry = {revision, writeId, operator, changes};
+	const checks: RowCheck[] = [...rows].map(([key, row]) => ({
+		key,
+		revision: row?.revision ?? 0,
+	}));
+	const writes: RowWrite[] = [
+		...changes.map(({key, record}) => ({
+			key,
+			value: record && JSON.stringify(record),
+		})),
+		{key: headKey, value: JSON.stringify({revision})},
+		{key: logKey(revision), value: JSON.stringify(entry)},
+	];
+	if (revision > logRetention) {
+		writes.push({key: logKey(revision - logRetention), value: null});
+	}
+
+	return {checks, writes};
+}
