--- a/src/services/records/writer.test.ts
+++ b/src/services/records/writer.test.ts
@@ -21,13 +21,13 @@
 
 /** Answers a writer's table calls at once; `faults` apply to the commits in turn. */
 class Bench {
-	#now = 0;
 	readonly table = new MemoryTable();
 	readonly writer = new Writer(new Random(7));
 	readonly results = new Map<string, WriteResult>();
 	faults: Array<Fault | undefined> = [];
 	/** Runs before each commit, for a race with another operator. */
-	beforeCommit: () => void = () => undefined;
+	beforeCommit: (() => void) | undefined;
+	#now = 0;
 
 	write(id: string, operator: string, edits: readonly Edit[]): WriteResult {
 		this.#carryOut(
@@ -79,7 +79,7 @@
 			}
 
 			case 'commit': {
-				this.beforeCommit();
+				this.beforeCommit?.();
 				const fault = this.faults.shift();
 				if (fault === 'unavailable') {
 					return {type: 'unavailable'};
@@ -185,7 +185,7 @@
 test('a write that is overtaken before its commit is a conflict', () => {
 	const bench = started();
 	bench.beforeCommit = () => {
-		bench.beforeCommit = () => undefined;
+		bench.beforeCommit = undefined;
 		expect(bench.write('w2', 'abay', [letters(2)]).type).toEqual('accepted');
 	};
 
