Add the spread of configuration changes

Each process polls the head of the table, pushes what it learns to four random peers, exchanges a digest a second and applies entries strictly in order of revision. An empty process collects the records in pieces and takes part once it has read the head, or has heard three peers while the table is down.

--- a/src/platform/messages/index.ts
+++ b/src/platform/messages/index.ts
@@ -1,3 +1,4 @@
 export * from './attempt.js';
 export * from './peer.js';
+export * from './spread.js';
 export * from './table-call.js';
--- a/src/platform/records/log.ts
+++ b/src/platform/records/log.ts
@@ -6,7 +6,8 @@
 	schema: z.int().positive(),
 	kind: z.string(),
 	name: z.string(),
-	meta: recordMetaSchema,
+	/** Absent only in a row that was not written by the writer. */
+	meta: recordMetaSchema.optional(),
 });
 export type StoredRecord = z.infer<typeof storedRecordSchema>;
 
--- /dev/null
+++ b/src/services/spread/message.ts
@@ -0,0 +1,37 @@
+import type {
+	LogEntry,
+	SpreadMessage,
+	StoredRecord,
+	TableAnswer,
+} from '../../platform/index.js';
+import type {CommonEffect} from '../effect.js';
+
+/** Input of the spread state machine. */
+export type SpreadInput =
+	/** Message from a peer, after validation. */
+	| {
+			readonly type: 'peer';
+			readonly peer: string;
+			readonly message: SpreadMessage;
+	  }
+	/** The other processes of the fleet, as membership knows them. */
+	| {readonly type: 'peers'; readonly peers: readonly string[]}
+	| {readonly type: 'table'; readonly id: string; readonly answer: TableAnswer}
+	| {readonly type: 'tick'};
+
+/** Output of the spread state machine. */
+export type SpreadEffect =
+	| CommonEffect
+	| {
+			readonly type: 'send';
+			readonly peer: string;
+			readonly message: SpreadMessage;
+	  }
+	/** The entry is in force from now on. */
+	| {readonly type: 'apply'; readonly entry: LogEntry}
+	/** All records are replaced; the first one says that the process may take part. */
+	| {
+			readonly type: 'reset';
+			readonly revision: number;
+			readonly records: ReadonlyMap<string, StoredRecord>;
+	  };
