Spread the first numbers of seeded generators

Cause: the first number of xoroshiro128plus is the complement of its seed, so generators with similar seeds drew the same first delays. Conclusion: seeds are hashed before use.

--- a/src/base/random.ts
+++ b/src/base/random.ts
@@ -1,11 +1,13 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {hash32} from './rendezvous.js';
 
 /** Seeded generator; decision code takes one, so that a run is repeatable from its seed. */
 export class Random {
 	readonly #generator: ReturnType<typeof xoroshiro128plus>;
 
 	constructor(seed: number) {
-		this.#generator = xoroshiro128plus(seed);
+		// The generator's first number is the complement of its seed, so similar seeds would start alike.
+		this.#generator = xoroshiro128plus(hash32(`seed ${seed}`));
 	}
 
 	/** Uniform number in [0, 1). */
