Serve a request end to end over separate processes

Cause: the decisions had no sockets; nothing could be run. Change: links (JSON-RPC over WebSocket with heartbeats), HTTP adapters, stand-in servers, entry and sidecar daemons, INI settings, command line and demo. A repeated service call with the same key still runs twice.

--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,23 @@
+#!/usr/bin/env node
+import {defineCommand, runMain} from 'citty';
+import {checkCommand} from './check.js';
+import {daemonCommand} from './daemon.js';
+import {demoCommand} from './demo.js';
+import {dumpCommand} from './dump.js';
+
+const main = defineCommand({
+	meta: {
+		name: 'cicadaswitch',
+		description:
+			'Router for language-model traffic with service levels and priorities',
+	},
+	subCommands: {
+		entry: daemonCommand('entry'),
+		sidecar: daemonCommand('sidecar'),
+		check: checkCommand,
+		dump: dumpCommand,
+		demo: demoCommand,
+	},
+});
+
+await runMain(main);
--- /dev/null
+++ b/src/cli/settings-file.ts
@@ -0,0 +1,21 @@
+import {readFile} from 'node:fs/promises';
+import process from 'node:process';
+import {
+	parseSettings,
+	SettingsInvalid,
+	type Settings,
+} from '../platform/index.js';
+
+/** Reads a settings file; prints what is wrong and exits with status 2 when it is not valid. */
+export async function loadSettings(file: string): Promise<Settings> {
+	try {
+		return parseSettings(await readFile(file, 'utf8'), file);
+	} catch (error) {
+		const text =
+			error instanceof SettingsInvalid
+				? error.message
+				: `${file}: cannot be read: ${String(error)}`;
+		console.error(text);
+		process.exit(2);
+	}
+}
--- /dev/null
+++ b/src/daemons/admin/index.ts
@@ -0,0 +1,1 @@
+export * from './admin-server.js';
--- /dev/null
+++ b/src/daemons/entry/index.ts
@@ -0,0 +1,2 @@
+export * from './entry-daemon.js';
+export * from './completion.js';
--- /dev/null
+++ b/src/daemons/index.ts
@@ -0,0 +1,4 @@
+export * from './admin/index.js';
+export * from './entry/index.js';
+export * from './link/index.js';
+export * from './sidecar/index.js';
--- /dev/null
+++ b/src/daemons/link/peer-method.ts
@@ -0,0 +1,81 @@
+import {z} from 'zod';
+import {
+	entryToSidecarSchema,
+	sidecarToEntrySchema,
+	updateSchema,
+	type EntryToSidecar,
+	type SidecarToEntry,
+	type Update,
+} from '../../platform/index.js';
+import type {Link} from './link.js';
+
+const entryMethods = {
+	offer: 'offer',
+	start: 'attempt.start',
+	cancel: 'attempt.cancel',
+	attach: 'attempt.attach',
+	credit: 'attempt.credit',
+} as const satisfies Record<EntryToSidecar['type'], string>;
+
+const updatesSchema = z.object({updates: z.array(updateSchema)});
+
+/** Sends an entry's message over a link. */
+export function sendToSidecar(link: Link, message: EntryToSidecar): void {
+	link.notify(entryMethods[message.type], () => message);
+}
+
+/** Receives what entries send over a link. Messages that do not fit the schema are refused by JSON-RPC. */
+export function receiveFromEntry(
+	link: Link,
+	receive: (message: EntryToSidecar) => void,
+): void {
+	for (const method of Object.values(entryMethods)) {
+		link.on(method, (parameters: unknown) => {
+			receive(entryToSidecarSchema.parse(parameters));
+		});
+	}
+}
+
+/** Receives what a sidecar sends over a link. */
+export function receiveFromSidecar(
+	link: Link,
+	receive: (message: SidecarToEntry) => void,
+): void {
+	link.on('offer.reply', (parameters: unknown) => {
+		receive(sidecarToEntrySchema.parse(parameters));
+	});
+	link.on('attempt.update', (parameters: unknown) => {
+		for (const update of updatesSchema.parse(parameters).updates) {
+			receive({type: 'update', update});
+		}
+	});
+}
+
+/** Sends a sidecar's messages over a link; the updates of one turn of the event loop go out as one notification. */
+export class SidecarSender {
+	readonly #link: Link;
+	#updates: Update[] = [];
+
+	constructor(link: Link) {
+		this.#link = link;
+	}
+
+	send(message: SidecarToEntry): void {
+		if (message.type === 'offerReply') {
+			this.#link.notify('offer.reply', () => message);
+			return;
+		}
+
+		if (this.#updates.length === 0) {
+			this.#link.notify('attempt.update', () => this.#takeUpdates());
+		}
+
+		this.#updates.push(message.update);
+	}
+
+	#takeUpdates(): {updates: Update[]} {
+		const updates = this.#updates;
+		this.#updates = [];
+		return {updates};
+	}
+}
--- /dev/null
+++ b/src/daemons/sidecar/index.ts
@@ -0,0 +1,1 @@
+export * from './sidecar-daemon.js';
--- /dev/null
+++ b/src/lab/fleet/fleet.ts
@@ -0,0 +1,257 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {mkdtemp, readFile, rm, writeFile} from 'node:fs/promises';
+import {createServer} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {fileURLToPath} from 'node:url';
+import process from 'node:process';
+import {request} from 'undici';
+import {z} from 'zod';
+import {DisposableStore} from '../../base/index.js';
+import {
+	recordKey,
+	recordSchema,
+	type ConfigRecord,
+	type EndpointRecord,
+} from '../../platform/index.js';
+import {
+	EngineServer,
+	InstanceListServer,
+	MemoryTable,
+	ServiceServer,
+	TableServer,
+	type EngineServerOptions,
+} from '../../platform/standins/index.js';
+
+const startTimeoutMs = 20_000;
+const pollMs = 25;
+const peerKey = 'loopback-fleet-key';
+const root = fileURLToPath(new URL('../../..', import.meta.url));
+
+export type FleetOptions = {
+	/** Directory under examples/ whose records are used. */
+	readonly deployment: 'gebeya' | 'harlech';
+	readonly entries: number;
+	/** Endpoints of each kind at most, so that a test stays small. */
+	readonly engines: number;
+	readonly services: number;
+	readonly engine?: EngineServerOptions;
+};
+
+/** One process of the fleet. */
+export type FleetProcess = {
+	readonly name: string;
+	readonly child: ChildProcess;
+	/** Caller address of an entry or peer address of a sidecar. */
+	readonly address: string;
+	readonly admin: string;
+};
+
+/** The whole path on loopback: entries and sidecars as processes of their own, stand-ins for all else in this one. */
+export class Fleet {
+	readonly table = new MemoryTable();
+	readonly tableServer = new TableServer(this.table);
+	readonly instanceList = new InstanceListServer();
+	readonly engines = new Map<string, EngineServer>();
+	readonly services = new Map<string, ServiceServer>();
+	readonly entries: FleetProcess[] = [];
+	readonly sidecars = new Map<string, FleetProcess>();
+	readonly #store = new DisposableStore();
+	readonly #options: FleetOptions;
+	#directory = '';
+	#tableUrl = '';
+	#instancesUrl = '';
+
+	constructor(options: FleetOptions) {
+		this.#options = options;
+	}
+
+	/** Starts everything and resolves when every process is ready. */
+	async start(): Promise<void> {
+		this.#directory = await mkdtemp(path.join(tmpdir(), 'cicadaswitch-'));
+		this.#tableUrl = await this.#store.add(this.tableServer).listen();
+		this.#instancesUrl = await this.#store.add(this.instanceList).listen();
+		const records = await this.#loadRecords();
+		const endpoints = records.filter((record) => record.kind === 'endpoint');
+		await Promise.all([
+			...endpoints
+				.filter((endpoint) => endpoint.type === 'engine')
+				.slice(0, this.#options.engines)
+				.map(async (endpoint) => this.startEndpoint(endpoint)),
+			...endpoints
+				.filter((endpoint) => endpoint.type === 'service')
+				.slice(0, this.#options.services)
+				.map(async (endpoint) => this.startEndpoint(endpoint)),
+		]);
+		const {dataCentre, region} = endpoints[0]!;
+		await Promise.all(
+			Array.from({length: this.#options.entries}, async (_, index) =>
+				this.startEntry(`entry-${index + 1}`, dataCentre, region),
+			),
+		);
+	}
+
+	/** Starts the stand-in of an endpoint and its sidecar, and lists it. */
+	async startEndpoint(endpoint: EndpointRecord): Promise<void> {
+		const url = await this.#startBackEnd(endpoint);
+		const peer = `127.0.0.1:${await freePort()}`;
+		const sidecar = await this.#spawn('sidecar', endpoint.name, peer, [
+			...this.#processLines('sidecar', endpoint.name, endpoint),
+			'[endpoint]',
+			`type = ${endpoint.type}`,
+			`url = ${url}`,
+		]);
+		this.sidecars.set(endpoint.name, sidecar);
+		this.instanceList.instances.push({
+			id: endpoint.name,
+			address: peer,
+			state: 'live',
+		});
+	}
+
+	async startEntry(
+		name: string,
+		dataCentre: string,
+		region: string,
+	): Promise<FleetProcess> {
+		const caller = `127.0.0.1:${await freePort()}`;
+		const entry = await this.#spawn('entry', name, caller, [
+			...this.#processLines('entry', name, {dataCentre, region}),
+		]);
+		this.entries.push(entry);
+		return entry;
+	}
+
+	/** State dump of a process. */
+	async dump(process: FleetProcess): Promise<unknown> {
+		const answer = await request(`http://${process.admin}/dump`);
+		return answer.body.json();
+	}
+
+	/** Ends every process that this fleet has started and removes its files. */
+	async dispose(): Promise<void> {
+		for (const {child} of [...this.entries, ...this.sidecars.values()]) {
+			child.kill('SIGKILL');
+		}
+
+		this.#store.dispose();
+		await rm(this.#directory, {recursive: true, force: true});
+	}
+
+	async #loadRecords(): Promise<ConfigRecord[]> {
+		const file = path.join(
+			root,
+			'examples',
+			this.#options.deployment,
+			'records.json',
+		);
+		const records = z
+			.array(recordSchema)
+			.parse(JSON.parse(await readFile(file, 'utf8')));
+		this.table.commitNow({
+			checks: [],
+			writes: records.map((record) => ({
+				key: recordKey(record),
+				value: JSON.stringify(record),
+			})),
+		});
+		return records;
+	}
+
+	async #startBackEnd(endpoint: EndpointRecord): Promise<string> {
+		if (endpoint.type === 'engine') {
+			const engine = new EngineServer(this.#options.engine);
+			this.engines.set(endpoint.name, this.#store.add(engine));
+			return engine.listen();
+		}
+
+		const service = new ServiceServer(endpoint.name);
+		this.services.set(endpoint.name, this.#store.add(service));
+		return service.listen();
+	}
+
+	#processLines(
+		role: string,
+		instance: string,
+		place: {readonly dataCentre: string; readonly region: string},
+	): string[] {
+		return [
+			'[process]',
+			`role = ${role}`,
+			`instance = ${instance}`,
+			`data_centre = ${place.dataCentre}`,
+			`region = ${place.region}`,
+			'[peers]',
+			`key = ${peerKey}`,
+			'[platform]',
+			`table = ${this.#tableUrl}`,
+			`instances = ${this.#instancesUrl}`,
+		];
+	}
+
+	async #spawn(
+		role: 'entry' | 'sidecar',
+		name: string,
+		address: string,
+		lines: readonly string[],
+	): Promise<FleetProcess> {
+		const admin = `127.0.0.1:${await freePort()}`;
+		const file = path.join(this.#directory, `${name}.ini`);
+		const own = role === 'entry' ? 'caller' : 'peer';
+		const addresses = [
+			'[addresses]',
+			`${own} = ${address}`,
+			`admin = ${admin}`,
+		];
+		await writeFile(file, [...lines, ...addresses, ''].join('\n'));
+		const isSource = import.meta.url.endsWith('.ts');
+		const main = isSource ? 'src/cli/main.ts' : 'dist/cli/main.js';
+		const child = spawn(
+			process.execPath,
+			[
+				...(isSource ? ['--import', 'tsx'] : []),
+				path.join(root, main),
+				role,
+				file,
+			],
+			{cwd: root, stdio: ['ignore', 'ignore', 'inherit']},
+		);
+		const fleetProcess = {name, child, address, admin};
+		await waitUntilReady(fleetProcess);
+		return fleetProcess;
+	}
+}
+
+/** A loopback port that is free at present. */
+async function freePort(): Promise<number> {
+	return new Promise((resolve, reject) => {
+		const server = createServer();
+		server.once('error', reject);
+		server.listen(0, '127.0.0.1', () => {
+			const bound = server.address();
+			server.close(() => {
+				resolve(typeof bound === 'object' && bound ? bound.port : 0);
+			});
+		});
+	});
+}
+
+async function waitUntilReady(fleetProcess: FleetProcess): Promise<void> {
+	for (let waited = 0; waited < startTimeoutMs; waited += pollMs) {
+		try {
+			const answer = await request(`http://${fleetProcess.admin}/readyz`);
+			await answer.body.dump();
+			if (answer.statusCode === 200) {
+				return;
+			}
+		} catch {
+			// The process has not opened its admin address yet.
+		}
+
+		await new Promise((resolve) => {
+			setTimeout(resolve, pollMs);
+		});
+	}
+
+	throw new Error(`process ${fleetProcess.name} did not become ready`);
+}
--- /dev/null
+++ b/src/lab/fleet/index.ts
@@ -0,0 +1,1 @@
+export * from './fleet.js';
--- /dev/null
+++ b/src/platform/adapters/http-service.ts
@@ -0,0 +1,161 @@
+import {Buffer} from 'node:buffer';
+import type {Dispatcher} from 'undici';
+import {z} from 'zod';
+import {
+	EndpointUnavailable,
+	type CacheEvent,
+	type Call,
+	type Endpoint,
+	type EndpointEvent,
+	type Execution,
+	type LoadReport,
+} from '../ports/index.js';
+import {exchangeJson, toError} from './http-json.js';
+
+const controlTimeoutMs = 2000;
+const loadSchema = z.object({running: z.number(), waiting: z.number()});
+
+/** Headers that belong to one connection and are not passed on. */
+const connectionHeaders = new Set([
+	'connection',
+	'content-length',
+	'keep-alive',
+	'transfer-encoding',
+	'host',
+	'upgrade',
+]);
+
+/** A plain HTTP service. Bodies pass as base64 text. */
+export class HttpService implements Endpoint {
+	readonly #url: string;
+	readonly #pool: Dispatcher;
+
+	constructor(url: string, pool: Dispatcher) {
+		this.#url = url;
+		this.#pool = pool;
+	}
+
+	run(
+		call: Call,
+		options: {readonly requestId: string},
+		onEvent: (event: EndpointEvent) => void,
+	): Execution {
+		const stream = new ServiceStream(onEvent);
+		this.#pool.dispatch(
+			{
+				origin: this.#url,
+				path: call.path,
+				method: call.method,
+				headers: {
+					...withoutConnectionHeaders(call.headers),
+					'x-request-id': options.requestId,
+				},
+				body: Buffer.from(call.body, call.binary ? 'base64' : 'utf8'),
+				headersTimeout: 0,
+				bodyTimeout: 0,
+			},
+			stream,
+		);
+		return stream;
+	}
+
+	async load(): Promise<LoadReport> {
+		try {
+			const answer = await exchangeJson(
+				'GET',
+				`${this.#url}/load`,
+				undefined,
+				controlTimeoutMs,
+			);
+			return {...loadSchema.parse(answer.body), kvTokens: 0, kvCapacity: 0};
+		} catch (error) {
+			throw new EndpointUnavailable(toError(error), 'service not reached');
+		}
+	}
+
+	async cacheEvents(): Promise<CacheEvent[]> {
+		return [];
+	}
+
+	async command(): Promise<void> {
+		throw new EndpointUnavailable('a plain service takes no commands');
+	}
+}
+
+class ServiceStream implements Dispatcher.DispatchHandler, Execution {
+	readonly #onEvent: (event: EndpointEvent) => void;
+	#controller: Dispatcher.DispatchController | undefined;
+	#sent = false;
+	#cancelled = false;
+
+	constructor(onEvent: (event: EndpointEvent) => void) {
+		this.#onEvent = onEvent;
+	}
+
+	cancel(): void {
+		this.#cancelled = true;
+		this.#controller?.abort(new Error('cancelled'));
+	}
+
+	pause(): void {
+		this.#controller?.pause();
+	}
+
+	resume(): void {
+		this.#controller?.resume();
+	}
+
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		this.#controller = controller;
+		if (this.#cancelled) {
+			controller.abort(new Error('cancelled'));
+			return;
+		}
+
+		this.#sent = true;
+	}
+
+	onResponseStart(
+		controller: Dispatcher.DispatchController,
+		status: number,
+		headers: Record<string, string | string[] | undefined>,
+	): void {
+		this.#onEvent({
+			type: 'head',
+			status,
+			headers: withoutConnectionHeaders(headers),
+			binary: true,
+		});
+	}
+
+	onResponseData(
+		controller: Dispatcher.DispatchController,
+		chunk: Uint8Array,
+	): void {
+		const data = Buffer.from(chunk).toString('base64');
+		this.#onEvent({type: 'chunk', data, tokens: 0});
+	}
+
+	onResponseEnd(): void {
+		this.#onEvent({type: 'end'});
+	}
+
+	onResponseError(
+		controller: Dispatcher.DispatchController,
+		error: Error,
+	): void {
+		if (!this.#cancelled) {
+			this.#onEvent({type: 'error', sent: this.#sent, reason: error.message});
+		}
+	}
+}
+
+function withoutConnectionHeaders(
+	headers: Readonly<Record<string, string | string[] | undefined>>,
+): Record<string, string> {
+	return Object.fromEntries(
+		Object.entries(headers)
+			.filter(([name]) => !connectionHeaders.has(name.toLowerCase()))
+			.map(([name, value]) => [name, String(value)]),
+	);
+}
--- /dev/null
+++ b/src/platform/adapters/http-table.ts
@@ -0,0 +1,105 @@
+import {z} from 'zod';
+import {
+	TableUnavailable,
+	TableUncertain,
+	type Decision,
+	type Row,
+	type Table,
+	type Transaction,
+} from '../ports/index.js';
+import {exchangeJson, toError} from './http-json.js';
+
+const timeoutMs = 2000;
+
+const rowSchema = z.object({
+	key: z.string(),
+	value: z.string(),
+	revision: z.int(),
+});
+const readAnswer = z.object({row: rowSchema.nullable()});
+const scanAnswer = z.object({rows: z.array(rowSchema)});
+const commitAnswer = z.discriminatedUnion('type', [
+	z.object({type: z.literal('committed'), revision: z.int()}),
+	z.object({
+		type: z.literal('conflict'),
+		key: z.string(),
+		current: rowSchema.optional(),
+	}),
+]);
+
+/** The platform's table over HTTP with JSON bodies. */
+export class HttpTable implements Table {
+	readonly #url: string;
+
+	constructor(url: string) {
+		this.#url = url;
+	}
+
+	async read(key: string): Promise<Row | undefined> {
+		const answer = readAnswer.parse(await this.#query('read', {key}));
+		return answer.row ?? undefined;
+	}
+
+	async scan(prefix: string, after = '', limit = 1000): Promise<Row[]> {
+		const query = {prefix, after, limit};
+		return scanAnswer.parse(await this.#query('scan', query)).rows;
+	}
+
+	async commit(transaction: Transaction): Promise<Decision> {
+		let answer;
+		try {
+			answer = await exchangeJson(
+				'POST',
+				`${this.#url}/commit`,
+				transaction,
+				timeoutMs,
+			);
+		} catch (error) {
+			if (isConnectFailure(error)) {
+				throw new TableUnavailable(toError(error), 'table not reached');
+			}
+
+			throw new TableUncertain(toError(error), 'no answer to a commit');
+		}
+
+		if (answer.status === 503) {
+			throw new TableUnavailable('table refused the commit');
+		}
+
+		const decision = commitAnswer.safeParse(answer.body);
+		if (answer.status !== 200 || !decision.success) {
+			throw new TableUncertain('commit answered with status %d', answer.status);
+		}
+
+		const {data} = decision;
+		return data.type === 'committed'
+			? data
+			: {type: 'conflict', key: data.key, current: data.current};
+	}
+
+	async #query(operation: string, body: unknown): Promise<unknown> {
+		try {
+			const answer = await exchangeJson(
+				'POST',
+				`${this.#url}/${operation}`,
+				body,
+				timeoutMs,
+			);
+			if (answer.status === 200) {
+				return answer.body;
+			}
+
+			throw new TableUnavailable('status %d', answer.status);
+		} catch (error) {
+			throw new TableUnavailable(toError(error), 'table %s failed', operation);
+		}
+	}
+}
+
+function isConnectFailure(error: unknown): boolean {
+	return (
+		error instanceof Error &&
+		'code' in error &&
+		(error.code === 'ECONNREFUSED' || error.code === 'UND_ERR_CONNECT_TIMEOUT')
+	);
+}
--- /dev/null
+++ b/src/platform/settings/index.ts
@@ -0,0 +1,1 @@
+export * from './settings.js';
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -39,6 +39,8 @@
 			'unicorn/prevent-abbreviations': 'off',
 			// Sequential awaits are intended in tests and command-line code.
 			'no-await-in-loop': 'off',
+			// An event is declared after the emitter that it exposes.
+			'@typescript-eslint/member-ordering': 'off',
 			'max-params': ['error', {max: 5}],
 		},
 	},
@@ -67,6 +69,13 @@
 			],
 		},
 	},
+	{
+		files: ['src/cli/**/*.ts'],
+		rules: {
+			// Commands end with the exit status that operators' scripts rely on.
+			'unicorn/no-process-exit': 'off',
+		},
+	},
 	{
 		files: ['**/*.test.ts'],
 		rules: {
