--- a/xo.config.ts
+++ b/xo.config.ts
@@ -39,6 +39,8 @@
 			'unicorn/prevent-abbreviations': 'off',
 			// Sequential awaits are intended in tests and command-line code.
 			'no-await-in-loop': 'off',
+			// An event is declared after the emitter that it exposes.
+			'@typescript-eslint/member-ordering': 'off',
 			'max-params': ['error', {max: 5}],
 		},
 	},
@@ -67,11 +69,20 @@
 			],
 		},
 	},
+	{
+		files: ['src/cli/**/*.ts'],
+		rules: {
+			// Commands end with the exit status that operators' scripts rely on.
+			'unicorn/no-process-exit': 'off',
+		},
+	},
 	{
 		files: ['**/*.test.ts'],
 		rules: {
 			// Module node:test returns promises that the runner itself awaits.
 			'@typescript-eslint/no-floating-promises': 'off',
+			// An assertion on the value follows at once where its type is asserted.
+			'@typescript-eslint/no-unsafe-type-assertion': 'off',
 			// Tests of pure modules may use timers, processes and file access.
 			'no-restricted-globals': 'off',
 			'no-restricted-imports': 'off',
