Add the benchmark of ways to spread changes

cicadaswitch spread-bench runs the state machines of a whole fleet in virtual time and prints one row for each strategy, scenario and fleet size.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,6 +4,7 @@
 import {daemonCommand} from './daemon.js';
 import {demoCommand} from './demo.js';
 import {dumpCommand} from './dump.js';
+import {spreadBenchCommand} from './spread-bench.js';
 
 const main = defineCommand({
 	meta: {
@@ -17,6 +18,7 @@
 		check: checkCommand,
 		dump: dumpCommand,
 		demo: demoCommand,
+		'spread-bench': spreadBenchCommand,
 	},
 });
 
--- /dev/null
+++ b/src/cli/spread-bench.ts
@@ -0,0 +1,76 @@
+import process from 'node:process';
+import {defineCommand} from 'citty';
+import {
+	measureRestart,
+	measureSpread,
+	spreadScenarios,
+	type SpreadStrategy,
+} from '../lab/spread-bench.js';
+
+const strategies = [
+	'everyone polls',
+	'a few poll and pass on',
+	'push bodies',
+	'push digests',
+	'cluster tree',
+] as const satisfies readonly SpreadStrategy[];
+
+type Cell = string | number | boolean;
+
+function print(row: Readonly<Record<string, Cell>>, json: boolean): void {
+	const text = json
+		? JSON.stringify(row)
+		: Object.entries(row)
+				.map(([name, value]) => `${name}=${shown(value)}`)
+				.join('\t');
+	process.stdout.write(`${text}\n`);
+}
+
+function shown(value: Cell): string {
+	return typeof value === 'number' && !Number.isInteger(value)
+		? value.toFixed(1)
+		: String(value);
+}
+
+export const spreadBenchCommand = defineCommand({
+	meta: {
+		name: 'spread-bench',
+		description:
+			'Compare ways to spread configuration changes, in virtual time',
+	},
+	args: {
+		members: {
+			type: 'string',
+			description: 'Fleet sizes, separated by commas',
+			default: '6,60,600,5800',
+		},
+		seed: {type: 'string', description: 'Seed of the runs', default: '1'},
+		json: {type: 'boolean', description: 'Print one JSON object per line'},
+	},
+	run({args}) {
+		const json = args.json === true;
+		const seed = Number(args.seed);
+		for (const members of args.members.split(',').map(Number)) {
+			if (
+				!Number.isInteger(members) ||
+				members < 1 ||
+				!Number.isInteger(seed)
+			) {
+				console.error('--members takes positive integers, --seed an integer');
+				process.exit(2);
+			}
+
+			for (const strategy of strategies) {
+				for (const scenario of spreadScenarios) {
+					print(measureSpread({members, seed, strategy, scenario}), json);
+				}
+			}
+
+			for (const part of [0.01, 0.1, 1]) {
+				print(measureRestart({members, seed, part}), json);
+			}
+
+			print(measureRestart({members, seed, part: 0.1, tableDown: true}), json);
+		}
+	},
+});
--- a/src/lab/spread-fleet.ts
+++ b/src/lab/spread-fleet.ts
@@ -78,8 +78,6 @@
 export class SpreadFleet {
 	readonly table = new MemoryTable();
 	readonly queue = new EventQueue();
-	messages = 0;
-	bytes = 0;
 	/** Table reads in each second of virtual time. */
 	readonly reads: number[] = [];
 	tableDown = false;
@@ -93,6 +91,9 @@
 	readonly #indexes: ReadonlyMap<string, number>;
 	readonly #processes: Process[];
 	readonly #random: Random;
+	#messages = 0;
+	/** Bytes sent by each process. */
+	readonly #bytes: number[];
 	#writes = 0;
 
 	constructor(options: FleetOptions) {
@@ -100,6 +101,7 @@
 		this.loss = options.loss ?? 0;
 		this.#random = new Random(options.seed);
 		this.#names = Array.from({length: options.members}, (_, n) => `p${n}`);
+		this.#bytes = this.#names.map(() => 0);
 		this.#indexes = new Map(this.#names.map((name, index) => [name, index]));
 		this.#processes = this.#names.map((name, index) => ({
 			name,
@@ -186,6 +188,23 @@
 		return plan.revision;
 	}
 
+	/** Messages and bytes sent since the last reset, in all and by the busiest process. */
+	counters(): {messages: number; bytes: number; worstBytes: number} {
+		let bytes = 0;
+		let worstBytes = 0;
+		for (const sent of this.#bytes) {
+			bytes += sent;
+			worstBytes = Math.max(worstBytes, sent);
+		}
+
+		return {messages: this.#messages, bytes, worstBytes};
+	}
+
+	resetCounters(): void {
+		this.#messages = 0;
+		this.#bytes.fill(0);
+	}
+
 	/** Revision of the table's head. */
 	head(): number {
 		const row = this.table.readNow(headKey);
@@ -272,8 +291,8 @@
 	}
 
 	#send(from: Process, peer: string, message: SpreadMessage): void {
-		this.messages++;
-		this.bytes += messageBytes(message);
+		this.#messages++;
+		this.#bytes[from.index]! += messageBytes(message);
 		const to = this.#processes[this.#indexes.get(peer)!]!;
 		const lost = this.loss > 0 && this.#random.next() < this.loss;
 		if (lost || this.cut?.(from.index, to.index) === true) {
