Poll a failing table at the usual rate

Cause: polls slowed down up to four times while the table failed, which delays a change after the outage and saves nothing, since the fleet's rate is 1% of what the table serves.

--- a/src/services/spread/spread.ts
+++ b/src/services/spread/spread.ts
@@ -217,8 +217,7 @@
 	#pollTime(now: number): number | undefined {
 		if (this.#store) {
 			const delay = this.#policy.pollDelayMs(this.#fleet, this.#random);
-			// A failing table is asked up to 4 times less often.
-			return delay && now + delay * Math.min(4, 2 ** this.#tableFailures);
+			return delay && now + delay;
 		}
 
 		const retryMs = Math.max(1000, (this.#fleet / startReadsPerSecond) * 2000);
