Answer the digests of a starting process

Cause: a peer with the same revision did not answer a digest, so with the table down a starting process waited 5 s for a third peer.

--- a/src/platform/messages/spread.ts
+++ b/src/platform/messages/spread.ts
@@ -29,6 +29,8 @@
 export const spreadDigestSchema = z.object({
 	type: z.literal('digest'),
 	revision: z.int().min(0),
+	/** Asks for an answer even if there is nothing to send; set by a process that does not take part yet. */
+	ask: z.boolean().optional(),
 	/** Asks for the snapshot piece after this key. */
 	snapshotAfter: z.string().optional(),
 });
--- a/src/services/spread/spread.ts
+++ b/src/services/spread/spread.ts
@@ -245,8 +245,9 @@
 		}
 
 		const message: SpreadDigest = {type: 'digest', revision: this.#current};
-		if (!this.#store && !this.#staging) {
-			message.snapshotAfter = '';
+		if (!this.#store) {
+			message.ask = true;
+			message.snapshotAfter = this.#staging ? undefined : '';
 		}
 
 		this.#send(peer, message);
@@ -335,6 +336,9 @@
 		} else if (digest.revision > this.#current) {
 			this.#known = Math.max(this.#known, digest.revision);
 			this.#catchUp(peer, false, now);
+		} else if (digest.ask) {
+			const revision = store?.revision ?? 0;
+			this.#send(peer, {type: 'push', revision, entries: []});
 		}
 	}
 
