Add membership

Only the instance list makes a member gone; a lost link is a local observation, so that a partition removes nobody.

--- a/src/platform/messages/index.ts
+++ b/src/platform/messages/index.ts
@@ -1,4 +1,5 @@
 export * from './attempt.js';
+export * from './members.js';
 export * from './peer.js';
 export * from './spread.js';
 export * from './table-call.js';
--- /dev/null
+++ b/src/services/membership/index.ts
@@ -0,0 +1,3 @@
+export * from './member-table.js';
+export * from './membership.js';
+export type * from './message.js';
--- /dev/null
+++ b/src/services/membership/message.ts
@@ -0,0 +1,36 @@
+import type {
+	ListedInstance,
+	MemberFact,
+	MembersMessage,
+} from '../../platform/index.js';
+import type {CommonEffect} from '../effect.js';
+
+/** Input of the membership state machine. */
+export type MembershipInput =
+	| {
+			readonly type: 'peer';
+			readonly peer: string;
+			readonly message: MembersMessage;
+	  }
+	/** The platform's list, which lags. */
+	| {readonly type: 'list'; readonly instances: readonly ListedInstance[]}
+	/** Own observation of a link to a member. */
+	| {
+			readonly type: 'link';
+			readonly id: string;
+			readonly state: 'up' | 'lost';
+	  }
+	/** This process is leaving. */
+	| {readonly type: 'leave'}
+	| {readonly type: 'tick'};
+
+/** Output of the membership state machine. */
+export type MembershipEffect =
+	| CommonEffect
+	| {
+			readonly type: 'send';
+			readonly peer: string;
+			readonly message: MembersMessage;
+	  }
+	/** A fact that is new to this process, to be acted on. */
+	| {readonly type: 'member'; readonly fact: MemberFact};
