--- a/src/services/records/catalogue.ts
+++ b/src/services/records/catalogue.ts
@@ -1,12 +1,12 @@
 import {
+	recordSchema,
+	type ConfigRecord,
 	type Contract,
 	type EndpointRecord,
 	type ListedInstance,
 	type RequestClass,
 	type Rule,
 	type Workspace,
-	recordSchema,
-	type ConfigRecord,
 } from '../../platform/index.js';
 
 /** An endpoint as an entry sees it: its record joined with the instance list. */
@@ -28,41 +28,76 @@
 	readonly nonIdempotent: Rule['nonIdempotent'];
 };
 
-/** The records in force, indexed for the request path. */
+/**
+ * The records in force, indexed for the request path.
+ *
+ * A change costs time in proportion to the rules, not to the workspaces and
+ * endpoints: targets that it touches are rebuilt when they are next asked for.
+ */
 export class Catalogue {
 	readonly #records = new Map<string, ConfigRecord>();
 	readonly #workspaces = new Map<string, Workspace>();
+	readonly #endpoints = new Map<string, EndpointRecord>();
+	readonly #instances = new Map<string, ListedInstance>();
+	/** Rules by target name, then by rule name. */
+	readonly #rules = new Map<string, Map<string, Rule>>();
+	/** Targets that have been built since their rules and endpoints last changed. */
 	readonly #targets = new Map<string, Target>();
-	#instances: readonly ListedInstance[] = [];
 
-	/** Replaces a record, or removes it when `value` is null. Text that is not a known record is ignored, since a later operator may write kinds that this version lacks. */
+	/** Replaces a record, or removes it when `value` is null. Text that is not a known record counts as removed, since a later operator may write kinds that this version lacks. */
 	set(key: string, value: string | null): void {
+		const earlier = this.#records.get(key);
+		if (earlier) {
+			this.#records.delete(key);
+			this.#unindex(earlier);
+		}
+
 		const record = value === null ? undefined : parseRecord(value);
 		if (record) {
 			this.#records.set(key, record);
-		} else {
-			this.#records.delete(key);
+			this.#index(record);
 		}
-
-		this.#index();
 	}
 
 	/** Replaces all records. */
 	replaceAll(rows: ReadonlyArray<{key: string; value: string}>): void {
-		this.#records.clear();
-		for (const {key, value} of rows) {
-			const record = parseRecord(value);
-			if (record) {
-				this.#records.set(key, record);
+		const kept = new Set(rows.map(({key}) => key));
+		for (const key of this.#records.keys()) {
+			if (!kept.has(key)) {
+				this.set(key, null);
 			}
 		}
 
-		this.#index();
+		for (const {key, value} of rows) {
+			this.set(key, value);
+		}
 	}
 
+	/** Replaces the instance list. */
 	setInstances(instances: readonly ListedInstance[]): void {
-		this.#instances = instances;
-		this.#index();
+		const kept = new Set(instances.map(({id}) => id));
+		for (const id of this.#instances.keys()) {
+			if (!kept.has(id)) {
+				this.#instances.delete(id);
+				this.#touchEndpoint(id);
+			}
+		}
+
+		for (const instance of instances) {
+			this.setInstance(instance);
+		}
+	}
+
+	/** Adds an instance or takes over its new address and state. */
+	setInstance(instance: ListedInstance): void {
+		const earlier = this.#instances.get(instance.id);
+		if (
+			earlier?.address !== instance.address ||
+			earlier.state !== instance.state
+		) {
+			this.#instances.set(instance.id, instance);
+			this.#touchEndpoint(instance.id);
+		}
 	}
 
 	/** The workspace to which an API key belongs; `keyHash` is its SHA-256 in hexadecimal. */
@@ -76,23 +111,35 @@
 		return record?.kind === 'class' ? record : undefined;
 	}
 
+	/** Model or plain service by name. */
 	target(name: string): Target | undefined {
-		return this.#targets.get(name);
+		const built = this.#targets.get(name);
+		if (built) {
+			return built;
+		}
+
+		const target = this.#buildTarget(name);
+		if (target) {
+			this.#targets.set(name, target);
+		}
+
+		return target;
 	}
 
 	/** Names of models that at least one rule allows. */
 	models(): string[] {
-		return [...this.#targets.values()]
-			.filter((target) => target.kind === 'model')
-			.map((target) => target.name);
+		return [...this.#rules]
+			.filter(([, rules]) =>
+				[...rules.values()].some((rule) => rule.targetKind === 'model'),
+			)
+			.map(([name]) => name);
 	}
 
 	/** Names of the targets that an endpoint may serve. */
 	targetsOf(endpoint: string): string[] {
-		return [...this.#records.values()]
-			.filter((record) => record.kind === 'rule')
-			.filter((rule) => rule.endpoints.some((glob) => matches(glob, endpoint)))
-			.map((rule) => rule.target);
+		return [...this.#rules.keys()].filter((name) =>
+			this.#isAllowed(name, endpoint),
+		);
 	}
 
 	/** Contract under which a workspace's request of a class is served. */
@@ -109,58 +156,124 @@
 		};
 	}
 
-	#index(): void {
-		this.#workspaces.clear();
-		this.#targets.clear();
-		const endpoints = this.#endpoints();
-		for (const record of this.#records.values()) {
-			if (record.kind === 'workspace') {
+	#index(record: ConfigRecord): void {
+		switch (record.kind) {
+			case 'workspace': {
 				for (const hash of record.keyHashes) {
 					this.#workspaces.set(hash, record);
 				}
-			} else if (record.kind === 'rule') {
-				this.#addRule(record, endpoints);
+
+				break;
+			}
+
+			case 'endpoint': {
+				this.#endpoints.set(record.name, record);
+				this.#touchEndpoint(record.name);
+				break;
+			}
+
+			case 'rule': {
+				const rules = this.#rules.get(record.target) ?? new Map<string, Rule>();
+				rules.set(record.name, record);
+				this.#rules.set(record.target, rules);
+				this.#targets.delete(record.target);
+				break;
+			}
+
+			case 'class': {
+				break;
+			}
+		}
+	}
+
+	#unindex(record: ConfigRecord): void {
+		switch (record.kind) {
+			case 'workspace': {
+				for (const hash of record.keyHashes) {
+					this.#workspaces.delete(hash);
+				}
+
+				break;
+			}
+
+			case 'endpoint': {
+				this.#endpoints.delete(record.name);
+				this.#touchEndpoint(record.name);
+				break;
+			}
+
+			case 'rule': {
+				const rules = this.#rules.get(record.target);
+				rules?.delete(record.name);
+				if (rules?.size === 0) {
+					this.#rules.delete(record.target);
+				}
+
+				this.#targets.delete(record.target);
+				break;
+			}
+
+			case 'class': {
+				break;
 			}
 		}
 	}
 
-	#endpoints(): EndpointView[] {
-		const records = new Map<string, EndpointRecord>();
-		for (const record of this.#records.values()) {
-			if (record.kind === 'endpoint') {
-				records.set(record.name, record);
+	/** Discards the built targets that an endpoint belongs to. */
+	#touchEndpoint(endpoint: string): void {
+		for (const name of this.#targets.keys()) {
+			if (this.#isAllowed(name, endpoint)) {
+				this.#targets.delete(name);
 			}
 		}
+	}
 
-		return this.#instances.flatMap((instance) => {
-			const record = records.get(instance.id);
-			return record
-				? [
-						{
-							name: record.name,
-							type: record.type,
-							dataCentre: record.dataCentre,
-							region: record.region,
-							address: instance.address,
-							leaving: instance.state === 'leaving',
-						},
-					]
-				: [];
-		});
-	}
-
-	#addRule(rule: Rule, endpoints: readonly EndpointView[]): void {
-		const earlier = this.#targets.get(rule.target);
-		const allowed = endpoints.filter((endpoint) =>
-			rule.endpoints.some((glob) => matches(glob, endpoint.name)),
-		);
-		this.#targets.set(rule.target, {
-			name: rule.target,
-			kind: rule.targetKind,
-			endpoints: [...new Set([...(earlier?.endpoints ?? []), ...allowed])],
-			nonIdempotent: [...(earlier?.nonIdempotent ?? []), ...rule.nonIdempotent],
-		});
+	#isAllowed(target: string, endpoint: string): boolean {
+		for (const rule of this.#rules.get(target)?.values() ?? []) {
+			if (rule.endpoints.some((glob) => matches(glob, endpoint))) {
+				return true;
+			}
+		}
+
+		return false;
 	}
+
+	#buildTarget(name: string): Target | undefined {
+		const rules = [...(this.#rules.get(name)?.values() ?? [])];
+		const [first] = rules;
+		if (!first) {
+			return undefined;
+		}
+
+		const endpoints: EndpointView[] = [];
+		for (const record of this.#endpoints.values()) {
+			const instance = this.#instances.get(record.name);
+			if (instance && this.#isAllowed(name, record.name)) {
+				endpoints.push(viewOf(record, instance));
+			}
+		}
+
+		return {
+			name,
+			kind: first.targetKind,
+			endpoints,
+			nonIdempotent: rules.flatMap((rule) => rule.nonIdempotent),
+		};
+	}
+}
+
+function viewOf(
+	record: EndpointRecord,
+	instance: ListedInstance,
+): EndpointView {
+	return {
+		name: record.name,
+		type: record.type,
+		dataCentre: record.dataCentre,
+		region: record.region,
+		address: instance.address,
+		leaving: instance.state === 'leaving',
+	};
 }
 
 function parseRecord(value: string): ConfigRecord | undefined {
