Decide admission and order in the sidecar's scheduler

Cause: the placeholder served in order of arrival with a fixed batch size. Change: strict tiers with guaranteed shares, start-time fair queueing, least slack first, admission control, displacement, give-up, length quantiles, AIMD concurrency, memory bound, prefix cache view and reservations, each in its file.

--- /dev/null
+++ b/src/services/sidecar/endpoint-speed.ts
@@ -0,0 +1,67 @@
+/** Weight of a new sample in the moving averages. */
+const newSampleWeight = 0.05;
+/** Part of the older samples' weight that remains after each first token. */
+const retained = 0.98;
+
+/** Assumptions before the first measurement. */
+const initialGapMs = 25;
+const initialPrefillMsPerToken = 0.1;
+const initialOccupancyMs = 4000;
+
+/** Observed speed of the endpoint: gaps between tokens, and the time to the first token as a line over the uncached prompt tokens. */
+export class EndpointSpeed {
+	#gapMs = initialGapMs;
+	#occupancyMs = initialOccupancyMs;
+	#weight = 0;
+	#sumX = 0;
+	#sumY = 0;
+	#sumXx = 0;
+	#sumXy = 0;
+
+	get gapMs(): number {
+		return this.#gapMs;
+	}
+
+	/** Mean time for which a finished request occupied its place, in milliseconds. */
+	get occupancyMs(): number {
+		return this.#occupancyMs;
+	}
+
+	observeGap(ms: number): void {
+		this.#gapMs += (ms - this.#gapMs) * newSampleWeight;
+	}
+
+	observeOccupancy(ms: number): void {
+		this.#occupancyMs += (ms - this.#occupancyMs) * newSampleWeight;
+	}
+
+	observeFirstToken(ms: number, uncachedTokens: number): void {
+		this.#weight = this.#weight * retained + 1;
+		this.#sumX = this.#sumX * retained + uncachedTokens;
+		this.#sumY = this.#sumY * retained + ms;
+		this.#sumXx = this.#sumXx * retained + uncachedTokens ** 2;
+		this.#sumXy = this.#sumXy * retained + uncachedTokens * ms;
+	}
+
+	/** Expected time from the start to the first token, in milliseconds. */
+	prefillMs(uncachedTokens: number): number {
+		if (this.#weight < 5) {
+			return this.#gapMs + uncachedTokens * initialPrefillMsPerToken;
+		}
+
+		const meanX = this.#sumX / this.#weight;
+		const meanY = this.#sumY / this.#weight;
+		const varianceX = this.#sumXx / this.#weight - meanX ** 2;
+		const covariance = this.#sumXy / this.#weight - meanX * meanY;
+		const slope = varianceX > 1 ? Math.max(0, covariance / varianceX) : 0;
+		return Math.max(0, meanY + slope * (uncachedTokens - meanX));
+	}
+
+	dump(): unknown {
+		return {
+			gapMs: this.#gapMs,
+			occupancyMs: this.#occupancyMs,
+			prefillMs: this.prefillMs(0),
+		};
+	}
+}
--- /dev/null
+++ b/src/services/sidecar/scheduler.test.ts
@@ -0,0 +1,184 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {Random} from '../../base/index.js';
+import type {Contract, Profile} from '../../platform/index.js';
+import {Scheduler} from './scheduler.js';
+import type {Ticket} from './ticket.js';
+
+const tight: Contract = {
+	workspace: 'a',
+	requestClass: 'tight',
+	tier: 0,
+	firstTokenMs: 1000,
+	gapMs: 32,
+	share: 0,
+	weight: 1,
+	patience: 1,
+};
+
+const loose: Contract = {
+	...tight,
+	requestClass: 'loose',
+	tier: 1,
+	firstTokenMs: 30_000,
+};
+
+function profile(contract: Contract): Profile {
+	return {contract, target: 'm', kind: 'model', promptTokens: 100, prefix: []};
+}
+
+let count = 0;
+function ticket(contract: Contract, now = 0): Ticket {
+	return {
+		attempt: `${contract.requestClass}-${contract.workspace}-${count++}`,
+		profile: profile(contract),
+		arrivedAt: now,
+		deadline: now + 600_000,
+		resumedTokens: 0,
+	};
+}
+
+function fixed(places: number): Scheduler {
+	return new Scheduler(new Random(1), {
+		adaptiveLimit: false,
+		fixedLimit: places,
+	});
+}
+
+/** Fills all places, so that later work queues. */
+function filled(places: number): {scheduler: Scheduler; running: string[]} {
+	const scheduler = fixed(places);
+	const running: string[] = [];
+	for (let index = 0; index < places; index++) {
+		scheduler.enqueue(ticket(loose), 0);
+		running.push(scheduler.takeNext(0)!.attempt);
+	}
+
+	return {scheduler, running};
+}
+
+/** Classes of the next `places` tickets when each place is freed in turn. */
+function order(scheduler: Scheduler, running: readonly string[]): string[] {
+	return running.map((attempt) => {
+		scheduler.finish(attempt, false, 100);
+		const {contract} = scheduler.takeNext(100)!.profile;
+		return `${contract.requestClass}/${contract.workspace}`;
+	});
+}
+
+// Guards against a lower tier that is served before a higher one.
+test('higher tier goes first', () => {
+	const {scheduler, running} = filled(2);
+	scheduler.enqueue(ticket(loose), 0);
+	scheduler.enqueue(ticket({...tight, firstTokenMs: 60_000}), 1);
+	expect(order(scheduler, running)).toEqual(['tight/a', 'loose/a']);
+});
+
+// Guards against starvation of a class with a guarantee by a higher tier.
+test('class below its guaranteed share goes before a higher tier', () => {
+	const {scheduler, running} = filled(4);
+	const patient = {...tight, firstTokenMs: 60_000};
+	const guaranteed = {...loose, requestClass: 'letters', share: 0.25};
+	for (let index = 0; index < 4; index++) {
+		scheduler.enqueue(ticket(patient), 0);
+		scheduler.enqueue(ticket(guaranteed), 0);
+	}
+
+	const served = order(scheduler, running);
+	expect(served.includes('letters/a')).toEqual(true);
+	expect(served.includes('tight/a')).toEqual(true);
+});
+
+// Guards against one workspace that crowds out another of the same class.
+test('workspaces of a class share by weight', () => {
+	const {scheduler, running} = filled(8);
+	for (let index = 0; index < 20; index++) {
+		scheduler.enqueue(ticket({...loose, workspace: 'big'}), 0);
+	}
+
+	for (let index = 0; index < 4; index++) {
+		scheduler.enqueue(ticket({...loose, workspace: 'small'}), 1);
+	}
+
+	const served = order(scheduler, running);
+	expect(served.filter((name) => name === 'loose/small')).toHaveLength(4);
+});
+
+// Guards against work that is queued although its target is out of reach.
+test('work that cannot meet its target is refused on arrival', () => {
+	const {scheduler} = filled(1);
+	scheduler.enqueue(ticket(loose), 0);
+	const reply = scheduler.offer(profile(tight), 0);
+	expect(reply.type).toEqual('refuse');
+	expect(scheduler.enqueue(ticket(tight), 0)).toHaveLength(1);
+});
+
+// Guards against callers that wait for an answer that can only come too late.
+test('queued work is given up once its target is out of reach', () => {
+	const {scheduler} = filled(1);
+	const queued = ticket({...loose, firstTokenMs: 20_000});
+	expect(scheduler.enqueue(queued, 0)).toEqual([]);
+	const wake = scheduler.nextWake()!;
+	expect(wake < 20_000).toEqual(true);
+	expect(scheduler.expire(wake).map((shed) => shed.ticket)).toEqual([queued]);
+	expect(scheduler.nextWake()).toEqual(undefined);
+});
+
+// Guards against a burst of a higher tier that leaves hopeless work waiting.
+test('work displaced by a higher tier gets its answer before its time is over', () => {
+	const {scheduler} = filled(1);
+	const queued = ticket({...loose, firstTokenMs: 20_000});
+	scheduler.enqueue(queued, 0);
+	for (let index = 0; index < 5; index++) {
+		scheduler.enqueue(ticket({...tight, firstTokenMs: 120_000}), 1);
+	}
+
+	const shed = scheduler.expire(100);
+	expect(shed.map((item) => item.ticket)).toEqual([queued]);
+});
+
+// Guards against a full queue that sheds a higher tier, or refuses one.
+test('full queue sheds the lowest tier', () => {
+	const scheduler = new Scheduler(new Random(1), {
+		adaptiveLimit: false,
+		fixedLimit: 1,
+		admission: false,
+	});
+	for (let index = 0; index < 1024; index++) {
+		scheduler.enqueue(ticket(loose), 0);
+	}
+
+	const [other] = scheduler.enqueue(ticket(loose), 0);
+	expect(other?.refusal.reason).toEqual('overloaded');
+	const [shed] = scheduler.enqueue(ticket(tight), 0);
+	expect(shed?.ticket.profile.contract.tier).toEqual(1);
+});
+
+// Guards against answers of unknown length that fill the KV cache.
+test('work waits until its memory fits', () => {
+	const scheduler = fixed(8);
+	const report = {running: 0, waiting: 0, kvTokens: 0, kvCapacity: 800};
+	scheduler.onLoadReport(report, 0);
+	scheduler.enqueue(ticket(loose), 0);
+	scheduler.enqueue(ticket(loose), 0);
+	scheduler.enqueue(ticket(loose), 0);
+	const first = scheduler.takeNext(0)!;
+	expect(scheduler.takeNext(0)).not.toEqual(undefined);
+	expect(scheduler.takeNext(0)).toEqual(undefined);
+	scheduler.finish(first.attempt, true, 1);
+	expect(scheduler.takeNext(1)).not.toEqual(undefined);
+});
+
+// Guards against a herd of entries that all choose the same idle endpoint.
+test('offers that have not started lengthen the next offer', () => {
+	const scheduler = fixed(2);
+	const replies = Array.from({length: 12}, () =>
+		scheduler.offer(profile(loose), 0),
+	);
+	const times = replies.map((reply) =>
+		reply.type === 'accept' ? reply.firstTokenMs : Infinity,
+	);
+	expect(times.at(-1)! > times[0]!).toEqual(true);
+	const later = scheduler.offer(profile(loose), 1000);
+	expect(later).toEqual(replies[0]!);
+});
--- a/src/services/sidecar/sidecar.ts
+++ b/src/services/sidecar/sidecar.ts
@@ -75,8 +75,16 @@
 				break;
 			}
 
-			case 'load':
-			case 'cache':
+			case 'load': {
+				this.#options.scheduler.onLoadReport(message.report, now);
+				break;
+			}
+
+			case 'cache': {
+				this.#options.scheduler.onCacheEvents(message.events, now);
+				break;
+			}
+
 			case 'table':
 			case 'tick': {
 				break;
