Measure the scheduler against baselines in virtual time

Cause: admission and order had no figures. Change: fake engine with continuous batching, the real entry and sidecar driven through messages and effects, four workloads, four baselines, ablations, and a fluid upper bound; subcommand module for the command line.

--- a/src/base/sorted-list.ts
+++ b/src/base/sorted-list.ts
@@ -40,6 +40,11 @@
 		return false;
 	}
 
+	/** Removes and returns the item with the least key. */
+	shift(): T | undefined {
+		return this.#entries.shift()?.item;
+	}
+
 	/** Number of items whose key is less than the given one. */
 	countBelow(key: number): number {
 		return this.#position(key, false);
--- /dev/null
+++ b/src/lab/index.ts
@@ -0,0 +1,5 @@
+export * from './experiment.js';
+export type * from './spread.js';
+export * from './variants.js';
+export * from './workloads.js';
+export * from './experiment-report.js';
--- /dev/null
+++ b/src/lab/workloads.ts
@@ -0,0 +1,131 @@
+import type {ClassDemand, Workload} from './workload.js';
+
+/** Gap target of all classes, in milliseconds; the design scale's. */
+const gapMs = 32;
+
+/** Hotel chain's reminder fleet: staff questions, reminder letters, summaries. */
+const gebeyaClasses: readonly ClassDemand[] = [
+	{
+		contract: {
+			requestClass: 'questions',
+			tier: 0,
+			firstTokenMs: 660,
+			gapMs,
+			share: 0,
+			patience: 1,
+		},
+		part: 0.35,
+		promptTokens: 300,
+		outputTokens: 60,
+		spread: 0.6,
+		sharedTokens: 192,
+		burst: 1.3,
+	},
+	{
+		contract: {
+			requestClass: 'letters',
+			tier: 1,
+			firstTokenMs: 10_000,
+			gapMs,
+			share: 0.2,
+			patience: 1,
+		},
+		part: 0.4,
+		promptTokens: 400,
+		outputTokens: 160,
+		spread: 0.5,
+		sharedTokens: 256,
+		burst: 2,
+	},
+	{
+		contract: {
+			requestClass: 'summaries',
+			tier: 2,
+			firstTokenMs: 20_000,
+			gapMs,
+			share: 0.1,
+			patience: 1,
+		},
+		part: 0.25,
+		promptTokens: 900,
+		outputTokens: 120,
+		spread: 0.8,
+		sharedTokens: 128,
+		burst: 1,
+	},
+];
+
+/** Valuation fleet: counter questions, valuation letters, compliance files. */
+const harlechClasses: readonly ClassDemand[] = [
+	{
+		contract: {
+			requestClass: 'counter',
+			tier: 0,
+			firstTokenMs: 660,
+			gapMs,
+			share: 0,
+			patience: 1,
+		},
+		part: 0.4,
+		promptTokens: 500,
+		outputTokens: 50,
+		spread: 0.7,
+		sharedTokens: 256,
+		burst: 1.4,
+	},
+	{
+		contract: {
+			requestClass: 'valuations',
+			tier: 1,
+			firstTokenMs: 8000,
+			gapMs,
+			share: 0.15,
+			patience: 1,
+		},
+		part: 0.35,
+		promptTokens: 700,
+		outputTokens: 180,
+		spread: 0.5,
+		sharedTokens: 256,
+		burst: 1.5,
+	},
+	{
+		contract: {
+			requestClass: 'compliance',
+			tier: 2,
+			firstTokenMs: 30_000,
+			gapMs,
+			share: 0.15,
+			patience: 1,
+		},
+		part: 0.25,
+		promptTokens: 1500,
+		outputTokens: 200,
+		spread: 0.9,
+		sharedTokens: 128,
+		burst: 1,
+	},
+];
+
+const gebeya: Workload = {
+	name: 'gebeya-rush',
+	classes: gebeyaClasses,
+	workspaces: 10,
+	skew: 1,
+	engines: 4,
+	fault: 'none',
+};
+
+const harlech: Workload = {
+	...gebeya,
+	name: 'harlech-saturday',
+	classes: harlechClasses,
+};
+
+/** Workloads shaped like the two deployments, and their faults. */
+export const workloads: readonly Workload[] = [
+	gebeya,
+	harlech,
+	{...gebeya, name: 'straggler', fault: 'straggler'},
+	{...harlech, name: 'crash', fault: 'crash'},
+];
--- a/src/services/sidecar/scheduler.ts
+++ b/src/services/sidecar/scheduler.ts
@@ -232,6 +232,11 @@
 		return Number.isFinite(next) ? next : undefined;
 	}
 
+	/** Names of the classes that have work waiting. */
+	queuedClasses(): string[] {
+		return this.#backlog.waiting().map((queue) => queue.requestClass);
+	}
+
 	dump(): unknown {
 		return {
 			queued: this.#queued.size,
