--- a/src/base/index.ts
+++ b/src/base/index.ts
@@ -3,3 +3,4 @@
 export * from './random.js';
 export * from './rendezvous.js';
 export * from './prefix.js';
+export * from './sorted-list.js';
