--- a/src/base/index.ts
+++ b/src/base/index.ts
@@ -2,3 +2,4 @@
 export * from './emitter.js';
 export * from './random.js';
 export * from './rendezvous.js';
+export * from './timers.js';
--- a/src/platform/records/index.ts
+++ b/src/platform/records/index.ts
@@ -1,1 +1,2 @@
 export * from './record.js';
+export * from './run-record.js';
--- /dev/null
+++ b/src/platform/records/run-record.ts
@@ -0,0 +1,69 @@
+import {z} from 'zod';
+
+const common = {
+	/** Version of the record's schema. */
+	schema: z.int().positive(),
+	/** Identifies the write, so that one whose answer was lost is recognised. */
+	writeId: z.string(),
+	/** Attempts that may never claim the record. */
+	revoked: z.array(z.string()),
+	/** Wall-clock time from which the record may be deleted, in milliseconds since 1970. */
+	expiresAt: z.number(),
+};
+
+const claim = {
+	attempt: z.string(),
+	requestId: z.string(),
+	endpoint: z.string(),
+	/** Incarnation of the sidecar that claimed. */
+	incarnation: z.string(),
+	/** Hash of the call, so that a key used for another call is noticed. */
+	fingerprint: z.string(),
+	/** Wall-clock time after which the claimant has ended the call, in milliseconds since 1970. */
+	endsBy: z.number(),
+};
+
+/** Answer of a completed call; the chunks are those of sequence 1 and up. */
+export const storedAnswerSchema = z.object({
+	headers: z.record(z.string(), z.string()),
+	/** Set when the chunks are base64 text. */
+	binary: z.boolean(),
+	chunks: z.array(z.string()),
+});
+export type StoredAnswer = z.infer<typeof storedAnswerSchema>;
+
+/** What the table holds about a request that must not run twice. */
+export const runRecordSchema = z.discriminatedUnion('state', [
+	/** A sidecar has, or had, the right to run the call. */
+	z.looseObject({...common, ...claim, state: z.literal('claimed')}),
+	/** The call has ended. */
+	z.looseObject({
+		...common,
+		...claim,
+		state: z.literal('completed'),
+		outcome: z.enum(['completed', 'failed', 'unknown']),
+		/** HTTP status of the answer; absent when there was none. */
+		status: z.int().optional(),
+		/** Absent when the answer was too large to keep. */
+		answer: storedAnswerSchema.optional(),
+	}),
+	/** Nobody has the right to run the call at present. */
+	z.looseObject({...common, state: z.literal('revoked')}),
+]);
+export type RunRecord = z.infer<typeof runRecordSchema>;
+export type RunClaim = Extract<RunRecord, {state: 'claimed'}>;
+export type RunCompletion = Extract<RunRecord, {state: 'completed'}>;
+
+/** Version of the run record's schema that this release writes. */
+export const runRecordVersion = 1;
+
+/** Time for which a run record is kept, in milliseconds; a key used again after that runs again. */
+export const runRetentionMs = 24 * 3_600_000;
+
+/** Prefix of the keys of all run records. */
+export const runPrefix = 'run/';
+
+/** Key of a run record's row in the table. */
+export function runKey(workspace: string, idempotencyKey: string): string {
+	return `${runPrefix}${workspace}/${encodeURIComponent(idempotencyKey)}`;
+}
--- a/src/platform/standins/memory-table.ts
+++ b/src/platform/standins/memory-table.ts
@@ -20,6 +20,11 @@
 		return this.commitNow(transaction);
 	}
 
+	/** Synchronous read for harnesses that run in virtual time. */
+	rowNow(key: string): Row | undefined {
+		return this.#rows.get(key);
+	}
+
 	/** Synchronous commit for harnesses that run in virtual time. */
 	commitNow(transaction: Transaction): Decision {
 		for (const check of transaction.checks) {
