Claim non-idempotent calls before the sidecar runs them

Cause: the sidecar handed every call to its endpoint at once, told callers "refused" for attempts that it had run and forgotten, cancelled running work as soon as a link was lost, and ran queued work after a pause. Conclusion: what the sidecar refuses has not run and will not run.

--- a/src/platform/messages/attempt.ts
+++ b/src/platform/messages/attempt.ts
@@ -47,6 +47,17 @@
 /** Tokens in one prompt prefix block. */
 export const prefixBlockTokens = 64;
 
+/** What the run record says about a key that has been used before. */
+export const recordedRunSchema = z.object({
+	/** `mismatch`: the key was used for another call. `running`: it may still be in progress. */
+	state: z.enum(['running', 'completed', 'failed', 'unknown', 'mismatch']),
+	/** Attempt that claimed the key; absent when the record cannot be read. */
+	attempt: z.string().optional(),
+	/** HTTP status of the answer, when there was one. */
+	status: z.int().optional(),
+});
+export type RecordedRun = z.infer<typeof recordedRunSchema>;
+
 /** Reasons for which a sidecar refuses work. */
 export const refusalSchema = z.object({
 	reason: z.enum([
@@ -61,6 +72,8 @@
 	]),
 	/** Time after which a new try is worthwhile, in milliseconds. */
 	retryAfterMs: z.number().min(0),
+	/** Present with the reason `duplicate`. */
+	recorded: recordedRunSchema.optional(),
 });
 export type Refusal = z.infer<typeof refusalSchema>;
 
--- a/src/platform/messages/peer.ts
+++ b/src/platform/messages/peer.ts
@@ -35,14 +35,28 @@
 		idempotent: z.boolean(),
 		/** Key of the run record; present for a non-idempotent request. */
 		idempotencyKey: z.string().optional(),
+		/** Earlier attempts of the request that are proved not to have run; their claims are replaced. */
+		superseded: z.array(z.string()).optional(),
 		/** The sidecar keeps the answer for a while when the link or the caller is lost. */
 		resumable: z.boolean(),
 		remainingMs: z.number(),
 		resume: resumePointSchema.optional(),
 	}),
-	z.object({type: z.literal('cancel'), attempt: z.string()}),
+	z.object({
+		type: z.literal('cancel'),
+		attempt: z.string(),
+		/** Incarnation of the sidecar that the attempt was sent to. */
+		incarnation: z.string().optional(),
+		/** Time since the attempt was sent, in milliseconds; without it the sidecar cannot tell an attempt that it never got from one that it has forgotten. */
+		ageMs: z.number().min(0).optional(),
+	}),
+	/** The caller is gone: a resumable attempt goes on for a while without an entry. */
+	z.object({type: z.literal('detach'), attempt: z.string()}),
 	z.object({
 		type: z.literal('attach'),
+		/** As for `cancel`. */
+		incarnation: z.string().optional(),
+		ageMs: z.number().min(0).optional(),
 		attempt: z.string(),
 		/** Workspace that asks; must be the one that started the attempt. */
 		workspace: z.string(),
--- a/src/services/ledger/intents.ts
+++ b/src/services/ledger/intents.ts
@@ -126,9 +126,9 @@
 }
 
 /**
- * Removes the claim of an attempt that was never run. Writes a revocation
- * when there is no row, so that a claim which is still on its way to the
- * table finds a row and fails.
+ * Removes the claim of an attempt that was never run. Revokes the attempt
+ * when there is no claim, so that one which is still on its way to the table
+ * finds a changed row and fails.
  */
 export function cleanUpWork(frame: WorkFrame, claimant: Claimant): RunWork {
 	const writeId = `${claimant.attempt}/clean-up/${claimant.incarnation}`;
@@ -136,13 +136,17 @@
 		...frame,
 		writeId,
 		decide(row) {
-			if (row.type === 'absent' || isOwnClaim(row, claimant)) {
+			const revoked = revokedOf(row);
+			const free =
+				row.type === 'absent' ||
+				(row.type === 'present' && row.record.state === 'revoked');
+			if (
+				(free && !revoked.includes(claimant.attempt)) ||
+				isOwnClaim(row, claimant)
+			) {
 				return {
 					type: 'write',
-					record: revocation(frame, writeId, [
-						...revokedOf(row),
-						claimant.attempt,
-					]),
+					record: revocation(frame, writeId, [...revoked, claimant.attempt]),
 				};
 			}
 
--- /dev/null
+++ b/src/services/sidecar/admission.ts
@@ -0,0 +1,48 @@
+import type {AttemptStart, Profile, Refusal} from '../../platform/index.js';
+
+/** Decides which work the sidecar takes at all, before its scheduler is asked. */
+export class Admission {
+	readonly #incarnation: string;
+	#targets = new Set<string>();
+	#leaving = false;
+
+	constructor(incarnation: string) {
+		this.#incarnation = incarnation;
+	}
+
+	get isLeaving(): boolean {
+		return this.#leaving;
+	}
+
+	get targets(): string[] {
+		return [...this.#targets];
+	}
+
+	setTargets(targets: readonly string[]): void {
+		this.#targets = new Set(targets);
+	}
+
+	leave(): void {
+		this.#leaving = true;
+	}
+
+	refusal(profile: Profile): Refusal | undefined {
+		if (this.#leaving) {
+			return {reason: 'leaving', retryAfterMs: 0};
+		}
+
+		return this.#targets.has(profile.target)
+			? undefined
+			: {reason: 'not_eligible', retryAfterMs: 0};
+	}
+
+	refusalOfStart(start: AttemptStart): Refusal | undefined {
+		if (start.incarnation !== this.#incarnation) {
+			return {reason: 'wrong_incarnation', retryAfterMs: 0};
+		}
+
+		return start.remainingMs > 0
+			? this.refusal(start.profile)
+			: {reason: 'deadline', retryAfterMs: 0};
+	}
+}
--- /dev/null
+++ b/src/services/sidecar/attempts.ts
@@ -0,0 +1,152 @@
+import {Timers} from '../../base/index.js';
+import type {EntryToSidecar, Update} from '../../platform/index.js';
+import {windowSize} from './answer-buffer.js';
+import {forgotten, type Attempt} from './attempt.js';
+import type {SidecarEffect} from './message.js';
+import {PastAttempts} from './past-attempts.js';
+
+type Cancel = Extract<EntryToSidecar, {type: 'cancel'}>;
+type Attach = Extract<EntryToSidecar, {type: 'attach'}>;
+
+/** The attempts at hand, and what their entries are told of them. */
+export class Attempts {
+	readonly #incarnation: string;
+	readonly #emit: (effect: SidecarEffect) => void;
+	readonly #attempts = new Map<string, Attempt>();
+	readonly #past = new PastAttempts();
+	/** Next time at which an attempt is stopped or forgotten. */
+	readonly #timers = new Timers();
+
+	constructor(incarnation: string, emit: (effect: SidecarEffect) => void) {
+		this.#incarnation = incarnation;
+		this.#emit = emit;
+	}
+
+	get pastSize(): number {
+		return this.#past.size;
+	}
+
+	add(attempt: Attempt): void {
+		this.#attempts.set(attempt.id, attempt);
+	}
+
+	get(id: string): Attempt | undefined {
+		return this.#attempts.get(id);
+	}
+
+	all(): Attempt[] {
+		return [...this.#attempts.values()];
+	}
+
+	/** Whether an attempt that arrives now was cancelled or is over. */
+	isPast(id: string): boolean {
+		return this.#past.has(id);
+	}
+
+	nextWake(): number | undefined {
+		return this.#timers.earliest();
+	}
+
+	/** Attempts whose time to be stopped or forgotten has come. */
+	takeDue(now: number): Attempt[] {
+		this.#past.advance(now);
+		return this.#timers.takeDue(now).map((id) => this.#attempts.get(id)!);
+	}
+
+	/** Sets the next time at which an attempt is stopped or forgotten. */
+	plan(attempt: Attempt): void {
+		const never = Number.POSITIVE_INFINITY;
+		const deadline = attempt.state === 'running' ? attempt.deadline : never;
+		const time = Math.min(deadline, attempt.forgetAt ?? never);
+		this.#timers.set(attempt.id, Number.isFinite(time) ? time : undefined);
+	}
+
+	forget(attempt: Attempt, now: number): void {
+		this.#attempts.delete(attempt.id);
+		this.#past.add(attempt.id, attempt.ran ? 'ran' : 'not_run', now);
+	}
+
+	/** Keeps an update and sends it; pauses the run when too much waits for the caller. */
+	update(attempt: Attempt, update: Update): void {
+		attempt.buffer.add(update);
+		this.send(attempt.link, update);
+		if (
+			attempt.state === 'running' &&
+			!attempt.paused &&
+			attempt.buffer.waitingSize > windowSize
+		) {
+			attempt.paused = true;
+			this.#emit({type: 'pauseRun', attempt: attempt.id});
+		}
+	}
+
+	send(link: string | undefined, update: Update): void {
+		if (link !== undefined) {
+			this.#emit({type: 'send', link, message: {type: 'update', update}});
+		}
+	}
+
+	credit(id: string, upTo: number): void {
+		const attempt = this.#attempts.get(id);
+		if (!attempt) {
+			return;
+		}
+
+		attempt.buffer.take(upTo);
+		if (
+			attempt.paused &&
+			attempt.state === 'running' &&
+			attempt.buffer.waitingSize <= windowSize / 2
+		) {
+			attempt.paused = false;
+			this.#emit({type: 'resumeRun', attempt: id});
+		}
+	}
+
+	attach(link: string, message: Attach, now: number): void {
+		const attempt = this.#attempts.get(message.attempt);
+		if (!attempt) {
+			this.answerAbsent(link, message, now);
+			return;
+		}
+
+		if (attempt.start.profile.contract.workspace !== message.workspace) {
+			this.send(link, forgotten(message.attempt));
+			return;
+		}
+
+		attempt.link = link;
+		if (attempt.state !== 'ended') {
+			attempt.forgetAt = undefined;
+			this.plan(attempt);
+		}
+
+		this.replay(attempt, message.after);
+	}
+
+	/** Answers for an attempt that is not at hand, and makes sure that it does not run later. */
+	answerAbsent(link: string, message: Cancel | Attach, now: number): void {
+		const {attempt, incarnation, ageMs} = message;
+		const isOwn =
+			incarnation === undefined || incarnation === this.#incarnation;
+		const fate = this.#past.fate(attempt, isOwn ? ageMs : undefined);
+		if (fate !== 'ran') {
+			this.#past.add(attempt, 'not_run', now);
+		}
+
+		if (fate === 'not_run') {
+			const refusal = {reason: 'cancelled', retryAfterMs: 0} as const;
+			this.send(link, {type: 'refused', attempt, refusal});
+		} else {
+			this.send(link, forgotten(attempt));
+		}
+	}
+
+	/** Sends again what came after a sequence number. */
+	replay(attempt: Attempt, after: number): void {
+		const updates = attempt.buffer.after(after) ?? [forgotten(attempt.id)];
+		for (const update of updates) {
+			this.send(attempt.link, update);
+		}
+	}
+}
--- /dev/null
+++ b/src/services/sidecar/claims.ts
@@ -0,0 +1,334 @@
+import {hash32} from '../../base/index.js';
+import {
+	runKey,
+	type AttemptStart,
+	type Call,
+	type EndpointEvent,
+	type RecordedRun,
+	type Refusal,
+	type RunCompletion,
+	type RunRecord,
+	type TableAnswer,
+} from '../../platform/index.js';
+import type {CommonEffect} from '../effect.js';
+import {
+	Ledger,
+	claimWork,
+	cleanUpWork,
+	completionWork,
+	type Claimant,
+	type LedgerOutput,
+	type RunEnding,
+	type RunResult,
+	type RunRow,
+	type WorkFrame,
+} from '../ledger/index.js';
+
+/** Longest wait for a claim, in milliseconds; it occupies a place in the batch meanwhile. */
+const claimTimeoutMs = 5000;
+
+/** Time for which a completion or clean-up is tried, in milliseconds. */
+const backgroundMs = 600_000;
+
+/** Largest answer that is kept in the run record, in UTF-16 code units. */
+const storedSize = 16 * 1024;
+
+/** What came of a claim. */
+export type ClaimEvent =
+	| {readonly type: 'granted'; readonly attempt: string}
+	| {
+			readonly type: 'refused';
+			readonly attempt: string;
+			readonly refusal: Refusal;
+	  }
+	/** The call has completed before; its answer is in the record. */
+	| {
+			readonly type: 'replay';
+			readonly attempt: string;
+			readonly record: RunCompletion;
+	  };
+
+type Claim = {
+	readonly key: string;
+	readonly claimant: Claimant;
+	row: RunRow;
+	state: 'pending' | 'granted';
+	status: number | undefined;
+	headers: Readonly<Record<string, string>>;
+	binary: boolean;
+	readonly chunks: string[];
+	size: number;
+};
+
+export type ClaimsOptions = {
+	readonly endpoint: string;
+	readonly incarnation: string;
+	/** Wall-clock time at monotonic time 0, in milliseconds since 1970. */
+	readonly epochMs: number;
+};
+
+/** Result of the claims' part in a message. */
+export type ClaimsOutput = {
+	readonly effects: CommonEffect[];
+	readonly events: ClaimEvent[];
+};
+
+/** The sidecar's side of at-most-once execution: claims a call before it runs, and records how it ended. */
+export class Claims {
+	readonly #options: ClaimsOptions;
+	readonly #ledger = new Ledger('claims');
+	/** By attempt. */
+	readonly #claims = new Map<string, Claim>();
+	#output: ClaimsOutput = {effects: [], events: []};
+
+	constructor(options: ClaimsOptions) {
+		this.#options = options;
+	}
+
+	/** Claims and table writes in progress. */
+	get size(): number {
+		return this.#ledger.size;
+	}
+
+	nextWake(): number | undefined {
+		return this.#ledger.nextWake();
+	}
+
+	/** Results since the last call. */
+	take(): ClaimsOutput {
+		const output = this.#output;
+		this.#output = {effects: [], events: []};
+		return output;
+	}
+
+	/** Asks for the right to run a call that must not run twice. */
+	begin(start: AttemptStart, deadline: number, now: number): void {
+		const claim: Claim = {
+			key: runKey(
+				start.profile.contract.workspace,
+				start.idempotencyKey ?? start.requestId,
+			),
+			claimant: {
+				attempt: start.attempt,
+				requestId: start.requestId,
+				endpoint: this.#options.endpoint,
+				incarnation: this.#options.incarnation,
+				fingerprint: fingerprint(start.call),
+				endsBy: this.#options.epochMs + deadline,
+			},
+			row: {type: 'absent'},
+			state: 'pending',
+			status: undefined,
+			headers: {},
+			binary: false,
+			chunks: [],
+			size: 0,
+		};
+		this.#claims.set(start.attempt, claim);
+		const giveUpAt = Math.min(deadline, now + claimTimeoutMs);
+		const frame = this.#frame(claim, `claim/${start.attempt}`, now);
+		this.#apply(
+			this.#ledger.begin(
+				claimWork(
+					{...frame, giveUpAt, persistent: false},
+					claim.claimant,
+					start.superseded ?? [],
+				),
+				now,
+			),
+			now,
+		);
+	}
+
+	/** The attempt will never run: gives the claim back in the background. */
+	release(attempt: string, now: number): void {
+		const claim = this.#claims.get(attempt);
+		if (!claim) {
+			return;
+		}
+
+		this.#claims.delete(attempt);
+		this.#ledger.drop(`claim/${attempt}`);
+		const frame = this.#frame(claim, `clean-up/${attempt}`, now);
+		this.#apply(
+			this.#ledger.begin(cleanUpWork(frame, claim.claimant), now),
+			now,
+		);
+	}
+
+	/** Notes the answer of a granted attempt, to be stored while it is small. */
+	note(attempt: string, event: EndpointEvent): void {
+		const claim = this.#claims.get(attempt);
+		if (!claim) {
+			return;
+		}
+
+		if (event.type === 'head') {
+			claim.status = event.status;
+			claim.headers = event.headers;
+			claim.binary = event.binary;
+		} else if (event.type === 'chunk') {
+			claim.size += event.data.length;
+			if (claim.size <= storedSize) {
+				claim.chunks.push(event.data);
+			} else {
+				claim.chunks.length = 0;
+			}
+		}
+	}
+
+	/** Records in the background how a granted attempt ended. */
+	complete(attempt: string, outcome: RunEnding['outcome'], now: number): void {
+		const claim = this.#claims.get(attempt);
+		if (!claim) {
+			return;
+		}
+
+		this.#claims.delete(attempt);
+		const {status, headers, binary, chunks} = claim;
+		const stored = outcome === 'completed' && claim.size <= storedSize;
+		const ending: RunEnding = {
+			outcome,
+			status,
+			answer: stored ? {headers: {...headers}, binary, chunks} : undefined,
+		};
+		const frame = this.#frame(claim, `completion/${attempt}`, now);
+		this.#apply(
+			this.#ledger.begin(completionWork(frame, claim.claimant, ending), now),
+			now,
+		);
+	}
+
+	answer(tableId: string, answer: TableAnswer, now: number): void {
+		this.#apply(this.#ledger.answer(tableId, answer, now), now);
+	}
+
+	advance(now: number): void {
+		this.#apply(this.#ledger.advance(now), now);
+	}
+
+	#frame(claim: Claim, id: string, now: number): WorkFrame {
+		return {
+			id,
+			key: claim.key,
+			known: claim.row,
+			giveUpAt: now + backgroundMs,
+			persistent: true,
+			wallNow: this.#options.epochMs + now,
+		};
+	}
+
+	#apply(output: LedgerOutput, now: number): void {
+		this.#output.effects.push(...output.effects);
+		for (const {id, result} of output.settled) {
+			const [kind, ...rest] = id.split('/');
+			this.#count(kind!, result);
+			if (kind === 'claim') {
+				this.#onClaim(rest.join('/'), result, now);
+			}
+		}
+	}
+
+	#count(kind: string, result: RunResult): void {
+		this.#output.effects.push({
+			type: 'count',
+			name: 'run_record',
+			value: 1,
+			tags: {kind, result: result.type},
+		});
+	}
+
+	#onClaim(attempt: string, result: RunResult, now: number): void {
+		const claim = this.#claims.get(attempt)!;
+		switch (result.type) {
+			case 'written': {
+				claim.row = result.row;
+				claim.state = 'granted';
+				this.#output.events.push({type: 'granted', attempt});
+				break;
+			}
+
+			case 'stopped': {
+				this.#claims.delete(attempt);
+				this.#output.events.push(this.#onForbidden(claim, result.row, now));
+				break;
+			}
+
+			case 'unavailable': {
+				if (result.uncertain) {
+					this.release(attempt, now);
+				} else {
+					this.#claims.delete(attempt);
+				}
+
+				this.#output.events.push({
+					type: 'refused',
+					attempt,
+					refusal: {reason: 'claim_unavailable', retryAfterMs: 1000},
+				});
+				break;
+			}
+		}
+	}
+
+	/** Event for a claim that the record forbids. */
+	#onForbidden(claim: Claim, row: RunRow, now: number): ClaimEvent {
+		const {attempt} = claim.claimant;
+		const record = row.type === 'present' ? row.record : undefined;
+		if (record?.revoked.includes(attempt)) {
+			const refusal = {reason: 'cancelled', retryAfterMs: 0} as const;
+			return {type: 'refused', attempt, refusal};
+		}
+
+		const recorded = this.#recorded(claim, record, now);
+		const replays = record?.state === 'completed' && record.answer;
+		if (recorded.state === 'completed' && replays) {
+			return {type: 'replay', attempt, record};
+		}
+
+		const retryAfterMs = recorded.state === 'running' ? 1000 : 0;
+		const refusal = {reason: 'duplicate', retryAfterMs, recorded} as const;
+		return {type: 'refused', attempt, refusal};
+	}
+
+	#recorded(
+		claim: Claim,
+		record: RunRecord | undefined,
+		now: number,
+	): RecordedRun {
+		if (!record || record.state === 'revoked') {
+			return {state: 'unknown'};
+		}
+
+		const {attempt} = record;
+		if (record.fingerprint !== claim.claimant.fingerprint) {
+			return {state: 'mismatch', attempt};
+		}
+
+		if (record.state === 'completed') {
+			return {state: record.outcome, attempt, status: record.status};
+		}
+
+		return {
+			state: this.#mayBeRunning(record, now) ? 'running' : 'unknown',
+			attempt,
+		};
+	}
+
+	#mayBeRunning(
+		record: Extract<RunRecord, {state: 'claimed'}>,
+		now: number,
+	): boolean {
+		const {endpoint, incarnation, epochMs} = this.#options;
+		return record.endpoint === endpoint
+			? record.incarnation === incarnation && this.#claims.has(record.attempt)
+			: epochMs + now < record.endsBy;
+	}
+}
+
+/** Hash of a call: tells calls apart that share a key by mistake. */
+function fingerprint(call: Call): string {
+	const text = `${call.method}\n${call.path}\n${call.body}`;
+	const hashes = [hash32(`1${text}`), hash32(`2${text}`), text.length];
+	return hashes.map((hash) => hash.toString(16)).join('-');
+}
--- a/src/services/sidecar/sidecar.ts
+++ b/src/services/sidecar/sidecar.ts
@@ -7,47 +7,72 @@
 	Refusal,
 	Update,
 } from '../../platform/index.js';
+import {Admission} from './admission.js';
+import {AnswerBuffer} from './answer-buffer.js';
+import {brokenOutcome, type Attempt} from './attempt.js';
+import {Attempts} from './attempts.js';
+import {Claims, type ClaimEvent} from './claims.js';
 import type {SidecarEffect, SidecarMessage} from './message.js';
 import {type Scheduler} from './scheduler.js';
 
-/** Time for which a finished, cancelled or detached attempt is remembered, in milliseconds. */
-const retentionMs = 10_000;
+/** Time for which a resumable attempt goes on without an entry, in milliseconds. */
+const resumableMs = 10_000;
 
-type AttemptState = 'queued' | 'running' | 'ended';
+/** Time that an entry has to open a new link: it notices silence after 3 s and tries for 3 s more, in milliseconds. */
+const reattachMs = 5000;
 
-type Attempt = {
-	readonly start: AttemptStart;
-	link: string | undefined;
-	state: AttemptState;
-	sequence: number;
-	/** Updates after the entry's last acknowledgement, kept for `attach`. */
-	readonly updates: Update[];
-	/** Time at which a detached or ended attempt is forgotten. */
-	forgetAt: number | undefined;
-};
+/** An interval between messages that only a pause of the process explains, in milliseconds; entries give a link up after as long. */
+const pauseMs = 3000;
+
+/** Longest interval between messages while work is queued, so that a pause shows, in milliseconds. */
+const checkMs = 1000;
+
+/** Time for which a leaving sidecar waits for the table after its last attempt, in milliseconds. */
+const drainMs = 5000;
 
 export type SidecarOptions = {
+	/** Name of the endpoint beside which it runs. */
+	readonly endpoint?: string;
 	/** Identity of this run of the process; a new one after each start. */
 	readonly incarnation: string;
 	readonly scheduler: Scheduler;
+	/** Wall-clock time at monotonic time 0, in milliseconds since 1970; dates run records. */
+	readonly epochMs?: number;
 };
 
 /** Decides for the one endpoint beside which it runs: which attempts run, in which order, and what the entries are told. */
 export class Sidecar {
 	readonly #options: SidecarOptions;
-	readonly #attempts = new Map<string, Attempt>();
-	/** Attempts that were cancelled before their start arrived, with the time at which to forget them. */
-	readonly #tombstones = new Map<string, number>();
-	#targets = new Set<string>();
-	#leaving = false;
+	readonly #attempts: Attempts;
+	readonly #claims: Claims;
+	readonly #admission: Admission;
+	#queued = 0;
+	#unfinished = 0;
+	#handledAt: number | undefined;
+	#drainBy: number | undefined;
+	#drained = false;
 	#effects: SidecarEffect[] = [];
 
 	constructor(options: SidecarOptions) {
 		this.#options = options;
+		this.#attempts = new Attempts(options.incarnation, (effect) => {
+			this.#effects.push(effect);
+		});
+		this.#admission = new Admission(options.incarnation);
+		this.#claims = new Claims({
+			endpoint: options.endpoint ?? options.incarnation,
+			incarnation: options.incarnation,
+			epochMs: options.epochMs ?? 0,
+		});
 	}
 
 	handle(message: SidecarMessage, now: number): SidecarEffect[] {
 		this.#effects = [];
+		if (now - (this.#handledAt ?? now) > pauseMs) {
+			this.#onPause(now);
+		}
+
+		this.#handledAt = now;
 		switch (message.type) {
 			case 'peer': {
 				this.#onPeer(message.link, message.message, now);
@@ -65,19 +90,23 @@
 			}
 
 			case 'targets': {
-				this.#targets = new Set(message.targets);
+				this.#admission.setTargets(message.targets);
 				break;
 			}
 
 			case 'leave': {
-				this.#leaving = true;
+				this.#admission.leave();
 				this.#effects.push({type: 'log', event: 'leaving', fields: {}});
 				break;
 			}
 
+			case 'table': {
+				this.#claims.answer(message.id, message.answer, now);
+				break;
+			}
+
 			case 'load':
 			case 'cache':
-			case 'table':
 			case 'tick': {
 				break;
 			}
@@ -88,27 +117,30 @@
 	}
 
 	nextWake(): number | undefined {
-		const times = [...this.#attempts.values()]
-			.map((attempt) => attempt.forgetAt)
-			.filter((time) => time !== undefined);
-		const scheduled = this.#options.scheduler.nextWake();
-		if (scheduled !== undefined) {
-			times.push(scheduled);
-		}
-
+		const times = [
+			this.#attempts.nextWake(),
+			this.#claims.nextWake(),
+			this.#options.scheduler.nextWake(),
+			this.#queued > 0 ? this.#handledAt! + checkMs : undefined,
+			this.#drained ? undefined : this.#drainBy,
+		].filter((time) => time !== undefined);
 		return times.length === 0 ? undefined : Math.min(...times);
 	}
 
 	dump(): unknown {
 		return {
 			incarnation: this.#options.incarnation,
-			leaving: this.#leaving,
-			targets: [...this.#targets],
-			attempts: [...this.#attempts].map(([id, attempt]) => ({
-				id,
+			leaving: this.#admission.isLeaving,
+			targets: this.#admission.targets,
+			attempts: this.#attempts.all().map((attempt) => ({
+				id: attempt.id,
 				state: attempt.state,
 				sequence: attempt.sequence,
+				attached: attempt.link !== undefined,
+				paused: attempt.paused,
 			})),
+			past: this.#attempts.pastSize,
+			tableWork: this.#claims.size,
 			scheduler: this.#options.scheduler.dump(),
 		};
 	}
@@ -116,7 +148,7 @@
 	#onPeer(link: string, message: EntryToSidecar, now: number): void {
 		switch (message.type) {
 			case 'offer': {
-				const refusal = this.#refusalFor(message.profile);
+				const refusal = this.#admission.refusal(message.profile);
 				const reply = refusal
 					? ({type: 'refuse', refusal} as const)
 					: this.#options.scheduler.offer(message.profile, now);
@@ -134,35 +166,37 @@
 			}
 
 			case 'cancel': {
-				this.#onCancel(link, message.attempt, now);
+				this.#onCancel(link, message, now);
+				break;
+			}
+
+			case 'detach': {
+				this.#onDetach(message.attempt, now);
 				break;
 			}
 
 			case 'attach': {
-				this.#onAttach(link, message, now);
+				this.#attempts.attach(link, message, now);
 				break;
 			}
 
 			case 'credit': {
-				this.#onCredit(message.attempt, message.upTo);
+				this.#attempts.credit(message.attempt, message.upTo);
 				break;
 			}
 		}
 	}
 
 	#onStart(link: string, start: AttemptStart, now: number): void {
-		if (this.#attempts.has(start.attempt)) {
+		if (this.#attempts.get(start.attempt)) {
 			return;
 		}
 
-		const refusal =
-			start.incarnation === this.#options.incarnation
-				? this.#tombstones.has(start.attempt)
-					? ({reason: 'cancelled', retryAfterMs: 0} as const)
-					: this.#refusalFor(start.profile)
-				: ({reason: 'wrong_incarnation', retryAfterMs: 0} as const);
+		const refusal = this.#attempts.isPast(start.attempt)
+			? ({reason: 'cancelled', retryAfterMs: 0} as const)
+			: this.#admission.refusalOfStart(start);
 		if (refusal) {
-			this.#sendUpdate(link, {
+			this.#attempts.send(link, {
 				type: 'refused',
 				attempt: start.attempt,
 				refusal,
@@ -170,122 +204,99 @@
 			return;
 		}
 
-		this.#attempts.set(start.attempt, {
+		const after = start.resume?.sequence ?? 0;
+		const attempt: Attempt = {
+			id: start.attempt,
 			start,
+			deadline: now + start.remainingMs,
 			link,
 			state: 'queued',
-			sequence: start.resume?.sequence ?? 0,
-			updates: [],
+			ran: false,
+			paused: false,
+			headSeen: false,
+			sequence: after,
+			buffer: new AnswerBuffer(after, start.resumable),
 			forgetAt: undefined,
-		});
+		};
+		this.#attempts.add(attempt);
+		this.#queued++;
+		this.#unfinished++;
 		const shed = this.#options.scheduler.enqueue(
 			{
 				attempt: start.attempt,
 				profile: start.profile,
 				arrivedAt: now,
-				deadline: now + start.remainingMs,
+				deadline: attempt.deadline,
 				resumedTokens: start.resume?.tokens ?? 0,
 			},
 			now,
 		);
 		for (const {ticket, refusal: reason} of shed) {
-			this.#refuse(ticket.attempt, reason, now);
-		}
-	}
-
-	#onCancel(link: string, id: string, now: number): void {
-		const attempt = this.#attempts.get(id);
-		if (!attempt) {
-			this.#tombstones.set(id, now + retentionMs);
-			this.#sendUpdate(link, {
-				type: 'refused',
-				attempt: id,
-				refusal: {reason: 'cancelled', retryAfterMs: 0},
-			});
-			return;
-		}
-
-		attempt.link = link;
-		switch (attempt.state) {
-			case 'queued': {
-				this.#options.scheduler.finish(id, false, now);
-				this.#refuse(id, {reason: 'cancelled', retryAfterMs: 0}, now);
-				break;
-			}
-
-			case 'running': {
-				this.#stop(id, 'failed', 'cancelled', now);
-				break;
-			}
-
-			case 'ended': {
-				this.#replay(attempt, attempt.sequence);
-				break;
-			}
+			this.#refuse(this.#attempts.get(ticket.attempt)!, reason, now);
 		}
 	}
 
-	#onAttach(
+	#onCancel(
 		link: string,
-		message: Extract<EntryToSidecar, {type: 'attach'}>,
+		message: Extract<EntryToSidecar, {type: 'cancel'}>,
 		now: number,
 	): void {
 		const attempt = this.#attempts.get(message.attempt);
-		if (attempt?.start.profile.contract.workspace !== message.workspace) {
-			this.#tombstones.set(message.attempt, now + retentionMs);
-			this.#sendUpdate(link, {
-				type: 'refused',
-				attempt: message.attempt,
-				refusal: {reason: 'cancelled', retryAfterMs: 0},
-			});
+		if (!attempt) {
+			this.#attempts.answerAbsent(link, message, now);
 			return;
 		}
 
 		attempt.link = link;
-		if (attempt.state !== 'ended') {
-			attempt.forgetAt = undefined;
+		if (attempt.state === 'ended') {
+			this.#attempts.replay(attempt, attempt.sequence);
+		} else {
+			this.#abandon(attempt, 'cancelled', now);
 		}
+	}
 
-		this.#replay(attempt, message.after);
+	#onDetach(id: string, now: number): void {
+		const attempt = this.#attempts.get(id);
+		if (attempt) {
+			this.#detach(attempt, now);
+		}
 	}
 
-	#replay(attempt: Attempt, after: number): void {
-		for (const update of attempt.updates) {
-			if (update.type !== 'chunk' || update.sequence > after) {
-				this.#sendUpdate(attempt.link, update);
+	#onLinkLost(link: string, now: number): void {
+		for (const attempt of this.#attempts.all()) {
+			if (attempt.link === link) {
+				this.#detach(attempt, now);
 			}
 		}
 	}
 
-	#onCredit(id: string, upTo: number): void {
-		const attempt = this.#attempts.get(id);
-		if (!attempt) {
+	/** Leaves an attempt without an entry: it goes on for a while, unless it has not started and nobody may come back for it. */
+	#detach(attempt: Attempt, now: number): void {
+		attempt.link = undefined;
+		if (attempt.state === 'ended') {
 			return;
 		}
 
-		const kept = attempt.updates.findIndex(
-			(update) => update.type === 'chunk' && update.sequence > upTo,
-		);
-		if (kept > 0) {
-			attempt.updates.splice(0, kept);
+		const {resumable} = attempt.start;
+		if (!resumable && attempt.state !== 'running') {
+			this.#abandon(attempt, 'link lost', now);
+			return;
 		}
+
+		attempt.forgetAt ??= now + (resumable ? resumableMs : reattachMs);
+		this.#attempts.plan(attempt);
 	}
 
-	#onLinkLost(link: string, now: number): void {
-		for (const [id, attempt] of this.#attempts) {
-			if (attempt.link !== link) {
-				continue;
-			}
+	/** After a pause of this process its entries may have moved queued work to other endpoints. */
+	#onPause(now: number): void {
+		if (this.#queued === 0) {
+			return;
+		}
 
-			attempt.link = undefined;
-			attempt.forgetAt ??= now + retentionMs;
-			if (attempt.state !== 'ended' && !attempt.start.resumable) {
-				this.#options.scheduler.finish(id, false, now);
-				if (attempt.state === 'running') {
-					this.#stop(id, 'failed', 'link lost', now);
-				} else {
-					this.#refuse(id, {reason: 'cancelled', retryAfterMs: 0}, now);
-				}
+		this.#effects.push({type: 'log', event: 'paused', fields: {}});
+		for (const attempt of this.#attempts.all()) {
+			if (attempt.state === 'queued') {
+				this.#abandon(attempt, 'paused', now);
 			}
 		}
 	}
@@ -296,9 +307,11 @@
 			return;
 		}
 
+		this.#claims.note(id, event);
 		switch (event.type) {
 			case 'head': {
-				this.#update(attempt, {
+				attempt.headSeen = true;
+				this.#attempts.update(attempt, {
 					type: 'head',
 					attempt: id,
 					status: event.status,
@@ -309,29 +322,25 @@
 			}
 
 			case 'chunk': {
-				attempt.sequence++;
 				this.#options.scheduler.progress(id, event.tokens, now);
-				this.#update(attempt, {
-					type: 'chunk',
-					attempt: id,
-					sequence: attempt.sequence,
-					data: event.data,
-					tokens: event.tokens,
-				});
+				this.#onChunk(attempt, event.data, event.tokens);
 				break;
 			}
 
 			case 'end': {
-				this.#end(id, 'completed', '', now);
+				this.#end(attempt, 'completed', '', now);
 				break;
 			}
 
 			case 'error': {
 				if (event.sent) {
-					this.#end(id, 'failed', event.reason, now);
+					this.#end(attempt, brokenOutcome(attempt), event.reason, now);
 				} else {
-					this.#options.scheduler.finish(id, false, now);
-					this.#refuse(id, {reason: 'overloaded', retryAfterMs: 1000}, now);
+					this.#refuse(
+						attempt,
+						{reason: 'overloaded', retryAfterMs: 1000},
+						now,
+					);
 				}
 
 				break;
@@ -339,61 +348,75 @@
 		}
 	}
 
-	#stop(id: string, outcome: Outcome, reason: string, now: number): void {
-		this.#effects.push({type: 'stopRun', attempt: id});
-		this.#end(id, outcome, reason, now);
+	#onChunk(attempt: Attempt, data: string, tokens: number): void {
+		attempt.sequence++;
+		this.#attempts.update(attempt, {
+			type: 'chunk',
+			attempt: attempt.id,
+			sequence: attempt.sequence,
+			data,
+			tokens,
+		});
 	}
 
-	#end(id: string, outcome: Outcome, reason: string, now: number): void {
-		const attempt = this.#attempts.get(id)!;
-		this.#options.scheduler.finish(id, outcome === 'completed', now);
-		attempt.state = 'ended';
-		attempt.forgetAt = now + retentionMs;
-		this.#update(attempt, {
+	/** Stops an attempt that nobody wants any more; one that has not been handed over is refused, which proves that it did not run. */
+	#abandon(attempt: Attempt, reason: string, now: number): void {
+		if (attempt.state === 'running') {
+			this.#effects.push({type: 'stopRun', attempt: attempt.id});
+			const outcome = attempt.start.idempotent ? 'failed' : 'unknown';
+			this.#end(attempt, outcome, reason, now);
+		} else {
+			this.#refuse(attempt, {reason: 'cancelled', retryAfterMs: 0}, now);
+		}
+	}
+
+	#end(
+		attempt: Attempt,
+		outcome: Exclude<Outcome, 'not_run'>,
+		reason: string,
+		now: number,
+	): void {
+		this.#claims.complete(attempt.id, outcome, now);
+		this.#options.scheduler.finish(attempt.id, outcome === 'completed', now);
+		this.#close(attempt, now, {
 			type: 'ended',
-			attempt: id,
+			attempt: attempt.id,
 			outcome,
 			sequence: attempt.sequence,
 			reason,
 		});
 	}
 
-	#refuse(id: string, refusal: Refusal, now: number): void {
-		const attempt = this.#attempts.get(id)!;
-		attempt.state = 'ended';
-		attempt.forgetAt = now + retentionMs;
-		this.#update(attempt, {type: 'refused', attempt: id, refusal});
+	#refuse(attempt: Attempt, refusal: Refusal, now: number): void {
+		attempt.ran = refusal.reason === 'duplicate';
+		this.#claims.release(attempt.id, now);
+		this.#options.scheduler.finish(attempt.id, false, now);
+		this.#close(attempt, now, {type: 'refused', attempt: attempt.id, refusal});
 	}
 
-	#update(attempt: Attempt, update: Update): void {
-		attempt.updates.push(update);
-		this.#sendUpdate(attempt.link, update);
-	}
-
-	#sendUpdate(link: string | undefined, update: Update): void {
-		if (link !== undefined) {
-			this.#effects.push({
-				type: 'send',
-				link,
-				message: {type: 'update', update},
-			});
+	#close(attempt: Attempt, now: number, final: Update): void {
+		if (attempt.state === 'queued') {
+			this.#queued--;
 		}
-	}
 
-	#refusalFor(profile: Profile): Refusal | undefined {
-		if (this.#leaving) {
-			return {reason: 'leaving', retryAfterMs: 0};
-		}
-
-		return this.#targets.has(profile.target)
-			? undefined
-			: {reason: 'not_eligible', retryAfterMs: 0};
+		this.#unfinished--;
+		attempt.state = 'ended';
+		attempt.paused = false;
+		attempt.forgetAt = now + resumableMs;
+		this.#attempts.plan(attempt);
+		this.#attempts.update(attempt, final);
 	}
 
 	/** Gives up late work, fills free places and forgets old attempts. */
 	#advance(now: number): void {
+		for (const attempt of this.#attempts.takeDue(now)) {
+			this.#onTime(attempt, now);
+		}
+
+		this.#claims.advance(now);
+		this.#takeClaims(now);
 		for (const {ticket, refusal} of this.#options.scheduler.expire(now)) {
-			this.#refuse(ticket.attempt, refusal, now);
+			this.#refuse(this.#attempts.get(ticket.attempt)!, refusal, now);
 		}
 
 		for (
@@ -401,25 +424,94 @@
 			ticket;
 			ticket = this.#options.scheduler.takeNext(now)
 		) {
-			this.#run(ticket.attempt);
+			this.#take(this.#attempts.get(ticket.attempt)!, now);
 		}
 
-		this.#forget(now);
-		if (
-			this.#leaving &&
-			[...this.#attempts.values()].every(({state}) => state === 'ended')
-		) {
-			this.#effects.push({type: 'drained'});
+		this.#takeClaims(now);
+		this.#drain(now);
+	}
+
+	#takeClaims(now: number): void {
+		const {effects, events} = this.#claims.take();
+		this.#effects.push(...effects);
+		for (const event of events) {
+			this.#onClaim(event, now);
+		}
+	}
+
+	/** Runs an attempt for which there is a place, after the claim that a non-idempotent one needs. */
+	#take(attempt: Attempt, now: number): void {
+		this.#queued--;
+		attempt.state = 'claiming';
+		if (attempt.deadline <= now) {
+			this.#refuse(attempt, {reason: 'deadline', retryAfterMs: 0}, now);
+		} else if (attempt.start.idempotent) {
+			this.#run(attempt);
+		} else {
+			this.#claims.begin(attempt.start, attempt.deadline, now);
 		}
 	}
 
-	#run(id: string): void {
-		const attempt = this.#attempts.get(id)!;
+	#onClaim(event: ClaimEvent, now: number): void {
+		const attempt = this.#attempts.get(event.attempt);
+		if (attempt?.state !== 'claiming') {
+			this.#claims.release(event.attempt, now);
+			return;
+		}
+
+		switch (event.type) {
+			case 'granted': {
+				if (attempt.deadline <= now) {
+					this.#refuse(attempt, {reason: 'deadline', retryAfterMs: 0}, now);
+				} else {
+					this.#run(attempt);
+				}
+
+				break;
+			}
+
+			case 'refused': {
+				this.#refuse(attempt, event.refusal, now);
+				break;
+			}
+
+			case 'replay': {
+				this.#onRecorded(attempt, event.record, now);
+				break;
+			}
+		}
+	}
+
+	/** Answers a repeated request from the run record. */
+	#onRecorded(
+		attempt: Attempt,
+		record: Extract<ClaimEvent, {type: 'replay'}>['record'],
+		now: number,
+	): void {
+		attempt.ran = true;
+		const {headers, binary, chunks} = record.answer!;
+		this.#attempts.update(attempt, {
+			type: 'head',
+			attempt: attempt.id,
+			status: record.status ?? 200,
+			headers: {...headers, 'idempotent-replayed': 'true'},
+			binary,
+		});
+		for (const data of chunks) {
+			this.#onChunk(attempt, data, 0);
+		}
+
+		this.#end(attempt, 'completed', 'recorded', now);
+	}
+
+	#run(attempt: Attempt): void {
 		attempt.state = 'running';
-		this.#update(attempt, {type: 'started', attempt: id});
+		attempt.ran = true;
+		this.#attempts.plan(attempt);
+		this.#attempts.update(attempt, {type: 'started', attempt: attempt.id});
 		this.#effects.push({
 			type: 'run',
-			attempt: id,
+			attempt: attempt.id,
 			requestId: attempt.start.requestId,
 			call: attempt.start.call,
 			priority: attempt.start.profile.contract.tier,
@@ -427,24 +519,25 @@
 		});
 	}
 
-	#forget(now: number): void {
-		for (const [id, attempt] of this.#attempts) {
-			if (attempt.forgetAt !== undefined && attempt.forgetAt <= now) {
-				if (attempt.state !== 'ended') {
-					this.#options.scheduler.finish(id, false, now);
-					this.#effects.push({type: 'stopRun', attempt: id});
-				}
+	#onTime(attempt: Attempt, now: number): void {
+		if (attempt.state === 'ended') {
+			this.#attempts.forget(attempt, now);
+			return;
+		}
 
-				this.#attempts.delete(id);
-				// A start that was delayed past this point must still be refused.
-				this.#tombstones.set(id, now + retentionMs);
-			}
+		const detached = attempt.forgetAt !== undefined && attempt.forgetAt <= now;
+		this.#abandon(attempt, detached ? 'link lost' : 'deadline', now);
+	}
+
+	#drain(now: number): void {
+		if (!this.#admission.isLeaving || this.#unfinished > 0 || this.#drained) {
+			return;
 		}
 
-		for (const [id, time] of this.#tombstones) {
-			if (time <= now) {
-				this.#tombstones.delete(id);
-			}
+		this.#drainBy ??= now + drainMs;
+		if (this.#claims.size === 0 || this.#drainBy <= now) {
+			this.#drained = true;
+			this.#effects.push({type: 'drained'});
 		}
 	}
 }
