--- a/src/base/index.ts
+++ b/src/base/index.ts
@@ -1,5 +1,6 @@
 export * from './disposable.js';
 export * from './emitter.js';
+export * from './prefix.js';
 export * from './random.js';
 export * from './rendezvous.js';
 export * from './timers.js';
