Tell callers only proved outcomes, and attach again after a lost link

Cause: the entry gave every attempt up as soon as its link was lost, said not_run while an earlier attempt was in doubt, dropped chunks after a gap and never looked at the run record. Conclusion: not_run is now said only with a proof.

--- a/src/daemons/entry/entry-daemon.ts
+++ b/src/daemons/entry/entry-daemon.ts
@@ -23,7 +23,7 @@
 import {listen} from '../listen.js';
 import {logEvent} from '../log.js';
 import {Metrics} from '../metrics.js';
-import {Task} from '../task.js';
+import {monotonicNow, Task} from '../task.js';
 import {Answer} from './answer.js';
 import {ApiError, errorBody} from './api-error.js';
 import {
@@ -81,6 +81,7 @@
 			place: {dataCentre: process.data_centre, region: process.region},
 			random: new Random(options.seed),
 			textOf,
+			epochMs: Date.now() - monotonicNow(),
 		});
 		this.#task = this.#store.add(
 			new Task(entry, (effect) => {
--- /dev/null
+++ b/src/services/entry/entry.test.ts
@@ -0,0 +1,388 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {Random} from '../../base/index.js';
+import {
+	runKey,
+	type EntryToSidecar,
+	type SidecarToEntry,
+	type Update,
+} from '../../platform/index.js';
+import {MemoryTable} from '../../platform/standins/index.js';
+import {claimWork, completionWork, type Claimant} from '../ledger/index.js';
+import type {EndpointView} from '../records/index.js';
+import {Entry} from './entry.js';
+import type {CallerRequest, EntryEffect, EntryMessage} from './message.js';
+
+function endpointsNamed(...names: string[]): EndpointView[] {
+	return names.map((name) => ({
+		name,
+		type: 'engine',
+		dataCentre: 'bole',
+		region: 'addis',
+		address: name,
+		leaving: false,
+	}));
+}
+
+function requestOf(parts?: Partial<CallerRequest>): CallerRequest {
+	return {
+		id: 'r',
+		profile: {
+			contract: {
+				workspace: 'w',
+				requestClass: 'staff',
+				tier: 0,
+				firstTokenMs: 500,
+				gapMs: 50,
+				share: 0,
+				weight: 1,
+				patience: 4,
+			},
+			target: 'm',
+			kind: 'model',
+			promptTokens: 10,
+			prefix: [],
+		},
+		call: {method: 'POST', path: '/', headers: {}, body: ''},
+		idempotent: true,
+		resumable: false,
+		timeoutMs: 20_000,
+		endpoints: endpointsNamed('a', 'b'),
+		...parts,
+	};
+}
+
+const once = {idempotent: false, idempotencyKey: 'k'};
+const recordKey = runKey('w', 'k');
+
+type Sent = {endpoint: string; message: EntryToSidecar};
+
+/** An entry whose sidecars are scripted: each accepts every offer at once. */
+class Bench {
+	readonly entry = new Entry({
+		place: {dataCentre: 'bole', region: 'addis'},
+		random: new Random(1),
+		textOf: (chunks) => chunks.join(''),
+	});
+
+	readonly table = new MemoryTable();
+	readonly sent: Sent[] = [];
+	readonly effects: EntryEffect[] = [];
+	tableIsSilent = false;
+	now = 0;
+
+	send(message: EntryMessage): void {
+		for (const effect of this.entry.handle(message, this.now)) {
+			if (effect.type === 'send') {
+				this.#onSend(effect);
+			} else if (effect.type === 'table') {
+				this.#onTable(effect);
+			} else {
+				this.effects.push(effect);
+			}
+		}
+	}
+
+	update(endpoint: string, update: Update): void {
+		this.peer(endpoint, {type: 'update', update});
+	}
+
+	peer(endpoint: string, message: SidecarToEntry): void {
+		this.send({type: 'peer', endpoint, message});
+	}
+
+	passTime(ms: number): void {
+		const end = this.now + ms;
+		for (;;) {
+			const wake = this.entry.nextWake();
+			if (wake === undefined || wake > end) {
+				break;
+			}
+
+			this.now = Math.max(this.now, wake);
+			this.send({type: 'tick'});
+		}
+
+		this.now = end;
+	}
+
+	/** Starts a request and returns the endpoint of its attempt. */
+	begin(parts?: Partial<CallerRequest>): string {
+		const request = requestOf(parts);
+		for (const {name} of request.endpoints) {
+			this.send({type: 'linkUp', endpoint: name, incarnation: `${name}1`});
+		}
+
+		this.send({type: 'request', request});
+		return this.last('start').endpoint;
+	}
+
+	chunk(endpoint: string, sequence: number, attempt = 'r.1'): void {
+		const data = `t${sequence} `;
+		this.update(endpoint, {type: 'chunk', attempt, sequence, data, tokens: 1});
+	}
+
+	last<T extends EntryToSidecar['type']>(
+		type: T,
+	): {endpoint: string; message: Extract<EntryToSidecar, {type: T}>} {
+		return this.sent.findLast(
+			(
+				sent,
+			): sent is {
+				endpoint: string;
+				message: Extract<EntryToSidecar, {type: T}>;
+			} => sent.message.type === type,
+		)!;
+	}
+
+	count(type: EntryToSidecar['type']): number {
+		return this.sent.filter(({message}) => message.type === type).length;
+	}
+
+	end(): Extract<EntryEffect, {type: 'end'}> | undefined {
+		return this.effects.find((effect) => effect.type === 'end');
+	}
+
+	text(): string {
+		return this.effects
+			.map((effect) => (effect.type === 'chunk' ? effect.data : ''))
+			.join('');
+	}
+
+	#onSend({endpoint, message}: Sent): void {
+		this.sent.push({endpoint, message});
+		if (message.type === 'offer') {
+			const reply = {type: 'accept', firstTokenMs: 1, cachedTokens: 0} as const;
+			this.peer(endpoint, {type: 'offerReply', id: message.id, reply});
+		}
+	}
+
+	#onTable({id, call}: Extract<EntryEffect, {type: 'table'}>): void {
+		if (this.tableIsSilent || call.type === 'scan') {
+			return;
+		}
+
+		const answer =
+			call.type === 'commit'
+				? ({
+						type: 'decision',
+						decision: this.table.commitNow(call.transaction),
+					} as const)
+				: ({type: 'row', row: this.table.rowNow(call.key)} as const);
+		this.send({type: 'table', id, answer});
+	}
+}
+
+const started = {type: 'started', attempt: 'r.1'} as const;
+const refused = {
+	type: 'refused',
+	attempt: 'r.1',
+	refusal: {reason: 'cancelled', retryAfterMs: 0},
+} as const;
+
+/** Puts a claim of the request's first attempt into the table, and its completion. */
+function record(table: MemoryTable, isCompleted: boolean): void {
+	const claimant: Claimant = {
+		attempt: 'r.1',
+		requestId: 'r',
+		endpoint: 'a',
+		incarnation: 'a1',
+		fingerprint: '',
+		endsBy: 0,
+	};
+	const frame = {
+		id: '',
+		key: recordKey,
+		known: {type: 'absent'},
+		giveUpAt: 1,
+		persistent: false,
+		wallNow: 0,
+	} as const;
+	const claim = claimWork(frame, claimant, []).decide({type: 'absent'});
+	if (claim.type !== 'write' || !claim.record) {
+		return;
+	}
+
+	const completion = completionWork(frame, claimant, {
+		outcome: 'completed',
+		status: 201,
+		answer: {headers: {}, binary: false, chunks: ['t1 ', 't2 ', 't3 ']},
+	}).decide({type: 'present', record: claim.record, revision: 1});
+	const step = isCompleted ? completion : claim;
+	const value = step.type === 'write' ? JSON.stringify(step.record) : null;
+	table.commitNow({checks: [], writes: [{key: recordKey, value}]});
+}
+
+// Guards against a second start, and against a lost or repeated chunk, when a link breaks and comes back.
+test('entry attaches again to the same incarnation', () => {
+	const bench = new Bench();
+	const endpoint = bench.begin();
+	bench.chunk(endpoint, 1);
+	bench.send({type: 'linkLost', endpoint});
+	expect(bench.last('attach').message.after).toEqual(1);
+	bench.passTime(1000);
+	bench.send({type: 'linkUp', endpoint, incarnation: `${endpoint}1`});
+	for (const sequence of [1, 2, 3]) {
+		bench.chunk(endpoint, sequence);
+	}
+
+	bench.passTime(5000);
+	const ended = {type: 'ended', attempt: 'r.1', reason: ''} as const;
+	bench.update(endpoint, {...ended, outcome: 'completed', sequence: 3});
+	expect(bench.text()).toEqual('t1 t2 t3 ');
+	expect(bench.end()?.outcome).toEqual('completed');
+	expect(bench.count('start')).toEqual(1);
+});
+
+// Guards against an answer that is lost, repeated or begun anew when an endpoint dies in its middle.
+test('entry continues an idempotent answer elsewhere', () => {
+	for (const isRestart of [true, false]) {
+		const bench = new Bench();
+		const endpoint = bench.begin();
+		bench.chunk(endpoint, 1);
+		bench.chunk(endpoint, 2);
+		bench.send({type: 'linkLost', endpoint});
+		if (isRestart) {
+			bench.send({type: 'linkUp', endpoint, incarnation: 'other'});
+		} else {
+			bench.passTime(3000);
+		}
+
+		const next = bench.last('start');
+		expect(next.endpoint === endpoint).toEqual(false);
+		expect(next.message.resume).toEqual({
+			sequence: 2,
+			text: 't1 t2 ',
+			tokens: 2,
+		});
+		bench.chunk(endpoint, 3);
+		bench.chunk(next.endpoint, 3, 'r.2');
+		expect(bench.text()).toEqual('t1 t2 t3 ');
+	}
+});
+
+// Guards against a cut in the middle of an answer that nobody notices.
+test('entry asks for chunks that are missing', () => {
+	const bench = new Bench();
+	const endpoint = bench.begin();
+	bench.chunk(endpoint, 1);
+	bench.chunk(endpoint, 3);
+	bench.chunk(endpoint, 4);
+	expect(bench.count('attach')).toEqual(1);
+	for (const sequence of [2, 3, 4]) {
+		bench.chunk(endpoint, sequence);
+	}
+
+	const ended = {type: 'ended', attempt: 'r.1', reason: ''} as const;
+	bench.update(endpoint, {...ended, outcome: 'completed', sequence: 5});
+	expect(bench.end()).toEqual(undefined);
+	expect(bench.last('attach').message.after).toEqual(4);
+});
+
+// Guards against "not run" without proof, and against "unknown" where the run record has the truth.
+test('entry settles a lost non-idempotent attempt by its run record', () => {
+	const free = new Bench();
+	const endpoint = free.begin(once);
+	free.send({type: 'linkLost', endpoint});
+	free.passTime(3000);
+	const next = free.last('start');
+	expect(next.message.attempt).toEqual('r.2');
+	expect(next.message.superseded).toEqual(['r.1']);
+	expect(free.table.rowNow(recordKey)?.value.includes('"revoked"')).toEqual(
+		true,
+	);
+
+	const claimed = new Bench();
+	record(claimed.table, false);
+	claimed.send({type: 'linkLost', endpoint: claimed.begin(once)});
+	claimed.passTime(3000);
+	expect(claimed.end()?.outcome).toEqual('unknown');
+	expect(claimed.count('start')).toEqual(1);
+
+	const completed = new Bench();
+	record(completed.table, true);
+	const place = completed.begin(once);
+	completed.chunk(place, 1);
+	completed.send({type: 'linkLost', endpoint: place});
+	completed.passTime(3000);
+	expect(completed.text()).toEqual('t1 t2 t3 ');
+	expect(completed.end()?.outcome).toEqual('completed');
+
+	const silent = new Bench();
+	silent.tableIsSilent = true;
+	silent.send({type: 'linkLost', endpoint: silent.begin(once)});
+	silent.passTime(5000);
+	expect(silent.end()?.outcome).toEqual('unknown');
+	expect(silent.count('start')).toEqual(1);
+});
+
+// Guards against a false outcome, and against a long wait, when a request reaches its timeout.
+test('entry tells the proved outcome at a timeout', () => {
+	const proved = new Bench();
+	const endpoint = proved.begin({...once, timeoutMs: 1000});
+	proved.passTime(1000);
+	expect(proved.end()).toEqual(undefined);
+	proved.update(endpoint, refused);
+	expect(proved.end()?.outcome).toEqual('not_run');
+
+	const running = new Bench();
+	running.update(running.begin({...once, timeoutMs: 1000}), started);
+	running.passTime(1000);
+	expect(running.end()?.outcome).toEqual('unknown');
+
+	const silent = new Bench();
+	silent.begin({timeoutMs: 1000});
+	silent.passTime(1500);
+	expect(silent.end()?.outcome).toEqual('unknown');
+
+	const revoked = new Bench();
+	revoked.begin({...once, timeoutMs: 1000});
+	revoked.passTime(1500);
+	expect(revoked.end()?.outcome).toEqual('not_run');
+});
+
+// Guards against "not run" for a request of which an earlier attempt was lost.
+test('entry remembers a lost attempt when no endpoint is left', () => {
+	for (const isStarted of [true, false]) {
+		const bench = new Bench();
+		const endpoint = bench.begin({endpoints: endpointsNamed('a')});
+		if (isStarted) {
+			bench.update(endpoint, started);
+		}
+
+		bench.send({type: 'linkLost', endpoint});
+		bench.passTime(3000);
+		expect(bench.end()?.outcome).toEqual(isStarted ? 'failed' : 'unknown');
+	}
+});
+
+// Guards against a refusal while an endpoint that might accept has not been asked.
+test('entry asks every eligible endpoint up to 16 before it refuses', () => {
+	for (const count of [1, 5, 16, 20]) {
+		const names = Array.from({length: count}, (_, n) => `e${n}`);
+		const entry = new Entry({
+			place: {dataCentre: 'bole', region: 'addis'},
+			random: new Random(count),
+			textOf: (chunks) => chunks.join(''),
+		});
+		const request = requestOf({endpoints: endpointsNamed(...names)});
+		const pending = entry.handle({type: 'request', request}, 0);
+		const asked = new Set<string>();
+		for (let effect = pending.shift(); effect; effect = pending.shift()) {
+			if (effect.type === 'send') {
+				const {endpoint} = effect;
+				asked.add(endpoint);
+				const refusal = {reason: 'overloaded', retryAfterMs: 5} as const;
+				const message = {
+					type: 'offerReply',
+					id: 'r',
+					reply: {type: 'refuse', refusal},
+				} as const;
+				pending.push(...entry.handle({type: 'peer', endpoint, message}, 0));
+			} else if (effect.type === 'end') {
+				expect(effect.outcome).toEqual('not_run');
+				expect(asked.size).toEqual(Math.min(16, count));
+			}
+		}
+	}
+});
--- a/src/services/entry/entry.ts
+++ b/src/services/entry/entry.ts
@@ -1,68 +1,85 @@
-import type {Random} from '../../base/index.js';
+import {Timers, type Random} from '../../base/index.js';
 import type {
-	OfferReply,
+	EntryToSidecar,
 	Outcome,
-	Refusal,
+	RunCompletion,
 	SidecarToEntry,
 	Update,
 } from '../../platform/index.js';
+import type {RunRow} from '../ledger/index.js';
 import type {EndpointView} from '../records/index.js';
-import {offerCount, orderCandidates, type Place} from './candidates.js';
+import type {Place} from './candidates.js';
+import {
+	answerCut,
+	claimUnavailable,
+	endpointFailed,
+	entryLeaving,
+	outcomeUnknown,
+	refusedByAll,
+	repeated,
+	timedOut,
+} from './failures.js';
 import type {
 	CallerRequest,
 	EntryEffect,
 	EntryMessage,
 	Failure,
 } from './message.js';
+import {
+	newProgress,
+	outcomeWithoutAnswer,
+	wakeOf,
+	type EntryAttempt,
+	type Progress,
+} from './progress.js';
+import {RetryBudget} from './retry-budget.js';
+import {Revocations, type RevocationOutput} from './revocations.js';
+import {Selection} from './selection.js';
 
-/** Time after which an offer without a reply counts as refused, in milliseconds. */
-const offerTimeoutMs = 250;
+/** Time within which a lost link must be open again, in milliseconds; after that its attempts are lost. */
+const reattachMs = 3000;
 
-type Attempt = {
-	readonly id: string;
-	readonly endpoint: EndpointView;
-	/** The sidecar has handed the call to its endpoint. */
-	started: boolean;
-};
+/** Pause between two tries to open a link again, in milliseconds. */
+const reopenPauseMs = 200;
 
-type Progress = {
-	readonly request: CallerRequest;
-	readonly deadline: number;
-	/** Endpoints that have not been asked yet. */
-	readonly candidates: EndpointView[];
-	/** Offers without a reply, by endpoint name. */
-	readonly offers: Map<string, EndpointView>;
-	offersExpireAt: number;
-	readonly accepted: Array<{endpoint: EndpointView; firstTokenMs: number}>;
-	readonly refusals: Refusal[];
-	asked: number;
-	attempts: number;
-	attempt: Attempt | undefined;
-	headSent: boolean;
-	/** Sequence number of the last chunk that was handed to the caller. */
-	sequence: number;
-	/** Answer so far, from which another endpoint can continue. */
-	readonly chunks: string[];
-	tokens: number;
-};
+/** Longest wait for a sidecar's word on an attempt that was cancelled at its deadline, in milliseconds. */
+const closingMs = 500;
+
+type Chunk = Extract<Update, {type: 'chunk'}>;
+type Ended = Extract<Update, {type: 'ended'}>;
 
 export type EntryOptions = {
 	readonly place: Place;
 	readonly random: Random;
 	/** Extracts the generated text from the chunks of an answer. */
 	readonly textOf: (chunks: readonly string[]) => string;
+	/** Wall-clock time at monotonic time 0, in milliseconds since 1970; dates run records. */
+	readonly epochMs?: number;
 };
 
 /** Decides for each caller's request where it runs, and what the caller is told. */
 export class Entry {
 	readonly #options: EntryOptions;
 	readonly #requests = new Map<string, Progress>();
+	/** Next time of each request. */
+	readonly #timers = new Timers();
 	readonly #incarnations = new Map<string, string>();
+	readonly #selection: Selection;
+	readonly #revocations: Revocations;
+	readonly #budget = new RetryBudget();
 	#leaving = false;
 	#effects: EntryEffect[] = [];
 
 	constructor(options: EntryOptions) {
 		this.#options = options;
+		this.#selection = new Selection({
+			place: options.place,
+			random: options.random,
+			send: (endpoint, message) => {
+				this.#send(endpoint, message);
+			},
+		});
+		this.#revocations = new Revocations(options.epochMs ?? 0);
 	}
 
 	handle(message: EntryMessage, now: number): EntryEffect[] {
@@ -84,7 +101,7 @@
 			}
 
 			case 'linkUp': {
-				this.#incarnations.set(message.endpoint, message.incarnation);
+				this.#onLinkUp(message.endpoint, message.incarnation, now);
 				break;
 			}
 
@@ -103,7 +120,12 @@
 				break;
 			}
 
-			case 'table':
+			case 'table': {
+				const {id, answer} = message;
+				this.#onRevocations(this.#revocations.answer(id, answer, now), now);
+				break;
+			}
+
 			case 'tick': {
 				break;
 			}
@@ -114,16 +136,11 @@
 	}
 
 	nextWake(): number | undefined {
-		let earliest: number | undefined;
-		for (const progress of this.#requests.values()) {
-			const time =
-				progress.offers.size > 0
-					? Math.min(progress.offersExpireAt, progress.deadline)
-					: progress.deadline;
-			earliest = Math.min(earliest ?? time, time);
-		}
-
-		return earliest;
+		const times = [
+			this.#timers.earliest(),
+			this.#revocations.nextWake(),
+		].filter((time) => time !== undefined);
+		return times.length === 0 ? undefined : Math.min(...times);
 	}
 
 	dump(): unknown {
@@ -136,133 +153,83 @@
 				attempt: progress.attempt?.id,
 				endpoint: progress.attempt?.endpoint.name,
 				started: progress.attempt?.started,
+				detached: progress.attempt?.detached !== undefined,
+				revoking: progress.revoking?.id,
+				closing: progress.closing !== undefined,
 				sequence: progress.sequence,
 			})),
 		};
 	}
 
 	#onRequest(request: CallerRequest, now: number): void {
-		const progress: Progress = {
-			request,
-			deadline: now + request.timeoutMs,
-			candidates: orderCandidates(
-				request.endpoints.filter((endpoint) => !endpoint.leaving),
-				request.profile.prefix,
-				this.#options.place,
-				this.#options.random,
-			),
-			offers: new Map(),
-			offersExpireAt: 0,
-			accepted: [],
-			refusals: [],
-			asked: 0,
-			attempts: 0,
-			attempt: undefined,
-			headSent: false,
-			sequence: 0,
-			chunks: [],
-			tokens: 0,
-		};
+		const progress = newProgress(request, now);
 		this.#requests.set(request.id, progress);
 		if (this.#leaving) {
-			this.#end(progress, 'not_run', {
-				status: 503,
-				code: 'entry_leaving',
-				text: 'this entry is stopping; use another one',
-				retryAfterMs: 0,
-			});
+			this.#end(progress, 'not_run', entryLeaving);
 			return;
 		}
 
-		this.#ask(progress, now);
+		this.#selection.reset(progress);
+		this.#select(progress, now);
 	}
 
-	/** Sends offers to the next candidates, or ends the request when none is left. */
-	#ask(progress: Progress, now: number): void {
-		const next = progress.candidates.splice(0, offerCount);
-		if (next.length === 0) {
-			this.#giveUp(progress);
-			return;
-		}
-
-		progress.accepted.length = 0;
-		progress.offersExpireAt = now + offerTimeoutMs;
-		progress.asked += next.length;
-		for (const endpoint of next) {
-			progress.offers.set(endpoint.name, endpoint);
-			this.#send(endpoint, {
-				type: 'offer',
-				id: progress.request.id,
-				profile: progress.request.profile,
-				remainingMs: progress.deadline - now,
-			});
-		}
-	}
-
-	#onOfferReply(
-		endpointName: string,
-		id: string,
-		reply: OfferReply,
-		now: number,
-	): void {
-		const progress = this.#requests.get(id);
-		const endpoint = progress?.offers.get(endpointName);
-		if (!progress || !endpoint) {
-			return;
-		}
-
-		progress.offers.delete(endpointName);
-		switch (reply.type) {
-			case 'accept': {
-				progress.accepted.push({
-					endpoint,
-					firstTokenMs: reply.firstTokenMs,
-				});
-				break;
-			}
-
-			case 'refuse': {
-				progress.refusals.push(reply.refusal);
-				break;
+	/** Starts an attempt at the best endpoint that has accepted, or asks further ones, or ends the request when none is left. */
+	#select(progress: Progress, now: number): void {
+		for (
+			let endpoint = this.#selection.take(progress);
+			endpoint;
+			endpoint = this.#selection.take(progress)
+		) {
+			const incarnation = this.#incarnations.get(endpoint.name);
+			if (incarnation !== undefined) {
+				this.#start(progress, endpoint, incarnation, now);
+				return;
 			}
 		}
 
-		if (progress.offers.size === 0) {
-			this.#choose(progress, now);
-		}
-	}
-
-	/** Starts an attempt at the best endpoint that accepted, or asks further ones. */
-	#choose(progress: Progress, now: number): void {
-		progress.accepted.sort((a, b) => a.firstTokenMs - b.firstTokenMs);
-		const best = progress.accepted.shift();
-		if (!best) {
-			this.#ask(progress, now);
+		if (this.#selection.ask(progress, now)) {
+			this.#plan(progress);
 			return;
 		}
 
-		const incarnation = this.#incarnations.get(best.endpoint.name);
-		if (incarnation === undefined) {
-			this.#choose(progress, now);
-			return;
-		}
+		const outcome = outcomeWithoutAnswer(progress);
+		const failure =
+			outcome === 'not_run'
+				? refusedByAll(progress.refusals)
+				: outcome === 'failed'
+					? answerCut
+					: outcomeUnknown;
+		this.#end(progress, outcome, failure);
+	}
 
-		const {request} = progress;
+	#start(
+		progress: Progress,
+		endpoint: EndpointView,
+		incarnation: string,
+		now: number,
+	): void {
+		const {request, superseded} = progress;
 		progress.attempts++;
-		progress.attempt = {
+		const attempt: EntryAttempt = {
 			id: `${request.id}.${progress.attempts}`,
-			endpoint: best.endpoint,
+			endpoint,
+			incarnation,
+			sentAt: now,
 			started: false,
+			detached: undefined,
+			refetching: false,
 		};
-		this.#send(best.endpoint, {
+		progress.attempt = attempt;
+		this.#send(endpoint, {
 			type: 'start',
-			attempt: progress.attempt.id,
+			attempt: attempt.id,
 			requestId: request.id,
 			incarnation,
 			profile: request.profile,
 			call: request.call,
 			idempotent: request.idempotent,
 			idempotencyKey: request.idempotencyKey,
+			superseded: superseded.length > 0 ? [...superseded] : undefined,
 			resumable: request.resumable,
 			remainingMs: progress.deadline - now,
 			resume:
@@ -274,60 +241,97 @@
 							tokens: progress.tokens,
 						},
 		});
+		this.#plan(progress);
 	}
 
 	#onPeer(endpoint: string, message: SidecarToEntry, now: number): void {
 		switch (message.type) {
 			case 'offerReply': {
-				this.#onOfferReply(endpoint, message.id, message.reply, now);
+				const progress = this.#requests.get(message.id);
+				if (
+					progress &&
+					this.#selection.reply(progress, endpoint, message.reply)
+				) {
+					this.#select(progress, now);
+				}
+
 				break;
 			}
 
 			case 'update': {
-				this.#onUpdate(message.update, now);
+				this.#onUpdate(endpoint, message.update, now);
 				break;
 			}
 		}
 	}
 
-	#onUpdate(update: Update, now: number): void {
+	#onUpdate(endpoint: string, update: Update, now: number): void {
 		const requestId = update.attempt.slice(0, update.attempt.lastIndexOf('.'));
 		const progress = this.#requests.get(requestId);
-		if (progress?.attempt?.id !== update.attempt) {
+		const attempt = progress?.attempt;
+		if (attempt?.id !== update.attempt || attempt.endpoint.name !== endpoint) {
 			return;
 		}
 
 		switch (update.type) {
 			case 'refused': {
-				progress.refusals.push(update.refusal);
-				progress.attempt = undefined;
-				this.#choose(progress, now);
+				this.#onRefused(progress!, update, now);
 				break;
 			}
 
 			case 'started': {
-				progress.attempt.started = true;
+				attempt.started = true;
 				break;
 			}
 
 			case 'head': {
-				this.#onHead(progress, update);
+				attempt.started = true;
+				this.#onHead(progress!, update);
 				break;
 			}
 
 			case 'chunk': {
-				this.#onChunk(progress, update);
+				attempt.started = true;
+				this.#onChunk(progress!, attempt, update, now);
 				break;
 			}
 
 			case 'ended': {
-				this.#onEnded(progress, update, now);
+				this.#onEnded(progress!, attempt, update, now);
 				break;
 			}
 		}
 	}
 
-	#onHead(progress: Progress, head: Extract<Update, {type: 'head'}>): void {
+	/** A refusal by the incarnation to which the attempt was sent proves that it has not run and will not run. */
+	#onRefused(
+		progress: Progress,
+		update: Extract<Update, {type: 'refused'}>,
+		now: number,
+	): void {
+		const {refusal, attempt} = update;
+		progress.superseded.push(attempt);
+		progress.attempt = undefined;
+		if (refusal.recorded) {
+			const {outcome, failure} = repeated(refusal.recorded);
+			this.#end(progress, outcome, failure);
+		} else if (progress.closing) {
+			this.#endWithoutAnswer(progress, progress.closing.failure);
+		} else if (refusal.reason === 'claim_unavailable') {
+			this.#endWithoutAnswer(progress, claimUnavailable);
+		} else {
+			progress.refusals.push(refusal);
+			this.#select(progress, now);
+		}
+	}
+
+	#onHead(
+		progress: Progress,
+		head: Pick<
+			Extract<Update, {type: 'head'}>,
+			'status' | 'headers' | 'binary'
+		>,
+	): void {
 		if (progress.headSent) {
 			return;
 		}
@@ -342,43 +346,127 @@
 		});
 	}
 
-	#onChunk(progress: Progress, chunk: Extract<Update, {type: 'chunk'}>): void {
-		if (chunk.sequence !== progress.sequence + 1) {
-			return;
+	#onChunk(
+		progress: Progress,
+		attempt: EntryAttempt,
+		chunk: Chunk,
+		now: number,
+	): void {
+		if (chunk.sequence > progress.sequence + 1) {
+			this.#refetch(progress, attempt, now);
+		} else if (chunk.sequence === progress.sequence + 1) {
+			attempt.refetching = false;
+			progress.tokens += chunk.tokens;
+			this.#deliver(progress, attempt, chunk.data);
 		}
+	}
 
-		progress.sequence = chunk.sequence;
-		progress.tokens += chunk.tokens;
+	#deliver(progress: Progress, attempt: EntryAttempt, data: string): void {
+		progress.sequence++;
 		if (progress.request.idempotent) {
-			progress.chunks.push(chunk.data);
+			progress.chunks.push(data);
 		}
 
 		this.#effects.push({
 			type: 'chunk',
 			requestId: progress.request.id,
-			eventId: `${progress.attempt!.endpoint.name}/${chunk.attempt}/${chunk.sequence}`,
-			sequence: chunk.sequence,
-			data: chunk.data,
+			eventId: `${attempt.endpoint.name}/${attempt.id}/${progress.sequence}`,
+			sequence: progress.sequence,
+			data,
 		});
 	}
 
 	#onEnded(
 		progress: Progress,
-		ended: Extract<Update, {type: 'ended'}>,
+		attempt: EntryAttempt,
+		ended: Ended,
 		now: number,
 	): void {
-		if (ended.outcome === 'completed') {
-			this.#end(progress, 'completed');
+		if (ended.sequence > progress.sequence) {
+			this.#refetch(progress, attempt, now);
+			return;
+		}
+
+		switch (ended.outcome) {
+			case 'completed': {
+				this.#budget.succeeded(progress.request.profile.contract.workspace);
+				this.#end(progress, 'completed');
+				break;
+			}
+
+			case 'unknown':
+			case 'not_run':
+			case 'failed': {
+				this.#onFailed(progress, attempt, ended, now);
+				break;
+			}
+		}
+	}
+
+	#onFailed(
+		progress: Progress,
+		attempt: EntryAttempt,
+		ended: Ended,
+		now: number,
+	): void {
+		if (ended.reason === 'forgotten') {
+			this.#onAttemptLost(progress, attempt, now);
 		} else if (progress.request.idempotent) {
 			progress.attempt = undefined;
-			this.#ask(progress, now);
+			progress.ranBefore = true;
+			progress.failedAt.add(attempt.endpoint.name);
+			this.#retry(progress, endpointFailed(ended.reason), now);
 		} else {
-			this.#end(progress, ended.outcome, {
-				status: 502,
-				code: 'endpoint_failed',
-				text: `the endpoint failed after the request had started: ${ended.reason}`,
-				retryAfterMs: undefined,
-			});
+			const failure = progress.closing?.failure ?? endpointFailed(ended.reason);
+			this.#end(progress, ended.outcome, failure);
+		}
+	}
+
+	/** Asks the sidecar for what is missing, once for each gap. */
+	#refetch(progress: Progress, attempt: EntryAttempt, now: number): void {
+		if (!attempt.refetching) {
+			attempt.refetching = true;
+			this.#attach(progress, attempt, now);
+		}
+	}
+
+	#attach(progress: Progress, attempt: EntryAttempt, now: number): void {
+		const {endpoint, id, incarnation, sentAt} = attempt;
+		this.#send(endpoint, {
+			type: 'attach',
+			attempt: id,
+			incarnation,
+			ageMs: now - sentAt,
+			workspace: progress.request.profile.contract.workspace,
+			after: progress.sequence,
+		});
+		// A credit that was lost with the old link would leave the run paused.
+		this.#send(endpoint, {
+			type: 'credit',
+			attempt: id,
+			upTo: progress.taken,
+		});
+	}
+
+	#onLinkUp(endpoint: string, incarnation: string, now: number): void {
+		this.#incarnations.set(endpoint, incarnation);
+		for (const progress of this.#requests.values()) {
+			const {attempt} = progress;
+			if (!attempt?.detached || attempt.endpoint.name !== endpoint) {
+				continue;
+			}
+
+			if (attempt.incarnation !== incarnation) {
+				this.#onAttemptLost(progress, attempt, now);
+				continue;
+			}
+
+			if (!attempt.detached.sent) {
+				this.#attach(progress, attempt, now);
+			}
+
+			attempt.detached = undefined;
+			this.#plan(progress);
 		}
 	}
 
@@ -386,26 +474,134 @@
 		this.#incarnations.delete(endpoint);
 		for (const progress of this.#requests.values()) {
 			if (progress.offers.delete(endpoint) && progress.offers.size === 0) {
-				this.#choose(progress, now);
+				this.#select(progress, now);
 			} else if (progress.attempt?.endpoint.name === endpoint) {
-				this.#onAttemptLost(progress, now);
+				this.#onDetached(progress, progress.attempt, now);
 			}
 		}
 	}
 
-	#onAttemptLost(progress: Progress, now: number): void {
+	#onDetached(progress: Progress, attempt: EntryAttempt, now: number): void {
+		attempt.refetching = false;
+		if (attempt.detached) {
+			attempt.detached.sent = false;
+			attempt.detached.retryAt = now + reopenPauseMs;
+		} else {
+			attempt.detached = {
+				until: now + reattachMs,
+				retryAt: now,
+				sent: false,
+			};
+			this.#reopen(progress, attempt, now);
+		}
+
+		this.#plan(progress);
+	}
+
+	/** Opens the link again by a request to attach. */
+	#reopen(progress: Progress, attempt: EntryAttempt, now: number): void {
+		attempt.detached!.sent = true;
+		attempt.detached!.retryAt = Number.POSITIVE_INFINITY;
+		this.#attach(progress, attempt, now);
+	}
+
+	/** There is no way left to learn from the sidecar what became of an attempt. */
+	#onAttemptLost(progress: Progress, attempt: EntryAttempt, now: number): void {
 		progress.attempt = undefined;
-		if (progress.request.idempotent) {
-			this.#ask(progress, now);
+		progress.failedAt.add(attempt.endpoint.name);
+		if (!progress.request.idempotent) {
+			progress.revoking = attempt;
+			this.#plan(progress);
+			this.#onRevocations(this.#revocations.begin(progress, attempt, now), now);
 			return;
 		}
 
-		this.#end(progress, 'unknown', {
-			status: 502,
-			code: 'outcome_unknown',
-			text: 'the connection to the endpoint was lost; the request may have run',
-			retryAfterMs: undefined,
-		});
+		if (attempt.started) {
+			progress.ranBefore = true;
+		} else {
+			progress.doubtful = true;
+		}
+
+		this.#retry(progress, outcomeUnknown, now);
+	}
+
+	/** Tries another endpoint while time and the retry budget last; otherwise ends the request. */
+	#retry(progress: Progress, failure: Failure, now: number): void {
+		const {contract, kind} = progress.request.profile;
+		const canContinue = progress.sequence === 0 || kind === 'model';
+		if (progress.closing ?? progress.deadline <= now) {
+			this.#endWithoutAnswer(progress, progress.closing?.failure ?? timedOut);
+		} else if (canContinue && this.#budget.spend(contract.workspace)) {
+			this.#selection.reset(progress);
+			this.#select(progress, now);
+		} else {
+			this.#endWithoutAnswer(progress, failure);
+		}
+	}
+
+	#onRevocations(output: RevocationOutput, now: number): void {
+		this.#effects.push(...output.effects);
+		for (const {attempt, result} of output.verdicts) {
+			const requestId = attempt.slice(0, attempt.lastIndexOf('.'));
+			const progress = this.#requests.get(requestId);
+			if (progress?.revoking?.id !== attempt) {
+				continue;
+			}
+
+			if (result.type === 'unavailable') {
+				this.#endUnknown(progress);
+			} else {
+				this.#onRecord(progress, progress.revoking, result.row, now);
+			}
+		}
+	}
+
+	/** Decides about a lost attempt from its run record. */
+	#onRecord(
+		progress: Progress,
+		attempt: EntryAttempt,
+		row: RunRow,
+		now: number,
+	): void {
+		progress.revoking = undefined;
+		if (row.type !== 'present') {
+			this.#endUnknown(progress);
+			return;
+		}
+
+		const {record} = row;
+		if (record.revoked.includes(attempt.id)) {
+			progress.superseded.push(attempt.id);
+			this.#retry(progress, refusedByAll([]), now);
+		} else if (
+			record.state === 'completed' &&
+			record.requestId === progress.request.id
+		) {
+			this.#onCompletion(progress, attempt, record);
+		} else {
+			this.#endUnknown(progress);
+		}
+	}
+
+	/** Delivers the rest of the answer that the run record holds, or says that there is none. */
+	#onCompletion(
+		progress: Progress,
+		attempt: EntryAttempt,
+		record: RunCompletion,
+	): void {
+		const {answer, outcome, status} = record;
+		if (outcome !== 'completed' || !answer) {
+			const known = repeated({state: outcome, status});
+			this.#end(progress, known.outcome, known.failure);
+			return;
+		}
+
+		this.#onHead(progress, {...answer, status: status ?? 200});
+		for (const data of answer.chunks.slice(progress.sequence)) {
+			this.#deliver(progress, attempt, data);
+		}
+
+		this.#end(progress, 'completed');
 	}
 
 	#onCallerGone(requestId: string): void {
@@ -414,54 +610,40 @@
 			return;
 		}
 
-		if (progress.attempt && !progress.request.resumable) {
-			this.#send(progress.attempt.endpoint, {
-				type: 'cancel',
-				attempt: progress.attempt.id,
+		const {attempt, request} = progress;
+		if (attempt) {
+			this.#send(attempt.endpoint, {
+				type: request.resumable ? 'detach' : 'cancel',
+				attempt: attempt.id,
 			});
 		}
 
-		this.#requests.delete(requestId);
+		this.#remove(progress);
 	}
 
 	#onTaken(requestId: string, upTo: number): void {
-		const attempt = this.#requests.get(requestId)?.attempt;
-		if (attempt) {
+		const progress = this.#requests.get(requestId);
+		if (!progress) {
+			return;
+		}
+
+		progress.taken = upTo;
+		const {attempt} = progress;
+		if (attempt && !attempt.detached) {
 			this.#send(attempt.endpoint, {type: 'credit', attempt: attempt.id, upTo});
 		}
 	}
 
-	#giveUp(progress: Progress): void {
-		const overloaded = progress.refusals.filter(
-			(refusal) => refusal.reason === 'overloaded',
-		);
-		const waits = (overloaded.length > 0 ? overloaded : progress.refusals).map(
-			(refusal) => refusal.retryAfterMs,
-		);
-		const retryAfterMs = waits.length > 0 ? Math.min(...waits) : 1000;
-		if (progress.sequence > 0) {
-			this.#end(progress, 'failed', {
-				status: 502,
-				code: 'answer_cut',
-				text: 'the endpoint failed and no other one could continue the answer',
-				retryAfterMs,
-			});
-			return;
-		}
+	#endWithoutAnswer(progress: Progress, failure: Failure): void {
+		this.#end(progress, outcomeWithoutAnswer(progress), failure);
+	}
 
-		this.#end(progress, 'not_run', {
-			status: overloaded.length > 0 ? 429 : 503,
-			code: overloaded.length > 0 ? 'overloaded' : 'no_endpoint',
-			text:
-				overloaded.length > 0
-					? 'no endpoint can meet the target of this class at present'
-					: 'no endpoint can serve this request at present',
-			retryAfterMs,
-		});
+	#endUnknown(progress: Progress): void {
+		this.#end(progress, 'unknown', progress.closing?.failure ?? outcomeUnknown);
 	}
 
 	#end(progress: Progress, outcome: Outcome, failure?: Failure): void {
-		this.#requests.delete(progress.request.id);
+		this.#remove(progress);
 		this.#effects.push({
 			type: 'end',
 			requestId: progress.request.id,
@@ -471,40 +653,85 @@
 		});
 	}
 
+	#remove(progress: Progress): void {
+		this.#requests.delete(progress.request.id);
+		this.#timers.delete(progress.request.id);
+	}
+
+	#plan(progress: Progress): void {
+		if (this.#requests.has(progress.request.id)) {
+			this.#timers.set(progress.request.id, wakeOf(progress));
+		}
+	}
+
 	#advance(now: number): void {
-		for (const progress of this.#requests.values()) {
-			if (progress.deadline <= now) {
-				this.#onDeadline(progress);
-			} else if (progress.offers.size > 0 && progress.offersExpireAt <= now) {
-				progress.offers.clear();
-				this.#choose(progress, now);
-			}
+		for (const id of this.#timers.takeDue(now)) {
+			const progress = this.#requests.get(id)!;
+			this.#onTime(progress, now);
+			this.#plan(progress);
 		}
 
+		this.#onRevocations(this.#revocations.advance(now), now);
 		if (this.#leaving && this.#requests.size === 0) {
 			this.#effects.push({type: 'drained'});
 		}
 	}
 
-	#onDeadline(progress: Progress): void {
+	#onTime(progress: Progress, now: number): void {
 		const {attempt} = progress;
-		if (attempt) {
-			this.#send(attempt.endpoint, {type: 'cancel', attempt: attempt.id});
+		if (progress.closing) {
+			if (progress.closing.until <= now) {
+				this.#onSilence(progress, now);
+			}
+		} else if (progress.deadline <= now) {
+			this.#onDeadline(progress, now);
+		} else if (attempt?.detached) {
+			if (attempt.detached.until <= now) {
+				this.#onAttemptLost(progress, attempt, now);
+			} else if (attempt.detached.retryAt <= now) {
+				this.#reopen(progress, attempt, now);
+			}
+		} else if (progress.offers.size > 0 && progress.offersExpireAt <= now) {
+			progress.offers.clear();
+			this.#select(progress, now);
 		}
+	}
 
-		const started = attempt !== undefined || progress.sequence > 0;
-		this.#end(progress, started ? 'unknown' : 'not_run', {
-			status: 504,
-			code: 'timeout',
-			text: 'the request reached its timeout',
-			retryAfterMs: undefined,
+	/** Ends a request in time; waits for the sidecar only when its word can prove that the request has not run. */
+	#onDeadline(progress: Progress, now: number): void {
+		const {attempt} = progress;
+		if (!attempt) {
+			this.#endWithoutAnswer(progress, timedOut);
+			return;
+		}
+
+		progress.closing = {until: now + closingMs, failure: timedOut};
+		if (attempt.detached) {
+			this.#onSilence(progress, now);
+			return;
+		}
+
+		this.#send(attempt.endpoint, {
+			type: 'cancel',
+			attempt: attempt.id,
+			incarnation: attempt.incarnation,
+			ageMs: now - attempt.sentAt,
 		});
+		if (attempt.started) {
+			progress.ranBefore = true;
+			this.#endWithoutAnswer(progress, timedOut);
+		}
 	}
 
-	#send(
-		endpoint: EndpointView,
-		message: Extract<EntryEffect, {type: 'send'}>['message'],
-	): void {
+	/** The sidecar has not said what became of a cancelled attempt. */
+	#onSilence(progress: Progress, now: number): void {
+		const {attempt} = progress;
+		if (attempt) {
+			this.#onAttemptLost(progress, attempt, now);
+		}
+	}
+
+	#send(endpoint: EndpointView, message: EntryToSidecar): void {
 		this.#effects.push({
 			type: 'send',
 			endpoint: endpoint.name,
--- /dev/null
+++ b/src/services/entry/failures.ts
@@ -0,0 +1,109 @@
+import type {Outcome, RecordedRun, Refusal} from '../../platform/index.js';
+import type {Failure} from './message.js';
+
+/** Time after which a caller may try again when no sidecar named one, in milliseconds. */
+const defaultRetryMs = 1000;
+
+export const entryLeaving: Failure = {
+	status: 503,
+	code: 'entry_leaving',
+	text: 'this entry is stopping; use another one',
+	retryAfterMs: 0,
+};
+
+export const timedOut: Failure = {
+	status: 504,
+	code: 'timeout',
+	text: 'the request reached its timeout',
+	retryAfterMs: undefined,
+};
+
+export const outcomeUnknown: Failure = {
+	status: 502,
+	code: 'outcome_unknown',
+	text: 'the connection to the endpoint was lost; the request may have run',
+	retryAfterMs: undefined,
+};
+
+export const answerCut: Failure = {
+	status: 502,
+	code: 'answer_cut',
+	text: 'the endpoint failed and no other one could continue the answer',
+	retryAfterMs: defaultRetryMs,
+};
+
+export const claimUnavailable: Failure = {
+	status: 503,
+	code: 'claim_unavailable',
+	text: 'the table that guards against a second run cannot be reached at present',
+	retryAfterMs: defaultRetryMs,
+};
+
+export function endpointFailed(reason: string): Failure {
+	return {
+		status: 502,
+		code: 'endpoint_failed',
+		text: `the endpoint failed after the request had started: ${reason}`,
+		retryAfterMs: undefined,
+	};
+}
+
+/** Failure for a request that every endpoint has refused. */
+export function refusedByAll(refusals: readonly Refusal[]): Failure {
+	const overloaded = refusals.filter(({reason}) => reason === 'overloaded');
+	const isOverloaded = overloaded.length > 0;
+	const waits = (isOverloaded ? overloaded : refusals).map(
+		(refusal) => refusal.retryAfterMs,
+	);
+	return {
+		status: isOverloaded ? 429 : 503,
+		code: isOverloaded ? 'overloaded' : 'no_endpoint',
+		text: isOverloaded
+			? 'no endpoint can meet the target of this class at present'
+			: 'no endpoint can serve this request at present',
+		retryAfterMs: waits.length > 0 ? Math.min(...waits) : defaultRetryMs,
+	};
+}
+
+/** What the caller of a repeated request is told, from the record of the earlier one. */
+export function repeated(run: RecordedRun): {
+	outcome: Outcome;
+	failure: Failure;
+} {
+	switch (run.state) {
+		case 'running': {
+			const text = 'a request with this key is still running';
+			return answer('unknown', 409, 'still_running', text);
+		}
+
+		case 'completed': {
+			const text = `a request with this key has completed with status ${run.status}; its answer is not kept`;
+			return answer('completed', 409, 'already_completed', text);
+		}
+
+		case 'failed': {
+			const text = 'a request with this key has started and failed';
+			return answer('failed', 409, 'already_failed', text);
+		}
+
+		case 'unknown': {
+			const text = 'a request with this key may have run';
+			return answer('unknown', 409, 'outcome_unknown', text);
+		}
+
+		case 'mismatch': {
+			const text = 'this key was used for another call; this call was not run';
+			return answer('unknown', 422, 'key_reused', text);
+		}
+	}
+}
+
+function answer(
+	outcome: Outcome,
+	status: number,
+	code: string,
+	text: string,
+): {outcome: Outcome; failure: Failure} {
+	const retryAfterMs = code === 'still_running' ? defaultRetryMs : undefined;
+	return {outcome, failure: {status, code, text, retryAfterMs}};
+}
--- /dev/null
+++ b/src/services/entry/progress.ts
@@ -0,0 +1,123 @@
+import type {Outcome, Refusal} from '../../platform/index.js';
+import type {EndpointView} from '../records/index.js';
+import type {CallerRequest, Failure} from './message.js';
+
+/** One try to run a request at an endpoint. */
+export type EntryAttempt = {
+	readonly id: string;
+	readonly endpoint: EndpointView;
+	/** Incarnation of the sidecar that it was sent to. */
+	readonly incarnation: string;
+	readonly sentAt: number;
+	/** The sidecar has handed the call to its endpoint. */
+	started: boolean;
+	/** Present while the link to the sidecar is lost. */
+	detached: Detachment | undefined;
+	/** A gap in the chunks has been noticed, and the missing ones were asked for. */
+	refetching: boolean;
+};
+
+/** Times of an attempt without a link, in milliseconds. */
+export type Detachment = {
+	/** The attempt is lost when there is no link by then. */
+	readonly until: number;
+	/** Next time to try to open one. */
+	retryAt: number;
+	/** The request to attach is on its way over the link that is being opened. */
+	sent: boolean;
+};
+
+/** A request in progress. */
+export type Progress = {
+	readonly request: CallerRequest;
+	/** Monotonic time, in milliseconds. */
+	readonly deadline: number;
+	/** Endpoints that have not been asked yet. */
+	candidates: EndpointView[];
+	/** Offers without a reply, by endpoint name. */
+	readonly offers: Map<string, EndpointView>;
+	offersExpireAt: number;
+	accepted: Array<{endpoint: EndpointView; firstTokenMs: number}>;
+	readonly refusals: Refusal[];
+	/** Endpoints asked so far, and rounds of offers since the last attempt. */
+	asked: number;
+	rounds: number;
+	attempts: number;
+	attempt: EntryAttempt | undefined;
+	/** Names of endpoints at which an attempt failed or was lost. */
+	readonly failedAt: Set<string>;
+	/** Attempts that are proved not to have run. */
+	readonly superseded: string[];
+	/** The run record is being asked about a lost attempt. */
+	revoking: EntryAttempt | undefined;
+	/** Set while the final answer waits for the sidecar's word on a cancelled attempt. */
+	closing: {readonly until: number; readonly failure: Failure} | undefined;
+	/** An earlier attempt has started. */
+	ranBefore: boolean;
+	/** It is not known of an earlier attempt whether it has started. */
+	doubtful: boolean;
+	headSent: boolean;
+	/** Sequence number of the last chunk that was handed to the caller. */
+	sequence: number;
+	/** Sequence number of the last chunk that the caller has taken. */
+	taken: number;
+	/** Answer so far, from which another endpoint can continue. */
+	readonly chunks: string[];
+	tokens: number;
+};
+
+/** A request that has just arrived. */
+export function newProgress(request: CallerRequest, now: number): Progress {
+	return {
+		request,
+		deadline: now + request.timeoutMs,
+		candidates: [],
+		offers: new Map(),
+		offersExpireAt: 0,
+		accepted: [],
+		refusals: [],
+		asked: 0,
+		rounds: 0,
+		attempts: 0,
+		attempt: undefined,
+		failedAt: new Set(),
+		superseded: [],
+		revoking: undefined,
+		closing: undefined,
+		ranBefore: false,
+		doubtful: false,
+		headSent: false,
+		sequence: 0,
+		taken: 0,
+		chunks: [],
+		tokens: 0,
+	};
+}
+
+/** Outcome of a request that has no attempt any more and no whole answer: `not_run` only when every attempt is proved not to have run. */
+export function outcomeWithoutAnswer(progress: Progress): Outcome {
+	if (progress.ranBefore || progress.headSent) {
+		return progress.request.idempotent ? 'failed' : 'unknown';
+	}
+
+	return progress.doubtful ? 'unknown' : 'not_run';
+}
+
+/** Time at which the entry must look at a request again. */
+export function wakeOf(progress: Progress): number | undefined {
+	if (progress.revoking) {
+		return undefined;
+	}
+
+	const times = [progress.closing?.until ?? progress.deadline];
+	const detached = progress.attempt?.detached;
+	if (detached) {
+		times.push(detached.until, detached.retryAt);
+	}
+
+	if (progress.offers.size > 0) {
+		times.push(progress.offersExpireAt);
+	}
+
+	return Math.min(...times);
+}
