--- a/src/daemons/link/peer-method.ts
+++ b/src/daemons/link/peer-method.ts
@@ -13,6 +13,7 @@
 	offer: 'offer',
 	start: 'attempt.start',
 	cancel: 'attempt.cancel',
+	detach: 'attempt.detach',
 	attach: 'attempt.attach',
 	credit: 'attempt.credit',
 } as const satisfies Record<EntryToSidecar['type'], string>;
--- a/src/daemons/sidecar/sidecar-daemon.ts
+++ b/src/daemons/sidecar/sidecar-daemon.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {Agent} from 'undici';
-import {DisposableStore, type Disposable} from '../../base/index.js';
+import {DisposableStore, Random, type Disposable} from '../../base/index.js';
 import {HttpEngine, HttpService} from '../../platform/adapters/index.js';
 import {
 	callTable,
@@ -29,7 +29,7 @@
 } from '../link/index.js';
 import {logEvent} from '../log.js';
 import {Metrics} from '../metrics.js';
-import {Task} from '../task.js';
+import {monotonicNow, Task} from '../task.js';
 
 const loadIntervalMs = 500;
 
@@ -74,8 +74,10 @@
 		this.#task = this.#store.add(
 			new Task(
 				new Sidecar({
+					endpoint: options.settings.process.instance,
+					epochMs: Date.now() - monotonicNow(),
 					incarnation: this.#incarnation,
-					scheduler: new Scheduler(),
+					scheduler: new Scheduler(new Random(options.seed)),
 				}),
 				(effect) => {
 					this.#carryOut(effect);
--- a/src/lab/capacity/workload.ts
+++ b/src/lab/capacity/workload.ts
@@ -252,7 +252,7 @@
 export function newSidecar(): Sidecar {
 	const sidecar = new Sidecar({
 		incarnation: 'incarnation-1',
-		scheduler: new Scheduler(),
+		scheduler: new Scheduler(new Random(1)),
 	});
 	sidecar.handle({type: 'targets', targets: [profile.target]}, 0);
 	return sidecar;
