Add the capacity page and sample the prefix hashes of offers

Change: npm run capacity measures slopes, works out the design size and writes the page with plots; a prefix travels as the hashes of 1, 2, 3, 4, 6, 8, 12 ... blocks. Ruled out: fewer candidates, which lowers the quality of the choice. Next: shorter offers and heartbeats.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 import {defineCommand, runMain} from 'citty';
+import {capacityCommand} from './capacity.js';
 import {checkCommand} from './check.js';
 import {daemonCommand} from './daemon.js';
 import {demoCommand} from './demo.js';
@@ -15,6 +16,7 @@
 	subCommands: {
 		entry: daemonCommand('entry'),
 		sidecar: daemonCommand('sidecar'),
+		capacity: capacityCommand,
 		check: checkCommand,
 		dump: dumpCommand,
 		demo: demoCommand,
--- /dev/null
+++ b/src/lab/capacity/index.ts
@@ -0,0 +1,3 @@
+export * from './page.js';
+export * from './plot.js';
+export * from './report.js';
--- /dev/null
+++ b/src/lab/capacity/traffic.ts
@@ -0,0 +1,95 @@
+import {Buffer} from 'node:buffer';
+import {createJSONRPCNotification} from 'json-rpc-2.0';
+import {z} from 'zod';
+import type {EntryEffect} from '../../services/index.js';
+import {
+	callerRequest,
+	endpointViews,
+	newEntry,
+	newSidecar,
+	offerReply,
+	startRequest,
+} from './workload.js';
+
+/** WebSocket header and mask of a client's frame, in bytes. */
+const frameBytes = 8;
+
+const dumpSchema = z.looseObject({attempts: z.array(z.unknown())});
+
+/** What one request costs an entry in messages and bytes to sidecars, without the answer. */
+export type RequestTraffic = {
+	readonly offers: number;
+	/** Bytes of all offers and their replies. */
+	readonly offerBytes: number;
+	/** Bytes of the start message without the caller's body. */
+	readonly startBytes: number;
+};
+
+/** Bytes on the wire of one notification, with the WebSocket header. */
+export function notificationBytes(method: string, parameters: object): number {
+	const text = JSON.stringify(
+		createJSONRPCNotification(method, {...parameters}),
+	);
+	return Buffer.byteLength(text) + frameBytes;
+}
+
+/** Counts the messages of one request at an entry that may use `endpoints` endpoints. Deterministic. */
+export function requestTraffic(endpoints: number): RequestTraffic {
+	const entry = newEntry();
+	for (const {name} of endpointViews(endpoints)) {
+		entry.handle(
+			{type: 'linkUp', endpoint: name, incarnation: 'incarnation-1'},
+			0,
+		);
+	}
+
+	const request = callerRequest(0, endpointViews(endpoints));
+	const effects = startRequest(entry, request, 0);
+	return trafficOf(effects, request.call.body);
+}
+
+function trafficOf(
+	effects: readonly EntryEffect[],
+	body: string,
+): RequestTraffic {
+	let offers = 0;
+	let offerBytes = 0;
+	let startBytes = 0;
+	for (const effect of effects) {
+		if (effect.type !== 'send') {
+			continue;
+		}
+
+		if (effect.message.type === 'offer') {
+			offers++;
+			offerBytes +=
+				notificationBytes('offer', effect.message) +
+				notificationBytes('offer.reply', offerReply(effect.message.id));
+		} else {
+			startBytes +=
+				notificationBytes('attempt.start', effect.message) -
+				Buffer.byteLength(JSON.stringify(body));
+		}
+	}
+
+	return {offers, offerBytes, startBytes};
+}
+
+/** Attempts that a sidecar still holds after `count` requests have been served and forgotten. Deterministic. */
+export function retainedAttempts(count: number): number {
+	const sidecar = newSidecar();
+	for (let n = 0; n < count; n++) {
+		const {id} = callerRequest(n, []);
+		sidecar.handle(
+			{
+				type: 'peer',
+				link: 'link-1',
+				message: {type: 'cancel', attempt: `${id}.1`},
+			},
+			n,
+		);
+	}
+
+	sidecar.handle({type: 'tick'}, count + 3_600_000);
+	return dumpSchema.parse(sidecar.dump()).attempts.length;
+}
--- a/src/lab/capacity/workload.ts
+++ b/src/lab/capacity/workload.ts
@@ -1,4 +1,4 @@
-import {Random} from '../../base/index.js';
+import {prefixHashes, Random} from '../../base/index.js';
 import type {
 	Contract,
 	EntryToSidecar,
@@ -37,9 +37,7 @@
 	kind: 'model',
 	promptTokens,
 	maxTokens: 1024,
-	prefix: Array.from({length: promptTokens / 64}, (_, n) =>
-		(0x5f_00_00_00 + n * 7919).toString(36),
-	),
+	prefix: prefixHashes('x'.repeat(promptTokens * 4), 256),
 };
 
 export function endpointViews(count: number): EndpointView[] {
--- a/src/lab/cluster.ts
+++ b/src/lab/cluster.ts
@@ -244,7 +244,7 @@
 
 			case 'run': {
 				const arrival = this.#arrivals.get(effect.requestId)!;
-				const {contract, promptTokens, prefix} = arrival.profile;
+				const {contract, promptTokens} = arrival.profile;
 				const {attempt} = effect;
 				engine.start(
 					{
@@ -252,7 +252,7 @@
 						requestClass: contract.requestClass,
 						priority: effect.priority,
 						promptTokens,
-						prefix,
+						prefix: arrival.prefixChain,
 						outputTokens: arrival.outputTokens,
 						resumedTokens: effect.resume?.tokens ?? 0,
 					},
--- a/src/lab/workload.ts
+++ b/src/lab/workload.ts
@@ -1,4 +1,4 @@
-import {Random} from '../base/index.js';
+import {Random, samplePrefix} from '../base/index.js';
 import {
 	prefixBlockTokens,
 	type Contract,
@@ -40,6 +40,8 @@
 	readonly id: string;
 	readonly at: number;
 	readonly profile: Profile;
+	/** Hashes of all of the prompt's blocks, as the engine has them. */
+	readonly prefixChain: readonly string[];
 	readonly outputTokens: number;
 };
 
@@ -103,26 +105,27 @@
 	workspace: string,
 	id: string,
 	random: Random,
-): Profile {
+): Pick<Arrival, 'profile' | 'prefixChain'> {
 	const {requestClass} = demand.contract;
 	const promptTokens = Math.max(
 		demand.sharedTokens + 16,
 		lognormal(random, demand.promptTokens, promptSpread),
 	);
-	const prefix = Array.from(
+	const prefixChain = Array.from(
 		{length: Math.floor(promptTokens / prefixBlockTokens)},
 		(_, block) =>
 			block < Math.floor(demand.sharedTokens / prefixBlockTokens)
 				? `${requestClass}/${workspace}/${block}`
 				: `${id}/${block}`,
 	);
-	return {
+	const profile: Profile = {
 		contract: {...demand.contract, workspace, weight: 1},
 		target: 'model',
 		kind: 'model',
 		promptTokens,
-		prefix,
+		prefix: samplePrefix(prefixChain),
 	};
+	return {profile, prefixChain};
 }
 
 /** Poisson arrivals at `load` times the capacity over `seconds`, in order of time. */
@@ -154,7 +157,7 @@
 			list.push({
 				id,
 				at,
-				profile: profileOf(demand, `w${rank}`, id, random),
+				...profileOf(demand, `w${rank}`, id, random),
 				outputTokens: Math.min(
 					longestAnswer,
 					Math.max(
--- a/src/platform/messages/attempt.ts
+++ b/src/platform/messages/attempt.ts
@@ -39,7 +39,7 @@
 	promptTokens: z.int().min(0),
 	/** Most tokens that the caller allows in the answer. */
 	maxTokens: z.int().positive().optional(),
-	/** Chained hashes of the prompt's prefix blocks, shortest prefix first. */
+	/** Hashes of the prompt's leading blocks at the sampled lengths (`sampledLength`), shortest prefix first. */
 	prefix: z.array(z.string()),
 });
 export type Profile = z.infer<typeof profileSchema>;
--- a/src/services/sidecar/prefix-cache.ts
+++ b/src/services/sidecar/prefix-cache.ts
@@ -1,3 +1,4 @@
+import {sampledLength} from '../../base/index.js';
 import {prefixBlockTokens, type CacheEvent} from '../../platform/index.js';
 
 /** Blocks remembered; the least recently confirmed is dropped. */
@@ -42,12 +43,13 @@
 		}
 	}
 
-	/** Tokens of the prompt that are expected to be cached. */
+	/** Tokens of the prompt that are expected to be cached; `prefix` is sampled. */
 	cachedTokens(prefix: readonly string[]): number {
 		const missing = prefix.findIndex(
 			(block) => !this.#blocks.get(block)?.stored,
 		);
-		return (missing === -1 ? prefix.length : missing) * prefixBlockTokens;
+		const cached = missing === -1 ? prefix.length : missing;
+		return cached === 0 ? 0 : sampledLength(cached - 1) * prefixBlockTokens;
 	}
 
 	dump(): unknown {
