--- /dev/null
+++ b/src/services/entry/caller-output.ts
@@ -0,0 +1,81 @@
+import type {Outcome, RunCompletion, Update} from '../../platform/index.js';
+import {repeated} from './failures.js';
+import type {EntryEffect, Failure} from './message.js';
+import type {EntryAttempt, Progress} from './progress.js';
+
+type Head = Pick<
+	Extract<Update, {type: 'head'}>,
+	'status' | 'headers' | 'binary'
+>;
+
+/** Hands an answer to its caller: each part once and in order, and one end. */
+export class CallerOutput {
+	readonly #emit: (effect: EntryEffect) => void;
+
+	constructor(emit: (effect: EntryEffect) => void) {
+		this.#emit = emit;
+	}
+
+	head(progress: Progress, head: Head): void {
+		if (progress.headSent) {
+			return;
+		}
+
+		progress.headSent = true;
+		this.#emit({
+			type: 'head',
+			requestId: progress.request.id,
+			status: head.status,
+			headers: head.headers,
+			binary: head.binary,
+		});
+	}
+
+	/** Hands over the next chunk. */
+	chunk(progress: Progress, attempt: EntryAttempt, data: string): void {
+		progress.sequence++;
+		if (progress.request.idempotent) {
+			progress.chunks.push(data);
+		}
+
+		this.#emit({
+			type: 'chunk',
+			requestId: progress.request.id,
+			eventId: `${attempt.endpoint.name}/${attempt.id}/${progress.sequence}`,
+			sequence: progress.sequence,
+			data,
+		});
+	}
+
+	/** Delivers the rest of the answer that a run record holds, or says that there is none. */
+	recorded(
+		progress: Progress,
+		attempt: EntryAttempt,
+		record: RunCompletion,
+	): void {
+		const {answer, outcome, status} = record;
+		if (outcome !== 'completed' || !answer) {
+			const known = repeated({state: outcome, status});
+			this.end(progress, known.outcome, known.failure);
+			return;
+		}
+
+		this.head(progress, {...answer, status: status ?? 200});
+		for (const data of answer.chunks.slice(progress.sequence)) {
+			this.chunk(progress, attempt, data);
+		}
+
+		this.end(progress, 'completed');
+	}
+
+	end(progress: Progress, outcome: Outcome, failure?: Failure): void {
+		progress.ended = true;
+		this.#emit({
+			type: 'end',
+			requestId: progress.request.id,
+			outcome,
+			failure,
+			offers: progress.asked,
+		});
+	}
+}
--- a/src/services/entry/progress.ts
+++ b/src/services/entry/progress.ts
@@ -64,6 +64,8 @@
 	/** Answer so far, from which another endpoint can continue. */
 	readonly chunks: string[];
 	tokens: number;
+	/** The caller has been told the outcome. */
+	ended: boolean;
 };
 
 /** A request that has just arrived. */
@@ -91,6 +93,7 @@
 		taken: 0,
 		chunks: [],
 		tokens: 0,
+		ended: false,
 	};
 }
 
--- /dev/null
+++ b/src/services/entry/request-flow.ts
@@ -0,0 +1,391 @@
+import type {EntryToSidecar, OfferReply, Update} from '../../platform/index.js';
+import type {RunResult} from '../ledger/index.js';
+import type {EndpointView} from '../records/index.js';
+import type {Attachments} from './attachments.js';
+import type {CallerOutput} from './caller-output.js';
+import {
+	answerCut,
+	claimUnavailable,
+	endpointFailed,
+	outcomeUnknown,
+	refusedByAll,
+	repeated,
+	timedOut,
+} from './failures.js';
+import type {Failure} from './message.js';
+import {
+	outcomeWithoutAnswer,
+	type EntryAttempt,
+	type Progress,
+} from './progress.js';
+import type {RetryBudget} from './retry-budget.js';
+import type {Selection} from './selection.js';
+
+/** Longest wait for a sidecar's word on an attempt that was cancelled at its deadline, in milliseconds. */
+const closingMs = 500;
+
+type Chunk = Extract<Update, {type: 'chunk'}>;
+type Ended = Extract<Update, {type: 'ended'}>;
+
+export type RequestFlowParts = {
+	readonly selection: Selection;
+	readonly attachments: Attachments;
+	readonly output: CallerOutput;
+	readonly budget: RetryBudget;
+	/** Incarnations of the sidecars to which there are links, by endpoint name. */
+	readonly incarnations: ReadonlyMap<string, string>;
+	readonly send: (endpoint: EndpointView, message: EntryToSidecar) => void;
+	/** Begins to revoke a lost attempt; the result comes back through `verdict`. */
+	readonly revoke: (
+		progress: Progress,
+		attempt: EntryAttempt,
+		now: number,
+	) => void;
+	readonly textOf: (chunks: readonly string[]) => string;
+};
+
+/** Takes one request from its arrival to its outcome. */
+export class RequestFlow {
+	readonly #parts: RequestFlowParts;
+	readonly #attachments: Attachments;
+	readonly #output: CallerOutput;
+
+	constructor(parts: RequestFlowParts) {
+		this.#parts = parts;
+		this.#attachments = parts.attachments;
+		this.#output = parts.output;
+	}
+
+	begin(progress: Progress, now: number): void {
+		this.#parts.selection.reset(progress);
+		this.#select(progress, now);
+	}
+
+	offerReply(
+		progress: Progress,
+		endpoint: string,
+		reply: OfferReply,
+		now: number,
+	): void {
+		if (this.#parts.selection.reply(progress, endpoint, reply)) {
+			this.#select(progress, now);
+		}
+	}
+
+	update(
+		progress: Progress,
+		attempt: EntryAttempt,
+		update: Update,
+		now: number,
+	): void {
+		attempt.started ||= update.type !== 'refused' && update.type !== 'ended';
+		switch (update.type) {
+			case 'refused': {
+				this.#onRefused(progress, update, now);
+				break;
+			}
+
+			case 'started': {
+				break;
+			}
+
+			case 'head': {
+				this.#output.head(progress, update);
+				break;
+			}
+
+			case 'chunk': {
+				this.#onChunk(progress, attempt, update, now);
+				break;
+			}
+
+			case 'ended': {
+				this.#onEnded(progress, attempt, update, now);
+				break;
+			}
+		}
+	}
+
+	linkLost(progress: Progress, endpoint: string, now: number): void {
+		if (progress.offers.delete(endpoint) && progress.offers.size === 0) {
+			this.#select(progress, now);
+		} else if (progress.attempt?.endpoint.name === endpoint) {
+			this.#attachments.linkLost(progress, progress.attempt, now);
+		}
+	}
+
+	linkUp(progress: Progress, incarnation: string, now: number): void {
+		const attempt = progress.attempt!;
+		if (attempt.incarnation === incarnation) {
+			this.#attachments.linkUp(progress, attempt, now);
+		} else {
+			this.#onAttemptLost(progress, attempt, now);
+		}
+	}
+
+	/** Does what is due at this time. */
+	time(progress: Progress, now: number): void {
+		const {attempt} = progress;
+		if (progress.closing) {
+			if (progress.closing.until <= now) {
+				this.#onSilence(progress, now);
+			}
+		} else if (progress.deadline <= now) {
+			this.#onDeadline(progress, now);
+		} else if (attempt?.detached) {
+			if (attempt.detached.until <= now) {
+				this.#onAttemptLost(progress, attempt, now);
+			} else if (attempt.detached.retryAt <= now) {
+				this.#attachments.reopen(progress, attempt, now);
+			}
+		} else if (progress.offers.size > 0 && progress.offersExpireAt <= now) {
+			progress.offers.clear();
+			this.#select(progress, now);
+		}
+	}
+
+	/** Decides about a lost attempt from what its run record says. */
+	verdict(progress: Progress, result: RunResult, now: number): void {
+		const attempt = progress.revoking!;
+		progress.revoking = undefined;
+		const row = result.type === 'unavailable' ? undefined : result.row;
+		const record = row?.type === 'present' ? row.record : undefined;
+		if (record?.revoked.includes(attempt.id)) {
+			progress.superseded.push(attempt.id);
+			this.#retry(progress, refusedByAll([]), now);
+		} else if (
+			record?.state === 'completed' &&
+			record.requestId === progress.request.id
+		) {
+			this.#output.recorded(progress, attempt, record);
+		} else {
+			const failure = progress.closing?.failure ?? outcomeUnknown;
+			this.#output.end(progress, 'unknown', failure);
+		}
+	}
+
+	/** Starts an attempt at the best endpoint that has accepted, or asks further ones, or ends the request when none is left. */
+	#select(progress: Progress, now: number): void {
+		for (
+			let endpoint = this.#parts.selection.take(progress);
+			endpoint;
+			endpoint = this.#parts.selection.take(progress)
+		) {
+			const incarnation = this.#parts.incarnations.get(endpoint.name);
+			if (incarnation !== undefined) {
+				this.#start(progress, endpoint, incarnation, now);
+				return;
+			}
+		}
+
+		if (this.#parts.selection.ask(progress, now)) {
+			return;
+		}
+
+		const outcome = outcomeWithoutAnswer(progress);
+		const failure =
+			outcome === 'not_run'
+				? refusedByAll(progress.refusals)
+				: outcome === 'failed'
+					? answerCut
+					: outcomeUnknown;
+		this.#output.end(progress, outcome, failure);
+	}
+
+	#start(
+		progress: Progress,
+		endpoint: EndpointView,
+		incarnation: string,
+		now: number,
+	): void {
+		const {request, superseded} = progress;
+		progress.attempts++;
+		const attempt: EntryAttempt = {
+			id: `${request.id}.${progress.attempts}`,
+			endpoint,
+			incarnation,
+			sentAt: now,
+			started: false,
+			detached: undefined,
+			refetching: false,
+		};
+		progress.attempt = attempt;
+		this.#parts.send(endpoint, {
+			type: 'start',
+			attempt: attempt.id,
+			requestId: request.id,
+			incarnation,
+			profile: request.profile,
+			call: request.call,
+			idempotent: request.idempotent,
+			idempotencyKey: request.idempotencyKey,
+			superseded: superseded.length > 0 ? [...superseded] : undefined,
+			resumable: request.resumable,
+			remainingMs: progress.deadline - now,
+			resume:
+				progress.sequence === 0
+					? undefined
+					: {
+							sequence: progress.sequence,
+							text: this.#parts.textOf(progress.chunks),
+							tokens: progress.tokens,
+						},
+		});
+	}
+
+	/** A refusal by the incarnation to which the attempt was sent proves that it has not run and will not run. */
+	#onRefused(
+		progress: Progress,
+		update: Extract<Update, {type: 'refused'}>,
+		now: number,
+	): void {
+		const {refusal, attempt} = update;
+		progress.superseded.push(attempt);
+		progress.attempt = undefined;
+		if (refusal.recorded) {
+			const {outcome, failure} = repeated(refusal.recorded);
+			this.#output.end(progress, outcome, failure);
+		} else if (progress.closing) {
+			this.#endWithoutAnswer(progress, progress.closing.failure);
+		} else if (refusal.reason === 'claim_unavailable') {
+			this.#endWithoutAnswer(progress, claimUnavailable);
+		} else {
+			progress.refusals.push(refusal);
+			this.#select(progress, now);
+		}
+	}
+
+	#onEnded(
+		progress: Progress,
+		attempt: EntryAttempt,
+		ended: Ended,
+		now: number,
+	): void {
+		if (ended.sequence > progress.sequence) {
+			this.#attachments.refetch(progress, attempt, now);
+			return;
+		}
+
+		switch (ended.outcome) {
+			case 'completed': {
+				this.#parts.budget.succeeded(
+					progress.request.profile.contract.workspace,
+				);
+				this.#output.end(progress, 'completed');
+				break;
+			}
+
+			case 'unknown':
+			case 'not_run':
+			case 'failed': {
+				this.#onFailed(progress, attempt, ended, now);
+				break;
+			}
+		}
+	}
+
+	#onFailed(
+		progress: Progress,
+		attempt: EntryAttempt,
+		ended: Ended,
+		now: number,
+	): void {
+		if (ended.reason === 'forgotten') {
+			this.#onAttemptLost(progress, attempt, now);
+		} else if (progress.request.idempotent) {
+			progress.attempt = undefined;
+			progress.ranBefore = true;
+			progress.failedAt.add(attempt.endpoint.name);
+			this.#retry(progress, endpointFailed(ended.reason), now);
+		} else {
+			const failure = progress.closing?.failure ?? endpointFailed(ended.reason);
+			this.#output.end(progress, ended.outcome, failure);
+		}
+	}
+
+	/** There is no way left to learn from the sidecar what became of an attempt. */
+	#onAttemptLost(progress: Progress, attempt: EntryAttempt, now: number): void {
+		progress.attempt = undefined;
+		progress.failedAt.add(attempt.endpoint.name);
+		if (!progress.request.idempotent) {
+			progress.revoking = attempt;
+			this.#parts.revoke(progress, attempt, now);
+			return;
+		}
+
+		if (attempt.started) {
+			progress.ranBefore = true;
+		} else {
+			progress.doubtful = true;
+		}
+
+		this.#retry(progress, outcomeUnknown, now);
+	}
+
+	/** Tries another endpoint while time and the retry budget last; otherwise ends the request. */
+	#retry(progress: Progress, failure: Failure, now: number): void {
+		const {contract, kind} = progress.request.profile;
+		const canContinue = progress.sequence === 0 || kind === 'model';
+		if (progress.closing !== undefined || progress.deadline <= now) {
+			this.#endWithoutAnswer(progress, progress.closing?.failure ?? timedOut);
+		} else if (canContinue && this.#parts.budget.spend(contract.workspace)) {
+			this.#parts.selection.reset(progress);
+			this.#select(progress, now);
+		} else {
+			this.#endWithoutAnswer(progress, failure);
+		}
+	}
+
+	/** Ends a request in time; waits for the sidecar only when its word can prove that the request has not run. */
+	#onDeadline(progress: Progress, now: number): void {
+		const {attempt} = progress;
+		if (!attempt) {
+			this.#endWithoutAnswer(progress, timedOut);
+			return;
+		}
+
+		progress.closing = {until: now + closingMs, failure: timedOut};
+		if (attempt.detached) {
+			this.#onSilence(progress, now);
+			return;
+		}
+
+		this.#parts.send(attempt.endpoint, {
+			type: 'cancel',
+			attempt: attempt.id,
+			incarnation: attempt.incarnation,
+			ageMs: now - attempt.sentAt,
+		});
+		if (attempt.started) {
+			progress.ranBefore = true;
+			this.#endWithoutAnswer(progress, timedOut);
+		}
+	}
+
+	/** The sidecar has not said what became of a cancelled attempt. */
+	#onSilence(progress: Progress, now: number): void {
+		const {attempt} = progress;
+		if (attempt) {
+			this.#onAttemptLost(progress, attempt, now);
+		}
+	}
+
+	#onChunk(
+		progress: Progress,
+		attempt: EntryAttempt,
+		chunk: Chunk,
+		now: number,
+	): void {
+		if (chunk.sequence > progress.sequence + 1) {
+			this.#attachments.refetch(progress, attempt, now);
+		} else if (chunk.sequence === progress.sequence + 1) {
+			attempt.refetching = false;
+			progress.tokens += chunk.tokens;
+			this.#output.chunk(progress, attempt, chunk.data);
+		}
+	}
+
+	#endWithoutAnswer(progress: Progress, failure: Failure): void {
+		this.#output.end(progress, outcomeWithoutAnswer(progress), failure);
+	}
+}
