--- a/src/services/sidecar/sidecar.test.ts
+++ b/src/services/sidecar/sidecar.test.ts
@@ -1,5 +1,6 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
+import {Random} from '../../base/index.js';
 import type {
 	AttemptStart,
 	Profile,
@@ -60,7 +61,7 @@
 		endpoint = 'e1',
 		incarnation = 'i1',
 	) {
-		const scheduler = new Scheduler();
+		const scheduler = new Scheduler(new Random(1));
 		this.sidecar = new Sidecar({endpoint, incarnation, scheduler});
 		this.send({type: 'targets', targets: ['booking']});
 	}
