--- a/src/daemons/link/peer-method.ts
+++ b/src/daemons/link/peer-method.ts
@@ -16,6 +16,7 @@
 	detach: 'attempt.detach',
 	attach: 'attempt.attach',
 	credit: 'attempt.credit',
+	query: 'request.query',
 } as const satisfies Record<EntryToSidecar['type'], string>;
 
 const updatesSchema = z.object({updates: z.array(updateSchema)});
@@ -42,9 +43,12 @@
 	link: Link,
 	receive: (message: SidecarToEntry) => void,
 ): void {
-	link.on('offer.reply', (parameters: unknown) => {
-		receive(sidecarToEntrySchema.parse(parameters));
-	});
+	for (const method of ['offer.reply', 'request.reply']) {
+		link.on(method, (parameters: unknown) => {
+			receive(sidecarToEntrySchema.parse(parameters));
+		});
+	}
+
 	link.on('attempt.update', (parameters: unknown) => {
 		for (const update of updatesSchema.parse(parameters).updates) {
 			receive({type: 'update', update});
@@ -62,16 +66,26 @@
 	}
 
 	send(message: SidecarToEntry): void {
-		if (message.type === 'offerReply') {
-			this.#link.notify('offer.reply', () => message);
-			return;
-		}
+		switch (message.type) {
+			case 'offerReply': {
+				this.#link.notify('offer.reply', () => message);
+				break;
+			}
 
-		if (this.#updates.length === 0) {
-			this.#link.notify('attempt.update', () => this.#takeUpdates());
-		}
+			case 'queryReply': {
+				this.#link.notify('request.reply', () => message);
+				break;
+			}
 
-		this.#updates.push(message.update);
+			case 'update': {
+				if (this.#updates.length === 0) {
+					this.#link.notify('attempt.update', () => this.#takeUpdates());
+				}
+
+				this.#updates.push(message.update);
+				break;
+			}
+		}
 	}
 
 	#takeUpdates(): {updates: Update[]} {
--- a/src/platform/messages/attempt.ts
+++ b/src/platform/messages/attempt.ts
@@ -66,6 +66,8 @@
 		'not_eligible',
 		'wrong_incarnation',
 		'cancelled',
+		/** The workspace has cancelled the request itself. */
+		'withdrawn',
 		'deadline',
 		'claim_unavailable',
 		'duplicate',
--- a/src/platform/messages/peer.ts
+++ b/src/platform/messages/peer.ts
@@ -1,5 +1,10 @@
 import {z} from 'zod';
-import {offerReplySchema, profileSchema, updateSchema} from './attempt.js';
+import {
+	offerReplySchema,
+	outcomeSchema,
+	profileSchema,
+	updateSchema,
+} from './attempt.js';
 
 export const callSchema = z.object({
 	method: z.string(),
@@ -54,7 +59,7 @@
 	z.object({type: z.literal('detach'), attempt: z.string()}),
 	z.object({
 		type: z.literal('attach'),
-		/** As for `cancel`. */
+		/** As for `cancel`; without `ageMs` a caller asks again for a resumable answer. */
 		incarnation: z.string().optional(),
 		ageMs: z.number().min(0).optional(),
 		attempt: z.string(),
@@ -63,6 +68,17 @@
 		/** Sequence number of the last chunk received. */
 		after: z.int().min(0),
 	}),
+	/** Asks what is known of a request, on behalf of a caller that may be at another entry. */
+	z.object({
+		type: z.literal('query'),
+		/** Pairs the reply with the query; unique for each entry. */
+		id: z.string(),
+		requestId: z.string(),
+		/** Workspace that asks; other workspaces' requests are not found. */
+		workspace: z.string(),
+		/** Cancels the request before the reply. */
+		cancel: z.boolean(),
+	}),
 	z.object({
 		type: z.literal('credit'),
 		attempt: z.string(),
@@ -83,6 +99,17 @@
 });
 export type Hello = z.infer<typeof helloSchema>;
 
+/** What a sidecar knows of an attempt. */
+export const attemptStatusSchema = z.object({
+	attempt: z.string(),
+	state: z.enum(['queued', 'running', 'ended']),
+	/** Present when the attempt has ended. */
+	outcome: outcomeSchema.optional(),
+	/** Sequence number of the last chunk. */
+	sequence: z.int().min(0),
+});
+export type AttemptStatus = z.infer<typeof attemptStatusSchema>;
+
 /** Replies and notifications that a sidecar sends to an entry. */
 export const sidecarToEntrySchema = z.discriminatedUnion('type', [
 	z.object({
@@ -91,5 +118,11 @@
 		reply: offerReplySchema,
 	}),
 	z.object({type: z.literal('update'), update: updateSchema}),
+	/** `status` is that of the latest attempt at the endpoint; absent when there is none. */
+	z.object({
+		type: z.literal('queryReply'),
+		id: z.string(),
+		status: attemptStatusSchema.optional(),
+	}),
 ]);
 export type SidecarToEntry = z.infer<typeof sidecarToEntrySchema>;
--- a/src/services/entry/caller-output.ts
+++ b/src/services/entry/caller-output.ts
@@ -1,4 +1,5 @@
 import type {Outcome, RunCompletion, Update} from '../../platform/index.js';
+import {formatEventId} from './event-id.js';
 import {repeated} from './failures.js';
 import type {EntryEffect, Failure} from './message.js';
 import type {EntryAttempt, Progress} from './progress.js';
@@ -41,7 +42,11 @@
 		this.#emit({
 			type: 'chunk',
 			requestId: progress.request.id,
-			eventId: `${attempt.endpoint.name}/${attempt.id}/${progress.sequence}`,
+			eventId: formatEventId({
+				endpoint: attempt.endpoint.name,
+				attempt: attempt.id,
+				sequence: progress.sequence,
+			}),
 			sequence: progress.sequence,
 			data,
 		});
@@ -70,6 +75,7 @@
 
 	end(progress: Progress, outcome: Outcome, failure?: Failure): void {
 		progress.ended = true;
+		progress.outcome = outcome;
 		this.#emit({
 			type: 'end',
 			requestId: progress.request.id,
--- a/src/services/entry/entry.ts
+++ b/src/services/entry/entry.ts
@@ -6,11 +6,13 @@
 import type {Place} from './candidates.js';
 import {entryLeaving} from './failures.js';
 import type {CallerRequest, EntryEffect, EntryMessage} from './message.js';
-import {newProgress, wakeOf, type Progress} from './progress.js';
+import {newProgress, requestStatus, wakeOf, type Progress} from './progress.js';
+import {Queries} from './queries.js';
 import {RequestFlow} from './request-flow.js';
 import {RetryBudget} from './retry-budget.js';
 import {Revocations, type RevocationOutput} from './revocations.js';
 import {Selection} from './selection.js';
+import {Watches} from './watches.js';
 
 export type EntryOptions = {
 	readonly place: Place;
@@ -31,6 +33,8 @@
 	readonly #attachments: Attachments;
 	readonly #output: CallerOutput;
 	readonly #flow: RequestFlow;
+	readonly #watches: Watches;
+	readonly #queries: Queries;
 	#leaving = false;
 	#effects: EntryEffect[] = [];
 
@@ -41,9 +45,13 @@
 
 		this.#revocations = new Revocations(options.epochMs ?? 0);
 		this.#attachments = new Attachments(send);
-		this.#output = new CallerOutput((effect) => {
+		const emit = (effect: EntryEffect) => {
 			this.#effects.push(effect);
-		});
+		};
+
+		this.#output = new CallerOutput(emit);
+		this.#watches = new Watches({emit, send});
+		this.#queries = new Queries({emit, send});
 		this.#flow = new RequestFlow({
 			selection: new Selection({...options, send}),
 			attachments: this.#attachments,
@@ -67,6 +75,16 @@
 				break;
 			}
 
+			case 'events': {
+				this.#watches.begin(message);
+				break;
+			}
+
+			case 'query': {
+				this.#onQuery(message, now);
+				break;
+			}
+
 			case 'callerGone': {
 				this.#onCallerGone(message.requestId);
 				break;
@@ -116,6 +134,7 @@
 		const times = [
 			this.#timers.earliest(),
 			this.#revocations.nextWake(),
+			this.#queries.nextWake(),
 		].filter((time) => time !== undefined);
 		return times.length === 0 ? undefined : Math.min(...times);
 	}
@@ -175,6 +194,12 @@
 					this.#plan(progress);
 				}
 
+				this.#watches.update(endpoint, update);
+				break;
+			}
+
+			case 'queryReply': {
+				this.#queries.reply(endpoint, message.id, message.status);
 				break;
 			}
 		}
@@ -197,6 +222,9 @@
 			this.#flow.linkLost(progress, endpoint, now);
 			this.#plan(progress);
 		}
+
+		this.#watches.linkLost(endpoint);
+		this.#queries.linkLost(endpoint);
 	}
 
 	#onRevocations(output: RevocationOutput, now: number): void {
@@ -210,14 +238,31 @@
 		}
 	}
 
+	#onQuery(message: Extract<EntryMessage, {type: 'query'}>, now: number): void {
+		const {id, requestId, workspace, cancel} = message;
+		const progress = this.#requests.get(requestId);
+		if (progress?.request.profile.contract.workspace !== workspace) {
+			this.#queries.begin(message, now);
+			return;
+		}
+
+		if (cancel) {
+			this.#flow.cancel(progress, now);
+			this.#plan(progress);
+		}
+
+		this.#queries.answer(id, requestStatus(progress));
+	}
+
 	#onCallerGone(requestId: string): void {
 		const progress = this.#requests.get(requestId);
-		if (!progress) {
+		if (this.#watches.callerGone(requestId) || !progress) {
 			return;
 		}
 
 		const {attempt, request} = progress;
-		if (attempt) {
+		// A watch at this entry has taken over the attempt.
+		if (attempt && !this.#watches.has(attempt.id)) {
 			this.#send(attempt.endpoint, {
 				type: request.resumable ? 'detach' : 'cancel',
 				attempt: attempt.id,
@@ -230,7 +275,7 @@
 
 	#onTaken(requestId: string, upTo: number): void {
 		const progress = this.#requests.get(requestId);
-		if (!progress) {
+		if (this.#watches.taken(requestId, upTo) || !progress) {
 			return;
 		}
 
@@ -246,6 +291,10 @@
 		if (progress.ended) {
 			this.#requests.delete(id);
 			this.#timers.delete(id);
+			if (progress.outcome) {
+				const {workspace} = progress.request.profile.contract;
+				this.#queries.remember(id, workspace, progress.outcome);
+			}
 		} else {
 			this.#timers.set(id, wakeOf(progress));
 		}
@@ -259,7 +308,12 @@
 		}
 
 		this.#onRevocations(this.#revocations.advance(now), now);
-		if (this.#leaving && this.#requests.size === 0) {
+		this.#queries.advance(now);
+		if (
+			this.#leaving &&
+			this.#requests.size === 0 &&
+			this.#watches.size === 0
+		) {
 			this.#effects.push({type: 'drained'});
 		}
 	}
--- /dev/null
+++ b/src/services/entry/event-id.ts
@@ -0,0 +1,22 @@
+/** Place of a chunk in an answer, as callers name it. */
+export type EventId = {
+	readonly endpoint: string;
+	readonly attempt: string;
+	readonly sequence: number;
+};
+
+export function formatEventId({endpoint, attempt, sequence}: EventId): string {
+	return `${endpoint}/${attempt}/${sequence}`;
+}
+
+/** Reads `<endpoint>/<attempt>/<sequence>`; undefined when the text has another form. */
+export function parseEventId(text: string): EventId | undefined {
+	const match =
+		/^(?<endpoint>[^\/]+)\/(?<attempt>[^\/]+)\/(?<sequence>\d{1,15})$/v.exec(
+			text,
+		);
+	const {endpoint, attempt, sequence} = match?.groups ?? {};
+	return endpoint && attempt
+		? {endpoint, attempt, sequence: Number(sequence)}
+		: undefined;
+}
--- a/src/services/entry/failures.ts
+++ b/src/services/entry/failures.ts
@@ -39,6 +39,27 @@
 	retryAfterMs: defaultRetryMs,
 };
 
+export const cancelledByCaller: Failure = {
+	status: 499,
+	code: 'cancelled',
+	text: 'the request was cancelled by its workspace',
+	retryAfterMs: undefined,
+};
+
+export const answerNotKept: Failure = {
+	status: 404,
+	code: 'answer_not_kept',
+	text: 'this part of the answer is not kept, or the answer is not resumable',
+	retryAfterMs: undefined,
+};
+
+export const linkLost: Failure = {
+	status: 503,
+	code: 'link_lost',
+	text: 'the connection to the endpoint was lost; ask again with the last event id',
+	retryAfterMs: defaultRetryMs,
+};
+
 export function endpointFailed(reason: string): Failure {
 	return {
 		status: 502,
--- a/src/services/entry/message.ts
+++ b/src/services/entry/message.ts
@@ -24,9 +24,40 @@
 	readonly endpoints: readonly EndpointView[];
 };
 
+/** What a caller that asks is told of its request. */
+export type RequestStatus = {
+	/** `unknown`: nothing is known of such a request of the workspace. */
+	readonly state: 'queued' | 'running' | 'ended' | 'unknown';
+	/** Present when the request has ended. */
+	readonly outcome: Outcome | undefined;
+	/** Event id of the last chunk, from which the answer can be asked for; absent when there is none. */
+	readonly eventId: string | undefined;
+};
+
 /** Input of the entry's state machine. */
 export type EntryMessage =
 	| {readonly type: 'request'; readonly request: CallerRequest}
+	/** A caller asks for the rest of a resumable answer; it gets head, chunks and end under `id`, as for a request. */
+	| {
+			readonly type: 'events';
+			/** Unique among requests and watches. */
+			readonly id: string;
+			readonly workspace: string;
+			readonly endpoint: EndpointView;
+			readonly attempt: string;
+			/** Sequence number of the last chunk that the caller has. */
+			readonly after: number;
+	  }
+	/** A caller asks what became of a request, or cancels it. */
+	| {
+			readonly type: 'query';
+			readonly id: string;
+			readonly workspace: string;
+			readonly requestId: string;
+			readonly cancel: boolean;
+			/** Endpoints that may have run it, likeliest first. */
+			readonly endpoints: readonly EndpointView[];
+	  }
 	/** The caller closed its connection or cancelled. */
 	| {readonly type: 'callerGone'; readonly requestId: string}
 	/** The caller has taken the answer up to this sequence number. */
@@ -93,5 +124,11 @@
 			/** Number of endpoints that were asked. */
 			readonly offers: number;
 	  }
+	/** Answer to a query. */
+	| {
+			readonly type: 'status';
+			readonly id: string;
+			readonly status: RequestStatus;
+	  }
 	/** The entry is leaving and nothing is in progress any more. */
 	| {readonly type: 'drained'};
--- a/src/services/entry/progress.ts
+++ b/src/services/entry/progress.ts
@@ -1,6 +1,7 @@
 import type {Outcome, Refusal} from '../../platform/index.js';
 import type {EndpointView} from '../records/index.js';
-import type {CallerRequest, Failure} from './message.js';
+import {formatEventId} from './event-id.js';
+import type {CallerRequest, Failure, RequestStatus} from './message.js';
 
 /** One try to run a request at an endpoint. */
 export type EntryAttempt = {
@@ -64,8 +65,10 @@
 	/** Answer so far, from which another endpoint can continue. */
 	readonly chunks: string[];
 	tokens: number;
-	/** The caller has been told the outcome. */
+	/** The caller has been told the outcome, or is gone. */
 	ended: boolean;
+	/** What the caller was told. */
+	outcome: Outcome | undefined;
 };
 
 /** A request that has just arrived. */
@@ -94,6 +97,7 @@
 		chunks: [],
 		tokens: 0,
 		ended: false,
+		outcome: undefined,
 	};
 }
 
@@ -106,6 +110,22 @@
 	return progress.doubtful ? 'unknown' : 'not_run';
 }
 
+/** What a caller that asks is told of a request in progress. */
+export function requestStatus(progress: Progress): RequestStatus {
+	const {attempt, sequence, outcome, ended} = progress;
+	return {
+		state: ended ? 'ended' : attempt?.started ? 'running' : 'queued',
+		outcome,
+		eventId:
+			attempt &&
+			formatEventId({
+				endpoint: attempt.endpoint.name,
+				attempt: attempt.id,
+				sequence,
+			}),
+	};
+}
+
 /** Time at which the entry must look at a request again. */
 export function wakeOf(progress: Progress): number | undefined {
 	if (progress.revoking) {
--- a/src/services/entry/request-flow.ts
+++ b/src/services/entry/request-flow.ts
@@ -5,6 +5,7 @@
 import type {CallerOutput} from './caller-output.js';
 import {
 	answerCut,
+	cancelledByCaller,
 	claimUnavailable,
 	endpointFailed,
 	outcomeUnknown,
@@ -123,6 +124,13 @@
 		}
 	}
 
+	/** The caller's workspace does not want the answer any more. */
+	cancel(progress: Progress, now: number): void {
+		if (!progress.closing && !progress.revoking) {
+			this.#close(progress, cancelledByCaller, now);
+		}
+	}
+
 	/** Does what is due at this time. */
 	time(progress: Progress, now: number): void {
 		const {attempt} = progress;
@@ -131,7 +139,7 @@
 				this.#onSilence(progress, now);
 			}
 		} else if (progress.deadline <= now) {
-			this.#onDeadline(progress, now);
+			this.#close(progress, timedOut, now);
 		} else if (attempt?.detached) {
 			if (attempt.detached.until <= now) {
 				this.#onAttemptLost(progress, attempt, now);
@@ -247,6 +255,8 @@
 			this.#output.end(progress, outcome, failure);
 		} else if (progress.closing) {
 			this.#endWithoutAnswer(progress, progress.closing.failure);
+		} else if (refusal.reason === 'withdrawn') {
+			this.#endWithoutAnswer(progress, cancelledByCaller);
 		} else if (refusal.reason === 'claim_unavailable') {
 			this.#endWithoutAnswer(progress, claimUnavailable);
 		} else {
@@ -292,6 +302,8 @@
 	): void {
 		if (ended.reason === 'forgotten') {
 			this.#onAttemptLost(progress, attempt, now);
+		} else if (ended.reason === 'withdrawn') {
+			this.#output.end(progress, ended.outcome, cancelledByCaller);
 		} else if (progress.request.idempotent) {
 			progress.attempt = undefined;
 			progress.ranBefore = true;
@@ -337,14 +349,14 @@
 	}
 
 	/** Ends a request in time; waits for the sidecar only when its word can prove that the request has not run. */
-	#onDeadline(progress: Progress, now: number): void {
+	#close(progress: Progress, failure: Failure, now: number): void {
 		const {attempt} = progress;
 		if (!attempt) {
-			this.#endWithoutAnswer(progress, timedOut);
+			this.#endWithoutAnswer(progress, failure);
 			return;
 		}
 
-		progress.closing = {until: now + closingMs, failure: timedOut};
+		progress.closing = {until: now + closingMs, failure};
 		if (attempt.detached) {
 			this.#onSilence(progress, now);
 			return;
@@ -358,7 +370,7 @@
 		});
 		if (attempt.started) {
 			progress.ranBefore = true;
-			this.#endWithoutAnswer(progress, timedOut);
+			this.#endWithoutAnswer(progress, failure);
 		}
 	}
 
--- a/src/services/sidecar/attempt.ts
+++ b/src/services/sidecar/attempt.ts
@@ -1,4 +1,9 @@
-import type {AttemptStart, Update} from '../../platform/index.js';
+import type {
+	AttemptStart,
+	AttemptStatus,
+	Outcome,
+	Update,
+} from '../../platform/index.js';
 import type {AnswerBuffer} from './answer-buffer.js';
 
 /** One try to run a request at the sidecar's endpoint. */
@@ -18,6 +23,8 @@
 	/** Sequence number of the last chunk. */
 	sequence: number;
 	readonly buffer: AnswerBuffer;
+	/** Present when the attempt has ended. */
+	outcome: Outcome | undefined;
 	/** Time at which a detached or ended attempt is forgotten, in milliseconds. */
 	forgetAt: number | undefined;
 };
@@ -37,3 +44,14 @@
 export function brokenOutcome(attempt: Attempt): 'failed' | 'unknown' {
 	return attempt.start.idempotent || attempt.headSeen ? 'failed' : 'unknown';
 }
+
+/** What a caller that asks is told of an attempt. */
+export function statusOf(attempt: Attempt): AttemptStatus {
+	const {id, state, outcome, sequence} = attempt;
+	return {
+		attempt: id,
+		state: state === 'claiming' ? 'queued' : state,
+		outcome,
+		sequence,
+	};
+}
--- a/src/services/sidecar/attempts.ts
+++ b/src/services/sidecar/attempts.ts
@@ -110,7 +110,9 @@
 			return;
 		}
 
-		if (attempt.start.profile.contract.workspace !== message.workspace) {
+		const {profile, resumable} = attempt.start;
+		const isOwner = profile.contract.workspace === message.workspace;
+		if (!isOwner || (message.ageMs === undefined && !resumable)) {
 			this.send(link, forgotten(message.attempt));
 			return;
 		}
@@ -124,13 +126,22 @@
 		this.replay(attempt, message.after);
 	}
 
+	/** The latest attempt of a workspace's request. */
+	latest(requestId: string, workspace: string): Attempt | undefined {
+		return this.all().findLast(
+			({start}) =>
+				start.requestId === requestId &&
+				start.profile.contract.workspace === workspace,
+		);
+	}
+
 	/** Answers for an attempt that is not at hand, and makes sure that it does not run later. */
 	answerAbsent(link: string, message: Cancel | Attach, now: number): void {
 		const {attempt, incarnation, ageMs} = message;
 		const isOwn =
 			incarnation === undefined || incarnation === this.#incarnation;
 		const fate = this.#past.fate(attempt, isOwn ? ageMs : undefined);
-		if (fate !== 'ran') {
+		if (fate !== 'ran' && (message.type === 'cancel' || ageMs !== undefined)) {
 			this.#past.add(attempt, 'not_run', now);
 		}
 
--- a/src/services/sidecar/sidecar.ts
+++ b/src/services/sidecar/sidecar.ts
@@ -9,7 +9,7 @@
 } from '../../platform/index.js';
 import {Admission} from './admission.js';
 import {AnswerBuffer} from './answer-buffer.js';
-import {brokenOutcome, type Attempt} from './attempt.js';
+import {brokenOutcome, statusOf, type Attempt} from './attempt.js';
 import {Attempts} from './attempts.js';
 import {Claims, type ClaimEvent} from './claims.js';
 import type {SidecarEffect, SidecarMessage} from './message.js';
@@ -179,7 +179,12 @@
 			}
 
 			case 'detach': {
-				this.#onDetach(message.attempt, now);
+				this.#onDetach(link, message.attempt, now);
+				break;
+			}
+
+			case 'query': {
+				this.#onQuery(link, message, now);
 				break;
 			}
 
@@ -224,6 +229,7 @@
 			headSeen: false,
 			sequence: after,
 			buffer: new AnswerBuffer(after, start.resumable),
+			outcome: undefined,
 			forgetAt: undefined,
 		};
 		this.#attempts.add(attempt);
@@ -263,9 +269,28 @@
 		}
 	}
 
-	#onDetach(id: string, now: number): void {
+	#onQuery(
+		link: string,
+		message: Extract<EntryToSidecar, {type: 'query'}>,
+		now: number,
+	): void {
+		const {id, requestId, workspace} = message;
+		const attempt = this.#attempts.latest(requestId, workspace);
+		if (attempt && message.cancel && attempt.state !== 'ended') {
+			this.#abandon(attempt, 'withdrawn', now);
+		}
+
+		this.#effects.push({
+			type: 'send',
+			link,
+			message: {type: 'queryReply', id, status: attempt && statusOf(attempt)},
+		});
+	}
+
+	#onDetach(link: string, id: string, now: number): void {
 		const attempt = this.#attempts.get(id);
-		if (attempt) {
+		// Another entry may follow the attempt by now.
+		if (attempt?.link === link) {
 			this.#detach(attempt, now);
 		}
 	}
@@ -374,7 +399,8 @@
 			const outcome = attempt.start.idempotent ? 'failed' : 'unknown';
 			this.#end(attempt, outcome, reason, now);
 		} else {
-			this.#refuse(attempt, {reason: 'cancelled', retryAfterMs: 0}, now);
+			const refusal = reason === 'withdrawn' ? reason : 'cancelled';
+			this.#refuse(attempt, {reason: refusal, retryAfterMs: 0}, now);
 		}
 	}
 
@@ -409,6 +435,7 @@
 
 		this.#unfinished--;
 		attempt.state = 'ended';
+		attempt.outcome = final.type === 'ended' ? final.outcome : 'not_run';
 		attempt.paused = false;
 		attempt.forgetAt = now + resumableMs;
 		this.#attempts.plan(attempt);
