--- a/src/daemons/sidecar/sidecar-daemon.ts
+++ b/src/daemons/sidecar/sidecar-daemon.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {Agent} from 'undici';
-import {DisposableStore, type Disposable} from '../../base/index.js';
+import {DisposableStore, Random, type Disposable} from '../../base/index.js';
 import {HttpEngine, HttpService} from '../../platform/adapters/index.js';
 import {
 	callTable,
@@ -77,7 +77,7 @@
 					endpoint: options.settings.process.instance,
 					epochMs: Date.now() - monotonicNow(),
 					incarnation: this.#incarnation,
-					scheduler: new Scheduler(),
+					scheduler: new Scheduler(new Random(options.seed)),
 				}),
 				(effect) => {
 					this.#carryOut(effect);
--- a/src/services/sidecar/sidecar.ts
+++ b/src/services/sidecar/sidecar.ts
@@ -100,11 +100,6 @@
 				break;
 			}
 
-			case 'table': {
-				this.#claims.answer(message.id, message.answer, now);
-				break;
-			}
-
 			case 'load': {
 				this.#options.scheduler.onLoadReport(message.report, now);
 				break;
@@ -115,6 +110,11 @@
 				break;
 			}
 
+			case 'table': {
+				this.#claims.answer(message.id, message.answer, now);
+				break;
+			}
+
 			case 'tick': {
 				break;
 			}
