--- a/src/platform/messages/peer.ts
+++ b/src/platform/messages/peer.ts
@@ -1,5 +1,10 @@
 import {z} from 'zod';
-import {offerReplySchema, profileSchema, updateSchema} from './attempt.js';
+import {
+	offerReplySchema,
+	outcomeSchema,
+	profileSchema,
+	updateSchema,
+} from './attempt.js';
 
 export const callSchema = z.object({
 	method: z.string(),
@@ -35,20 +40,45 @@
 		idempotent: z.boolean(),
 		/** Key of the run record; present for a non-idempotent request. */
 		idempotencyKey: z.string().optional(),
+		/** Earlier attempts of the request that are proved not to have run; their claims are replaced. */
+		superseded: z.array(z.string()).optional(),
 		/** The sidecar keeps the answer for a while when the link or the caller is lost. */
 		resumable: z.boolean(),
 		remainingMs: z.number(),
 		resume: resumePointSchema.optional(),
 	}),
-	z.object({type: z.literal('cancel'), attempt: z.string()}),
+	z.object({
+		type: z.literal('cancel'),
+		attempt: z.string(),
+		/** Incarnation of the sidecar that the attempt was sent to. */
+		incarnation: z.string().optional(),
+		/** Time since the attempt was sent, in milliseconds; without it the sidecar cannot tell an attempt that it never got from one that it has forgotten. */
+		ageMs: z.number().min(0).optional(),
+	}),
+	/** The caller is gone: a resumable attempt goes on for a while without an entry. */
+	z.object({type: z.literal('detach'), attempt: z.string()}),
 	z.object({
 		type: z.literal('attach'),
+		/** As for `cancel`; without `ageMs` a caller asks again for a resumable answer. */
+		incarnation: z.string().optional(),
+		ageMs: z.number().min(0).optional(),
 		attempt: z.string(),
 		/** Workspace that asks; must be the one that started the attempt. */
 		workspace: z.string(),
 		/** Sequence number of the last chunk received. */
 		after: z.int().min(0),
 	}),
+	/** Asks what is known of a request, on behalf of a caller that may be at another entry. */
+	z.object({
+		type: z.literal('query'),
+		/** Pairs the reply with the query; unique for each entry. */
+		id: z.string(),
+		requestId: z.string(),
+		/** Workspace that asks; other workspaces' requests are not found. */
+		workspace: z.string(),
+		/** Cancels the request before the reply. */
+		cancel: z.boolean(),
+	}),
 	z.object({
 		type: z.literal('credit'),
 		attempt: z.string(),
@@ -69,6 +99,17 @@
 });
 export type Hello = z.infer<typeof helloSchema>;
 
+/** What a sidecar knows of an attempt. */
+export const attemptStatusSchema = z.object({
+	attempt: z.string(),
+	state: z.enum(['queued', 'running', 'ended']),
+	/** Present when the attempt has ended. */
+	outcome: outcomeSchema.optional(),
+	/** Sequence number of the last chunk. */
+	sequence: z.int().min(0),
+});
+export type AttemptStatus = z.infer<typeof attemptStatusSchema>;
+
 /** Replies and notifications that a sidecar sends to an entry. */
 export const sidecarToEntrySchema = z.discriminatedUnion('type', [
 	z.object({
@@ -77,5 +118,11 @@
 		reply: offerReplySchema,
 	}),
 	z.object({type: z.literal('update'), update: updateSchema}),
+	/** `status` is that of the latest attempt at the endpoint; absent when there is none. */
+	z.object({
+		type: z.literal('queryReply'),
+		id: z.string(),
+		status: attemptStatusSchema.optional(),
+	}),
 ]);
 export type SidecarToEntry = z.infer<typeof sidecarToEntrySchema>;
