--- a/src/platform/standins/memory-table.ts
+++ b/src/platform/standins/memory-table.ts
@@ -1,3 +1,4 @@
+import type {TableAnswer, TableCall} from '../messages/index.js';
 import type {Decision, Row, Table, Transaction} from '../ports/index.js';
 
 /** Table stand-in that holds its rows in memory. */
@@ -35,6 +36,27 @@
 		return this.#rows.get(key);
 	}
 
+	/** Carries out an operation that a state machine asked for. */
+	callNow(call: TableCall): TableAnswer {
+		switch (call.type) {
+			case 'read': {
+				return {type: 'row', row: this.readNow(call.key)};
+			}
+
+			case 'scan': {
+				const rows = this.scanNow(call.prefix, call.after, call.limit);
+				return {type: 'rows', rows};
+			}
+
+			case 'commit': {
+				return {
+					type: 'decision',
+					decision: this.commitNow(call.transaction),
+				};
+			}
+		}
+	}
+
 	/** Synchronous commit for harnesses that run in virtual time. */
 	commitNow(transaction: Transaction): Decision {
 		for (const check of transaction.checks) {
