--- a/src/base/index.ts
+++ b/src/base/index.ts
@@ -2,4 +2,5 @@
 export * from './emitter.js';
 export * from './random.js';
 export * from './rendezvous.js';
+export * from './prefix.js';
 export * from './sorted-list.js';
