Send only the remaining first-token target to further endpoints

Cause: a request that was given up at one endpoint got the whole target again at the next, and was answered late there. Change: the entry shortens the target by the time that has passed; the sidecar starts work four mean deviations of the prefill time before its target.

--- a/src/services/entry/entry.ts
+++ b/src/services/entry/entry.ts
@@ -2,12 +2,14 @@
 import type {
 	OfferReply,
 	Outcome,
+	Profile,
 	Refusal,
 	SidecarToEntry,
 	Update,
 } from '../../platform/index.js';
 import type {EndpointView} from '../records/index.js';
 import {offerCount, orderCandidates, type Place} from './candidates.js';
+import {remainingProfile} from './remaining-profile.js';
 import type {
 	CallerRequest,
 	EntryEffect,
@@ -193,7 +195,7 @@
 			this.#send(endpoint, {
 				type: 'offer',
 				id: progress.request.id,
-				profile: progress.request.profile,
+				profile: this.#profile(progress, now),
 				remainingMs: progress.deadline - now,
 			});
 		}
@@ -259,7 +261,7 @@
 			attempt: progress.attempt.id,
 			requestId: request.id,
 			incarnation,
-			profile: request.profile,
+			profile: this.#profile(progress, now),
 			call: request.call,
 			idempotent: request.idempotent,
 			idempotencyKey: request.idempotencyKey,
@@ -501,6 +503,14 @@
 		});
 	}
 
+	/** Target that is left; an answer that continues elsewhere gets the whole target again. */
+	#profile({request, deadline, sequence}: Progress, now: number): Profile {
+		const elapsedMs = now - (deadline - request.timeoutMs);
+		return sequence > 0
+			? request.profile
+			: remainingProfile(request.profile, elapsedMs);
+	}
+
 	#send(
 		endpoint: EndpointView,
 		message: Extract<EntryEffect, {type: 'send'}>['message'],
--- a/src/services/sidecar/endpoint-speed.ts
+++ b/src/services/sidecar/endpoint-speed.ts
@@ -12,6 +12,7 @@
 export class EndpointSpeed {
 	#gapMs = initialGapMs;
 	#occupancyMs = initialOccupancyMs;
+	#deviationMs = 0;
 	#weight = 0;
 	#sumX = 0;
 	#sumY = 0;
@@ -36,6 +37,8 @@
 	}
 
 	observeFirstToken(ms: number, uncachedTokens: number): void {
+		const error = Math.abs(ms - this.prefillMs(uncachedTokens));
+		this.#deviationMs += (error - this.#deviationMs) * newSampleWeight;
 		this.#weight = this.#weight * retained + 1;
 		this.#sumX = this.#sumX * retained + uncachedTokens;
 		this.#sumY = this.#sumY * retained + ms;
@@ -43,6 +46,11 @@
 		this.#sumXy = this.#sumXy * retained + uncachedTokens * ms;
 	}
 
+	/** Time from the start to the first token that is rarely exceeded, in milliseconds; mean and deviation as in RFC 6298. */
+	cautiousPrefillMs(uncachedTokens: number): number {
+		return this.prefillMs(uncachedTokens) + 4 * this.#deviationMs;
+	}
+
 	/** Expected time from the start to the first token, in milliseconds. */
 	prefillMs(uncachedTokens: number): number {
 		if (this.#weight < 5) {
@@ -62,6 +70,7 @@
 			gapMs: this.#gapMs,
 			occupancyMs: this.#occupancyMs,
 			prefillMs: this.prefillMs(0),
+			deviationMs: this.#deviationMs,
 		};
 	}
 }
--- a/src/services/sidecar/scheduler.ts
+++ b/src/services/sidecar/scheduler.ts
@@ -277,7 +277,7 @@
 			Math.min(
 				deadline,
 				arrivedAt + contract.firstTokenMs * contract.patience,
-			) - demand.prefillMs;
+			) - this.#speed.cautiousPrefillMs(demand.uncachedTokens);
 		return {
 			ticket,
 			demand,
