Keep places free for classes that cannot wait for one

Cause: with all places taken by long answers the tight class was refused, since a place became free only every 200 ms. Change: lower tiers leave the mean plus two standard deviations of the tight arrivals between two free places unused; the limit counts them as used.

--- a/src/lab/variants.ts
+++ b/src/lab/variants.ts
@@ -5,6 +5,7 @@
 const firstCome: Partial<SchedulerPolicy> = {
 	tiers: false,
 	shares: false,
+	headroom: false,
 	fairness: false,
 	slack: false,
 	admission: false,
--- a/src/services/sidecar/backlog.ts
+++ b/src/services/sidecar/backlog.ts
@@ -6,6 +6,9 @@
 /** A class below its share may occupy this multiple of its share of the places. */
 const catchUp = 1.25;
 
+/** The ticket that goes next, and whether a guaranteed share owes it the place. */
+export type Choice = {readonly item: QueuedTicket; readonly isOwed: boolean};
+
 /** The queues of all classes and the order in which they are served. */
 export class Backlog {
 	readonly #queues = new Map<string, ClassQueue>();
@@ -63,7 +66,7 @@
 	}
 
 	/** The ticket that goes next: of the class furthest below its share, else of the highest tier and least slack. */
-	next(places: number, now: number): QueuedTicket | undefined {
+	next(places: number, now: number): Choice | undefined {
 		let owed: ClassQueue | undefined;
 		let owedPart = 1;
 		let best: ClassQueue | undefined;
@@ -87,7 +90,8 @@
 			}
 		}
 
-		return (owed ?? best)?.first;
+		const item = (owed ?? best)?.first;
+		return item && {item, isOwed: owed !== undefined};
 	}
 
 	/** The queued ticket that is shed first: of the lowest tier, the one that can best wait. */
--- a/src/services/sidecar/concurrency-limit.ts
+++ b/src/services/sidecar/concurrency-limit.ts
@@ -30,15 +30,18 @@
 		return Math.floor(this.#limit);
 	}
 
-	/** Notes a gap between tokens as a multiple of the target, with the batch in which it was seen. */
-	observe(ratio: number, running: number, now: number): void {
+	/**
+	 * Notes a gap between tokens as a multiple of the target, with the batch in
+	 * which it was seen and the places that were left free on purpose.
+	 */
+	observe(ratio: number, running: number, reserve: number, now: number): void {
 		this.#ratioSum += ratio;
 		this.#samples++;
 		if (now - this.#adjustedAt < intervalMs) {
 			return;
 		}
 
-		this.#adjust(this.#ratioSum / this.#samples, running);
+		this.#adjust(this.#ratioSum / this.#samples, running + reserve);
 		this.#adjustedAt = now;
 		this.#ratioSum = 0;
 		this.#samples = 0;
@@ -48,14 +51,14 @@
 		return {limit: this.#limit, slowStart: this.#slowStart};
 	}
 
-	#adjust(ratio: number, running: number): void {
+	#adjust(ratio: number, used: number): void {
 		if (ratio > lowerAbove) {
 			this.#slowStart = false;
 			// A batch that is still above the limit says nothing about the limit.
-			if (running <= this.#limit) {
-				this.#limit = Math.max(1, running * decreaseFactor);
+			if (used <= this.#limit + 1) {
+				this.#limit = Math.max(1, Math.min(this.#limit, used) * decreaseFactor);
 			}
-		} else if (ratio < raiseBelow && running >= this.value) {
+		} else if (ratio < raiseBelow && used >= this.value) {
 			this.#limit = Math.min(
 				largestLimit,
 				this.#slowStart ? this.#limit * slowStartFactor : this.#limit + 1,
--- a/src/services/sidecar/scheduler-policy.ts
+++ b/src/services/sidecar/scheduler-policy.ts
@@ -4,6 +4,8 @@
 	readonly tiers: boolean;
 	/** Classes below their guaranteed share go before all others. */
 	readonly shares: boolean;
+	/** Lower tiers leave places free for classes that cannot wait for one. */
+	readonly headroom: boolean;
 	/** Fair queueing over workspaces; otherwise a class is one queue. */
 	readonly fairness: boolean;
 	/** Least slack first; otherwise order of arrival. */
@@ -33,6 +35,7 @@
 export const defaultPolicy: SchedulerPolicy = {
 	tiers: true,
 	shares: true,
+	headroom: true,
 	fairness: true,
 	slack: true,
 	admission: true,
--- a/src/services/sidecar/scheduler.ts
+++ b/src/services/sidecar/scheduler.ts
@@ -10,6 +10,7 @@
 import {ConcurrencyLimit} from './concurrency-limit.js';
 import {EndpointSpeed} from './endpoint-speed.js';
 import {GapTarget} from './gap-target.js';
+import {Headroom} from './headroom.js';
 import {LengthEstimate} from './length-estimate.js';
 import {LoadView} from './load-view.js';
 import {PrefixCache} from './prefix-cache.js';
@@ -42,6 +43,7 @@
 	readonly #limit: ConcurrencyLimit;
 	readonly #speed = new EndpointSpeed();
 	readonly #gapTarget = new GapTarget();
+	readonly #headroom = new Headroom();
 	readonly #lengths = new LengthEstimate();
 	readonly #load = new LoadView();
 	readonly #prefixCache = new PrefixCache();
@@ -74,10 +76,11 @@
 			},
 			now,
 		);
+		this.#noteOffer(item, now);
 		const reservedMs = this.#policy.reservations
 			? this.#reservations.occupancyMs(profile.contract.tier, now)
 			: 0;
-		const wait = this.#wait(item, reservedMs);
+		const wait = this.#wait(item, reservedMs, now);
 		if (this.#tooLate(item, wait, now) || this.#isFullFor(item)) {
 			return {type: 'refuse', refusal: this.#overloaded(wait)};
 		}
@@ -94,7 +97,7 @@
 	enqueue(ticket: Ticket, now: number): Shed[] {
 		this.#reservations.take(ticket.profile, now);
 		const item = this.#measure(ticket, now);
-		const wait = this.#wait(item, 0);
+		const wait = this.#wait(item, 0, now);
 		if (this.#tooLate(item, wait, now) || this.#isFullFor(item)) {
 			return [{ticket, refusal: this.#overloaded(wait)}];
 		}
@@ -117,13 +120,18 @@
 
 	/** Removes and returns the next ticket to start, if there is a place for one; it then counts as running. */
 	takeNext(now: number): Ticket | undefined {
-		const {limit} = this.#places();
-		if (this.#running.size + this.#load.otherRunning >= limit) {
+		const {limit, running} = this.#places();
+		if (running >= limit) {
 			return undefined;
 		}
 
-		const item = this.#backlog.next(limit, now);
-		if (!item || !this.#fitsMemory(item)) {
+		const next = this.#backlog.next(limit, now);
+		if (!next || !this.#fitsMemory(next.item)) {
+			return undefined;
+		}
+
+		const {item, isOwed} = next;
+		if (!isOwed && running >= limit - this.#reserve(item, now)) {
 			return undefined;
 		}
 
@@ -203,7 +211,7 @@
 			const reason = item.ticket.deadline <= now ? 'deadline' : 'overloaded';
 			shed.push({
 				ticket: item.ticket,
-				refusal: {...this.#overloaded(this.#wait(item, 0)), reason},
+				refusal: {...this.#overloaded(this.#wait(item, 0, now)), reason},
 			});
 		}
 
@@ -258,14 +266,32 @@
 		this.#prefixCache.onPrompt(prefix, now);
 		if (kind === 'service') {
 			const target = contract.firstTokenMs * serviceTargetPart;
-			this.#limit.observe((now - startedAt) / target, this.#running.size, now);
+			this.#limit.observe(
+				(now - startedAt) / target,
+				this.#running.size,
+				0,
+				now,
+			);
 		}
 	}
 
 	#onGap(gapMs: number, now: number): void {
 		this.#speed.observeGap(gapMs);
 		const target = this.#gapTarget.tightest(now);
-		this.#limit.observe(gapMs / target, this.#running.size, now);
+		this.#limit.observe(
+			gapMs / target,
+			this.#running.size,
+			this.#reserve(undefined, now),
+			now,
+		);
+	}
+
+	#noteOffer(item: QueuedTicket, now: number): void {
+		const {requestClass, firstTokenMs} = item.ticket.profile.contract;
+		if (firstTokenMs < this.#speed.occupancyMs) {
+			const tier = this.#backlog.tierOf(item);
+			this.#headroom.note(requestClass, tier, now);
+		}
 	}
 
 	/** Expected demand of a ticket and the latest time at which it has to start. */
@@ -333,8 +359,26 @@
 		};
 	}
 
-	#wait(item: QueuedTicket, reservedMs: number): number {
-		return expectedWait(item, this.#backlog, this.#places(), reservedMs);
+	#wait(item: QueuedTicket, reservedMs: number, now: number): number {
+		const places = this.#places();
+		const limit = places.limit - this.#reserve(item, now);
+		return expectedWait(
+			item,
+			this.#backlog,
+			{...places, limit: Math.max(1, limit)},
+			reservedMs,
+		);
+	}
+
+	/** Places that a ticket, or the lowest tier, leaves free for higher tiers. */
+	#reserve(item: QueuedTicket | undefined, now: number): number {
+		if (!this.#policy.headroom) {
+			return 0;
+		}
+
+		const {limit, occupancyMs} = this.#places();
+		const tier = item ? this.#backlog.tierOf(item) : Infinity;
+		return this.#headroom.places(tier, limit, occupancyMs / limit, now);
 	}
 
 	#tooLate(item: QueuedTicket, wait: number, now: number): boolean {
@@ -381,7 +425,7 @@
 		);
 		return late.map((item) => {
 			this.#drop(item);
-			const refusal = this.#overloaded(this.#wait(item, 0));
+			const refusal = this.#overloaded(this.#wait(item, 0, now));
 			return {ticket: item.ticket, refusal};
 		});
 	}
