Spread the starts of long prompts over time

Cause: an engine processes prompts between the steps of running answers, so that long prompts in quick succession made short tight answers miss their gap target. Change: patient classes start at a pace at which prompts take a quarter of the time. The order tests switch the pace off, since they start several tickets at once; the pace has its own test.

--- a/src/lab/variants.ts
+++ b/src/lab/variants.ts
@@ -6,6 +6,7 @@
 	tiers: false,
 	shares: false,
 	headroom: false,
+	pacing: false,
 	fairness: false,
 	slack: false,
 	admission: false,
--- a/src/services/sidecar/endpoint-speed.ts
+++ b/src/services/sidecar/endpoint-speed.ts
@@ -51,17 +51,28 @@
 		return this.prefillMs(uncachedTokens) + 4 * this.#deviationMs;
 	}
 
-	/** Expected time from the start to the first token, in milliseconds. */
-	prefillMs(uncachedTokens: number): number {
+	/** Time that each uncached prompt token adds to the first token, in milliseconds. */
+	get promptTokenMs(): number {
 		if (this.#weight < 5) {
-			return this.#gapMs + uncachedTokens * initialPrefillMsPerToken;
+			return initialPrefillMsPerToken;
 		}
 
 		const meanX = this.#sumX / this.#weight;
 		const meanY = this.#sumY / this.#weight;
 		const varianceX = this.#sumXx / this.#weight - meanX ** 2;
 		const covariance = this.#sumXy / this.#weight - meanX * meanY;
-		const slope = varianceX > 1 ? Math.max(0, covariance / varianceX) : 0;
+		return varianceX > 1 ? Math.max(0, covariance / varianceX) : 0;
+	}
+
+	/** Expected time from the start to the first token, in milliseconds. */
+	prefillMs(uncachedTokens: number): number {
+		const slope = this.promptTokenMs;
+		if (this.#weight < 5) {
+			return this.#gapMs + uncachedTokens * slope;
+		}
+
+		const meanX = this.#sumX / this.#weight;
+		const meanY = this.#sumY / this.#weight;
 		return Math.max(0, meanY + slope * (uncachedTokens - meanX));
 	}
 
--- a/src/services/sidecar/scheduler-policy.ts
+++ b/src/services/sidecar/scheduler-policy.ts
@@ -6,6 +6,8 @@
 	readonly shares: boolean;
 	/** Lower tiers leave places free for classes that cannot wait for one. */
 	readonly headroom: boolean;
+	/** Starts of long prompts are spread over time. */
+	readonly pacing: boolean;
 	/** Fair queueing over workspaces; otherwise a class is one queue. */
 	readonly fairness: boolean;
 	/** Least slack first; otherwise order of arrival. */
@@ -36,6 +38,7 @@
 	tiers: true,
 	shares: true,
 	headroom: true,
+	pacing: true,
 	fairness: true,
 	slack: true,
 	admission: true,
--- a/src/services/sidecar/scheduler.test.ts
+++ b/src/services/sidecar/scheduler.test.ts
@@ -41,6 +41,7 @@
 function fixed(places: number): Scheduler {
 	return new Scheduler(new Random(1), {
 		adaptiveLimit: false,
+		pacing: false,
 		fixedLimit: places,
 	});
 }
@@ -182,3 +183,39 @@
 	const later = scheduler.offer(profile(loose), 1000);
 	expect(later).toEqual(replies[0]!);
 });
+
+// Guards against several long prompts at once, which stretch the gaps of running answers.
+test('long prompts of patient classes start one after another', () => {
+	const scheduler = new Scheduler(new Random(1), {
+		adaptiveLimit: false,
+		fixedLimit: 4,
+	});
+	scheduler.enqueue(ticket(loose), 0);
+	scheduler.enqueue(ticket(loose), 0);
+	expect(scheduler.takeNext(0)).not.toEqual(undefined);
+	expect(scheduler.takeNext(0)).toEqual(undefined);
+	const wake = scheduler.nextWake()!;
+	expect(wake < 1000).toEqual(true);
+	expect(scheduler.takeNext(wake)).not.toEqual(undefined);
+});
+
+// Guards against a tight class that waits until a long answer ends.
+test('places stay free for a class that cannot wait', () => {
+	const scheduler = fixed(8);
+	for (let index = 0; index < 30; index++) {
+		scheduler.offer(profile(tight), index);
+	}
+
+	for (let index = 0; index < 8; index++) {
+		scheduler.enqueue(ticket(loose), 30);
+	}
+
+	let started = 0;
+	while (scheduler.takeNext(30)) {
+		started++;
+	}
+
+	expect(started > 0 && started < 8).toEqual(true);
+	scheduler.enqueue(ticket(tight), 31);
+	expect(scheduler.takeNext(31)?.profile.contract.tier).toEqual(0);
+});
--- a/src/services/sidecar/scheduler.ts
+++ b/src/services/sidecar/scheduler.ts
@@ -13,6 +13,7 @@
 import {Headroom} from './headroom.js';
 import {LengthEstimate} from './length-estimate.js';
 import {LoadView} from './load-view.js';
+import {PrefillPace} from './prefill-pace.js';
 import {PrefixCache} from './prefix-cache.js';
 import {Reservations} from './reservations.js';
 import {kvTokensOf, RunningSet, type RunningTicket} from './running-set.js';
@@ -44,6 +45,7 @@
 	readonly #speed = new EndpointSpeed();
 	readonly #gapTarget = new GapTarget();
 	readonly #headroom = new Headroom();
+	readonly #pace = new PrefillPace();
 	readonly #lengths = new LengthEstimate();
 	readonly #load = new LoadView();
 	readonly #prefixCache = new PrefixCache();
@@ -55,6 +57,8 @@
 	/** Set when work has arrived that may displace queued work. */
 	#displacing = false;
 	#displacedAt = 0;
+	/** Time until which the next ticket waits because of the pace of starts. */
+	#pacedUntil = Infinity;
 
 	/** `random` spreads the retry times; `policy` switches single mechanisms off for experiments. */
 	constructor(random: Random, policy: Partial<SchedulerPolicy> = {}) {
@@ -120,6 +124,7 @@
 
 	/** Removes and returns the next ticket to start, if there is a place for one; it then counts as running. */
 	takeNext(now: number): Ticket | undefined {
+		this.#pacedUntil = Infinity;
 		const {limit, running} = this.#places();
 		if (running >= limit) {
 			return undefined;
@@ -135,12 +140,21 @@
 			return undefined;
 		}
 
+		if (this.#isPaced(item) && now < this.#pace.nextAt) {
+			this.#pacedUntil = this.#pace.nextAt;
+			return undefined;
+		}
+
 		const {attempt, profile} = item.ticket;
 		this.#queued.delete(attempt);
 		this.#expiry.remove(this.#givenUpAt(item), item);
 		this.#backlog.take(item);
 		this.#running.start(item, now);
 		this.#load.onOwnRunning(this.#running.size);
+		this.#pace.onStart(
+			item.demand.uncachedTokens * this.#speed.promptTokenMs,
+			now,
+		);
 		this.#account.add(
 			profile.contract.requestClass,
 			item.demand.uncachedTokens * promptTokenCost,
@@ -235,6 +249,7 @@
 		const times = [
 			this.#expiry.firstKey ?? Infinity,
 			this.#displacing ? this.#nextDisplacement() : Infinity,
+			this.#queued.size > 0 ? this.#pacedUntil : Infinity,
 		];
 		const next = Math.min(...times);
 		return Number.isFinite(next) ? next : undefined;
@@ -287,8 +302,8 @@
 	}
 
 	#noteOffer(item: QueuedTicket, now: number): void {
-		const {requestClass, firstTokenMs} = item.ticket.profile.contract;
-		if (firstTokenMs < this.#speed.occupancyMs) {
+		const {requestClass} = item.ticket.profile.contract;
+		if (this.#isUrgent(item)) {
 			const tier = this.#backlog.tierOf(item);
 			this.#headroom.note(requestClass, tier, now);
 		}
@@ -385,6 +400,16 @@
 		return this.#policy.admission && now + wait > item.latestStart;
 	}
 
+	#isPaced(item: QueuedTicket): boolean {
+		return this.#policy.pacing && !this.#isUrgent(item);
+	}
+
+	/** The first-token target is too short to wait until a place becomes free. */
+	#isUrgent(item: QueuedTicket): boolean {
+		const {firstTokenMs} = item.ticket.profile.contract;
+		return firstTokenMs < this.#speed.occupancyMs;
+	}
+
 	/** The queue is at its bound and holds nothing of a lower tier that could be shed instead. */
 	#isFullFor(item: QueuedTicket): boolean {
 		if (this.#queued.size < maxQueued) {
