Let slow tight answers lower the aim of the concurrency limit

Cause: the limit followed the mean gap, but short tight answers vary more, and one in ten exceeded its gap target under full load. Change: the aim falls by 0.01 with each slow answer of a class that cannot wait and rises so that 0.5% of them are slow in the long run.

--- a/src/services/sidecar/concurrency-limit.ts
+++ b/src/services/sidecar/concurrency-limit.ts
@@ -2,10 +2,16 @@
 const intervalMs = 200;
 const initialLimit = 4;
 const largestLimit = 1024;
-/** The limit rises while the mean gap is below this part of the target. */
-const raiseBelow = 0.85;
-/** The limit falls when the mean gap exceeds this part of the target. */
-const lowerAbove = 0.95;
+/** Mean gap aimed at before slow answers were seen, as a part of the target. */
+const initialAim = 0.9;
+const smallestAim = 0.6;
+const largestAim = 0.95;
+/** The limit stays while the mean gap is within this distance of the aim. */
+const tolerance = 0.05;
+/** Part of the answers of the highest tier that may exceed their gap target. */
+const allowedSlow = 0.005;
+/** Step of the aim after a slow answer. */
+const aimStep = 0.01;
 const slowStartFactor = 1.5;
 const decreaseFactor = 0.9;
 
@@ -19,6 +25,7 @@
 	#ratioSum = 0;
 	#samples = 0;
 	#adjustedAt = 0;
+	#aim = initialAim;
 
 	constructor(slowStart: boolean) {
 		this.#slowStart = slowStart;
@@ -47,18 +54,28 @@
 		this.#samples = 0;
 	}
 
+	/**
+	 * Notes whether the mean gap of a whole answer exceeded its target. Moves the
+	 * aim so that the allowed part of the answers does (stochastic approximation
+	 * of a quantile, Robbins and Monro 1951).
+	 */
+	onAnswer(isSlow: boolean): void {
+		const aim = this.#aim + aimStep * (allowedSlow - (isSlow ? 1 : 0));
+		this.#aim = Math.min(largestAim, Math.max(smallestAim, aim));
+	}
+
 	dump(): unknown {
-		return {limit: this.#limit, slowStart: this.#slowStart};
+		return {aim: this.#aim, limit: this.#limit, slowStart: this.#slowStart};
 	}
 
 	#adjust(ratio: number, used: number): void {
-		if (ratio > lowerAbove) {
+		if (ratio > this.#aim + tolerance) {
 			this.#slowStart = false;
 			// A batch that is still above the limit says nothing about the limit.
 			if (used <= this.#limit + 1) {
 				this.#limit = Math.max(1, Math.min(this.#limit, used) * decreaseFactor);
 			}
-		} else if (ratio < raiseBelow && used >= this.value) {
+		} else if (ratio < this.#aim - tolerance && used >= this.value) {
 			this.#limit = Math.min(
 				largestLimit,
 				this.#slowStart ? this.#limit * slowStartFactor : this.#limit + 1,
--- a/src/services/sidecar/scheduler.ts
+++ b/src/services/sidecar/scheduler.ts
@@ -16,7 +16,12 @@
 import {PrefillPace} from './prefill-pace.js';
 import {PrefixCache} from './prefix-cache.js';
 import {Reservations} from './reservations.js';
-import {kvTokensOf, RunningSet, type RunningTicket} from './running-set.js';
+import {
+	kvTokensOf,
+	meanGapMs,
+	RunningSet,
+	type RunningTicket,
+} from './running-set.js';
 import {defaultPolicy, type SchedulerPolicy} from './scheduler-policy.js';
 import {ShareAccount} from './share-account.js';
 import type {Demand, QueuedTicket, Shed, Ticket} from './ticket.js';
@@ -206,6 +211,7 @@
 			);
 		if (completed) {
 			this.#speed.observeOccupancy(occupancyMs);
+			this.#onAnswer(running);
 			this.#lengths.record(
 				ticket.profile,
 				isModel ? running.tokens + ticket.resumedTokens : occupancyMs,
@@ -301,6 +307,15 @@
 		);
 	}
 
+	/** Slow answers count for the limit only in the classes that cannot wait, which are the ones with tight targets. */
+	#onAnswer(running: RunningTicket): void {
+		const gapMs = meanGapMs(running);
+		if (gapMs !== undefined && this.#isUrgent(running.item)) {
+			const {contract} = running.item.ticket.profile;
+			this.#limit.onAnswer(gapMs > contract.gapMs);
+		}
+	}
+
 	#noteOffer(item: QueuedTicket, now: number): void {
 		const {requestClass} = item.ticket.profile.contract;
 		if (this.#isUrgent(item)) {
