--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,6 +5,7 @@
 import {daemonCommand} from './daemon.js';
 import {demoCommand} from './demo.js';
 import {dumpCommand} from './dump.js';
+import {experimentCommand} from './experiment.js';
 import {spreadBenchCommand} from './spread-bench.js';
 
 const main = defineCommand({
@@ -20,6 +21,7 @@
 		check: checkCommand,
 		dump: dumpCommand,
 		demo: demoCommand,
+		experiment: experimentCommand,
 		'spread-bench': spreadBenchCommand,
 	},
 });
