Add the record commands

A meta.revision in an applied file must be the one in force, so a file from get is safe to edit and apply.

--- /dev/null
+++ b/src/cli/apply.ts
@@ -0,0 +1,72 @@
+import {defineCommand} from 'citty';
+import type {Table} from '../platform/index.js';
+import {exitCodes, terminal, type ExitCode, type Output} from './exit-code.js';
+import {recordArgs} from './record-args.js';
+import {
+	readRecordFiles,
+	readText,
+	reportFiles,
+	type ReadText,
+} from './record-files.js';
+import {planRecords, reportWrite, writeRecords} from './write-records.js';
+import {withTable} from './with-table.js';
+
+export type ApplyOptions = {
+	readonly files: readonly string[];
+	readonly operator: string;
+	readonly isDryRun: boolean;
+	readonly json: boolean;
+	readonly writeId?: string;
+	readonly read?: ReadText;
+};
+
+/** Writes the records of some files in one transaction. */
+export async function apply(
+	table: Table,
+	options: ApplyOptions,
+	output: Output = terminal,
+): Promise<ExitCode> {
+	const {operator, isDryRun, json, writeId} = options;
+	const files = await readRecordFiles(options.files, options.read ?? readText);
+	if (reportFiles(files, output)) {
+		return exitCodes.invalid;
+	}
+
+	const {edits} = files;
+	if (!isDryRun) {
+		const write = await writeRecords(table, {operator, edits, writeId});
+		return reportWrite(write, json, output);
+	}
+
+	const result = await planRecords(table, {operator, edits});
+	return reportWrite({id: 'dry-run', result, isDryRun}, json, output);
+}
+
+export const applyCommand = defineCommand({
+	meta: {
+		name: 'apply',
+		description:
+			'Write records from JSON files or standard input in one transaction; a meta.revision in a record must be the one in force',
+	},
+	args: {
+		table: recordArgs.table,
+		operator: recordArgs.operator,
+		'dry-run': recordArgs['dry-run'],
+		json: recordArgs.json,
+		'write-id': {
+			type: 'string',
+			description: 'Id of the write; random by default',
+		},
+	},
+	async run({args}) {
+		await withTable(args.table, async (table) =>
+			apply(table, {
+				files: args._,
+				operator: args.operator,
+				isDryRun: args['dry-run'] === true,
+				json: args.json === true,
+				writeId: args['write-id'],
+			}),
+		);
+	},
+});
--- /dev/null
+++ b/src/cli/records.test.ts
@@ -0,0 +1,148 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {TableUncertain, type VersionedFields} from '../platform/index.js';
+import {MemoryTable} from '../platform/standins/index.js';
+import {apply} from './apply.js';
+import {deleteRecord} from './delete.js';
+import {diffRecords} from './diff.js';
+import {exitCodes, type Output} from './exit-code.js';
+import {getRecord} from './get.js';
+import {showHistory} from './history.js';
+import {listRecords} from './list.js';
+import {validateRecords} from './validate.js';
+
+/** Collects what a command prints. */
+class Lines implements Output {
+	readonly text: string[] = [];
+
+	out(text: string): void {
+		this.text.push(text);
+	}
+
+	error(text: string): void {
+		this.text.push(text);
+	}
+
+	take(): string {
+		return this.text.splice(0).join('\n');
+	}
+}
+
+const term = {schema: 1, kind: 'term', name: 'abay', startsAtRevision: 1};
+function letters(tier: number, fields: object = {}): VersionedFields {
+	const targets = {tier, firstTokenMs: 660, gapMs: 32};
+	return {schema: 1, kind: 'class', name: 'letters', ...targets, ...fields};
+}
+
+function given(value: unknown) {
+	return {files: ['-'], json: false, read: async () => JSON.stringify(value)};
+}
+
+const options = {operator: 'abay', isDryRun: false, writeId: undefined};
+
+async function started(lines: Lines): Promise<MemoryTable> {
+	const table = new MemoryTable();
+	const code = await apply(
+		table,
+		{...given([term, letters(1)]), ...options, writeId: 'w1'},
+		lines,
+	);
+	expect([code, lines.take()]).toEqual([
+		exitCodes.done,
+		'accepted as revision 1, write w1',
+	]);
+	return table;
+}
+
+// Guards against an apply that overwrites a change made since its file was read.
+test('apply compares the revision and shows both sides of a conflict', async () => {
+	const lines = new Lines();
+	const table = await started(lines);
+	await getRecord(table, {kind: 'class', name: 'letters'}, lines);
+	const edited = JSON.parse(lines.take()) as VersionedFields;
+	const first = {...given({...edited, tier: 2}), ...options, writeId: 'w2'};
+	expect(await apply(table, first, lines)).toEqual(exitCodes.done);
+	lines.take();
+	const second = {...given({...edited, tier: 3}), ...options};
+	expect(await apply(table, second, lines)).toEqual(exitCodes.conflict);
+	const text = lines.take();
+	for (const part of ['write w2 at revision 2', '"tier":2', '"tier":3']) {
+		expect(text).toInclude(part);
+	}
+});
+
+// Guards against a dry run that writes, and a command that is silent about the operator's term.
+test('a dry run changes nothing and tells what a write would do', async () => {
+	const lines = new Lines();
+	const table = await started(lines);
+	const dry = {...given(letters(2)), ...options, isDryRun: true};
+	expect(await apply(table, dry, lines)).toEqual(exitCodes.done);
+	const other = {...dry, operator: 'baro'};
+	expect(await apply(table, other, lines)).toEqual(exitCodes.noTerm);
+	lines.take();
+	expect(await diffRecords(table, given(letters(2)), lines)).toEqual(
+		exitCodes.different,
+	);
+	expect(lines.take()).toEqual('class/letters\n- tier: 1\n+ tier: 2');
+	expect(await diffRecords(table, given(letters(1)), lines)).toEqual(
+		exitCodes.done,
+	);
+});
+
+// Guards against a history or list that misses or invents a change.
+test('delete, list and history agree', async () => {
+	const lines = new Lines();
+	const table = await started(lines);
+	const target = {kind: 'class', name: 'letters', json: false, ...options};
+	expect(await deleteRecord(table, {...target, revision: 9}, lines)).toEqual(
+		exitCodes.conflict,
+	);
+	expect(await deleteRecord(table, {...target, revision: 1}, lines)).toEqual(
+		exitCodes.done,
+	);
+	lines.take();
+	await listRecords(table, {json: false}, lines);
+	expect(lines.take()).toEqual('term/abay\t1\tabay');
+	await showHistory(
+		table,
+		{record: 'class/letters', last: 9, json: false},
+		lines,
+	);
+	expect(lines.take()).toMatchRegex(/^1\tabay\tw1\t.*\n2\tabay\t.*delete/v);
+	const unknown = {writeId: 'w9', last: 9, json: false};
+	expect(await showHistory(table, unknown, lines)).toEqual(exitCodes.different);
+});
+
+// Guards against a lost answer that the command reports as a failure.
+test('apply settles a lost answer', async () => {
+	const lines = new Lines();
+	const table = await started(lines);
+	const commit = table.commit.bind(table);
+	let isLost = true;
+	table.commit = async (transaction) => {
+		const decision = await commit(transaction);
+		if (isLost) {
+			isLost = false;
+			throw new TableUncertain('answer lost');
+		}
+
+		return decision;
+	};
+
+	const write = {...given(letters(2)), ...options, writeId: 'w2'};
+	expect(await apply(table, write, lines)).toEqual(exitCodes.done);
+	expect(lines.take()).toEqual('accepted as revision 2, write w2');
+});
+
+// Guards against an error that does not name the record and field.
+test('validate names every problem', async () => {
+	const lines = new Lines();
+	const bad = [letters(1), letters(77), {kind: 'other'}];
+	expect(await validateRecords(given(bad), lines)).toEqual(exitCodes.invalid);
+	const text = lines.take();
+	expect(text).toInclude('-[1]: tier:');
+	expect(text).toInclude('-[2]: kind "other" is not known');
+	const later = given(letters(1, {schema: 2}));
+	expect(await validateRecords(later, lines)).toEqual(exitCodes.done);
+	expect(lines.take()).toInclude('schema 2 is later than 1');
+});
--- /dev/null
+++ b/src/cli/with-table.ts
@@ -0,0 +1,21 @@
+import process from 'node:process';
+import {HttpTable} from '../platform/adapters/index.js';
+import {TableUnavailable, type Table} from '../platform/index.js';
+import {exitCodes, terminal, type ExitCode} from './exit-code.js';
+
+/** Runs a command against the table at a URL and sets the exit code of the process. */
+export async function withTable(
+	url: string,
+	command: (table: Table) => Promise<ExitCode>,
+): Promise<void> {
+	try {
+		process.exitCode = await command(new HttpTable(url));
+	} catch (error) {
+		if (!(error instanceof TableUnavailable)) {
+			throw error;
+		}
+
+		terminal.error(`error: ${error.message}`);
+		process.exitCode = exitCodes.unavailable;
+	}
+}
--- /dev/null
+++ b/src/cli/write-records.ts
@@ -0,0 +1,174 @@
+import {randomInt, randomUUID} from 'node:crypto';
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Random} from '../base/index.js';
+import {callTable, type Row, type Table} from '../platform/index.js';
+import {
+	editKey,
+	editProblems,
+	keysToRead,
+	planWrite,
+	readStored,
+	Writer,
+	type Edit,
+	type WriteResult,
+	type WriterEffect,
+} from '../services/index.js';
+import {exitCodes, type ExitCode, type Output} from './exit-code.js';
+
+export type WriteRequest = {
+	readonly operator: string;
+	readonly edits: readonly Edit[];
+	readonly writeId?: string;
+};
+
+/** Carries out a write against the table; settles within seconds also when answers are lost. */
+export async function writeRecords(
+	table: Table,
+	request: WriteRequest,
+): Promise<{id: string; result: WriteResult}> {
+	const id = request.writeId ?? randomUUID();
+	const {operator, edits} = request;
+	const writer = new Writer(new Random(randomInt(2 ** 31)));
+	const pending: WriterEffect[] = writer.handle(
+		{type: 'write', id, operator, edits},
+		performance.now(),
+	);
+	for (;;) {
+		const ended = pending.find((effect) => effect.type === 'result');
+		if (ended) {
+			return {id, result: ended.result};
+		}
+
+		const calls = pending.splice(0).filter((effect) => effect.type === 'table');
+		const answers = await Promise.all(
+			calls.map(async (effect) => ({
+				id: effect.id,
+				answer: await callTable(table, effect.call),
+			})),
+		);
+		for (const answer of answers) {
+			const message = {type: 'table', ...answer} as const;
+			pending.push(...writer.handle(message, performance.now()));
+		}
+
+		if (pending.length === 0) {
+			const wake = writer.nextWake() ?? performance.now();
+			await sleep(Math.max(1, wake - performance.now()));
+			pending.push(...writer.handle({type: 'tick'}, performance.now()));
+		}
+	}
+}
+
+/** What a write would do at present, without doing it. Rejects when the table cannot be read. */
+export async function planRecords(
+	table: Table,
+	request: WriteRequest,
+): Promise<WriteResult> {
+	const {operator, edits} = request;
+	const problems = editProblems(edits);
+	if (problems.length > 0) {
+		return {type: 'invalid', problems};
+	}
+
+	const rows = new Map<string, Row | undefined>();
+	for (const key of keysToRead(operator, edits)) {
+		rows.set(key, await table.read(key));
+	}
+
+	const expected = new Map(
+		edits.map((edit) => {
+			const key = editKey(edit);
+			const present = readStored(rows.get(key))?.meta?.revision ?? 0;
+			return [key, edit.expected ?? present];
+		}),
+	);
+	const plan = planWrite({id: 'dry-run', operator, edits}, rows, expected);
+	return plan.type === 'end'
+		? plan.result
+		: {type: 'accepted', revision: plan.revision};
+}
+
+/** Prints the result of a write and returns the exit code for it. */
+export function reportWrite(
+	write: {
+		readonly id: string;
+		readonly result: WriteResult;
+		readonly isDryRun?: boolean;
+	},
+	json: boolean,
+	output: Output,
+): ExitCode {
+	const {id, result, isDryRun = false} = write;
+	if (json) {
+		output.out(JSON.stringify({writeId: id, dryRun: isDryRun, ...result}));
+	}
+
+	const say = (text: string, isError = true) => {
+		if (json) {
+			return;
+		}
+
+		if (isError) {
+			output.error(text);
+		} else {
+			output.out(text);
+		}
+	};
+
+	switch (result.type) {
+		case 'accepted': {
+			const verb = isDryRun ? 'would be accepted' : 'accepted';
+			say(`${verb} as revision ${result.revision}, write ${id}`, false);
+			return exitCodes.done;
+		}
+
+		case 'conflict': {
+			const {winner} = result;
+			const who = winner
+				? `operator ${winner.operator} with write ${winner.writeId} at revision ${winner.revision}`
+				: 'a write that the log no longer holds';
+			say(`conflict on ${result.key}: in force is ${who}; nothing was changed`);
+			say(`in force: ${JSON.stringify(result.theirs ?? null)}`);
+			say(`yours: ${JSON.stringify(result.mine)}`);
+			return exitCodes.conflict;
+		}
+
+		case 'noTerm': {
+			const {operator, revision, endsAtRevision} = result;
+			const reasons = {
+				missing: 'has no term',
+				notStarted: 'has a term that has not started',
+				ended: `had a term that ended at revision ${endsAtRevision}`,
+			};
+			say(
+				`operator ${operator} ${reasons[result.reason]}; revision ${revision} was not written`,
+			);
+			return exitCodes.noTerm;
+		}
+
+		case 'invalid': {
+			for (const problem of result.problems) {
+				say(`error: ${problem}`);
+			}
+
+			return exitCodes.invalid;
+		}
+
+		case 'notAccepted': {
+			say(
+				result.reason === 'busy'
+					? 'not accepted: other writes kept coming first; try again'
+					: 'not accepted: the table could not be reached',
+			);
+			return exitCodes.unavailable;
+		}
+
+		case 'unknown': {
+			say(
+				`not yet known: look for write ${id} at revision ${result.revision} with "history --write-id ${id}"`,
+			);
+			return exitCodes.unknown;
+		}
+	}
+}
