--- a/src/lab/spread-fleet.ts
+++ b/src/lab/spread-fleet.ts
@@ -47,12 +47,15 @@
 		: framingBytes + bodySize(message);
 }
 
+/** A spread state machine, or a variant of it in a test. */
+export type SpreadMachine = Pick<Spread, 'handle' | 'nextWake' | 'revision'>;
+
 type Process = {
 	readonly name: string;
 	readonly index: number;
 	/** Counts restarts; messages and timers of an earlier run are dropped. */
 	run: number;
-	machine: Spread;
+	machine: SpreadMachine;
 	/** Earliest scheduled tick. */
 	wakeAt: number | undefined;
 	readyAt: number | undefined;
@@ -66,7 +69,7 @@
 	/** Part of the messages between processes that is lost, 0 to 1. */
 	readonly loss?: number;
 	/** Makes the machine of a process; for variants in tests. */
-	readonly machine?: (id: string, random: Random) => Spread;
+	readonly machine?: (id: string, random: Random) => SpreadMachine;
 	/** Told of each effect that changes what is in force. */
 	readonly onForce?: (
 		process: number,
@@ -215,7 +218,7 @@
 		this.clock.runUntil(time);
 	}
 
-	#machine(index: number): Spread {
+	#machine(index: number): SpreadMachine {
 		const id = this.#names[index]!;
 		const random = new Random(Math.floor(this.#random.next() * 2 ** 31));
 		return (
--- a/src/services/spread/spread.ts
+++ b/src/services/spread/spread.ts
@@ -195,7 +195,7 @@
 	#onTick(now: number): void {
 		if (this.#call && this.#call.until <= now) {
 			this.#call = undefined;
-			this.#tableFailures++;
+			this.#onTableFailure();
 		}
 
 		if (this.#pull && this.#pull.until <= now) {
@@ -465,11 +465,7 @@
 
 	#onTable(purpose: TablePurpose, answer: TableAnswer, now: number): void {
 		if (answer.type === 'unavailable' || answer.type === 'uncertain') {
-			this.#tableFailures++;
-			if (this.#staging?.source === undefined) {
-				this.#staging = undefined;
-			}
-
+			this.#onTableFailure();
 			return;
 		}
 
@@ -483,6 +479,13 @@
 		}
 	}
 
+	#onTableFailure(): void {
+		this.#tableFailures++;
+		if (this.#staging?.source === undefined) {
+			this.#staging = undefined;
+		}
+	}
+
 	#onHead(row: Row | undefined, now: number): void {
 		const head = row ? headSchema.parse(JSON.parse(row.value)).revision : 0;
 		this.#known = Math.max(this.#known, head);
@@ -531,6 +534,8 @@
 		this.#learn(entries, this.#id);
 		if (rows.length === scanLimit) {
 			this.#scanLog(now);
+		} else if (this.#staging?.source === undefined) {
+			this.#staging?.confirm();
 		}
 	}
 
@@ -564,8 +569,8 @@
 		const base = Math.max(0, this.#headBeforeLoad - staleMargin);
 		staging.add(base, {after: staging.after, records, next});
 		if (next === undefined) {
-			// The head after the scan tells which entries the scan may have seen in part.
-			this.#callTable('head', {type: 'read', key: headKey}, now);
+			// The log read after the scan holds every entry that the scan may have seen in part.
+			this.#scanLog(now);
 		} else {
 			this.#scanRecords(now);
 		}
--- a/src/services/spread/staging.ts
+++ b/src/services/spread/staging.ts
@@ -18,11 +18,14 @@
 
 	#base: number | undefined;
 	#consistentAt = 0;
+	/** Pieces of a peer name its revision; the table's do not, so its log has to be read after them. */
+	#isConfirmed: boolean;
 	#after = '';
 	#store: RecordStore | undefined;
 
 	constructor(source: string | undefined) {
 		this.source = source;
+		this.#isConfirmed = source !== undefined;
 	}
 
 	/** Key after which the next piece starts; undefined when all have come. */
@@ -38,7 +41,9 @@
 	/** The records, once they are consistent. */
 	get result(): RecordStore | undefined {
 		const revision = this.#store?.revision ?? -1;
-		return revision >= this.#consistentAt ? this.#store : undefined;
+		return this.#isConfirmed && revision >= this.#consistentAt
+			? this.#store
+			: undefined;
 	}
 
 	/** Adds a piece that the source sent while it was at `revision`. One that is out of order is ignored. */
@@ -65,6 +70,11 @@
 		this.#consistentAt = Math.max(this.#consistentAt, revision);
 	}
 
+	/** States that the log has been read to its end after the last piece. */
+	confirm(): void {
+		this.#isConfirmed = true;
+	}
+
 	apply(entries: readonly LogEntry[]): void {
 		for (const entry of entries) {
 			this.#store?.apply(entry);
