--- a/src/lab/records-fuzz.ts
+++ b/src/lab/records-fuzz.ts
@@ -7,8 +7,6 @@
 	recordPrefix,
 	termSchema,
 	type LogEntry,
-	type TableAnswer,
-	type TableCall,
 	type Term,
 } from '../platform/index.js';
 import {
@@ -20,6 +18,7 @@
 	type WriterEffect,
 	type WriterMessage,
 } from '../services/index.js';
+import {FaultyTable, longestCommitDelayMs} from './faulty-table.js';
 import {SpreadFleet, type SpreadMachine} from './spread-fleet.js';
 
 /** One step of a scenario; times are in milliseconds of virtual time. */
@@ -75,9 +74,6 @@
 
 const processes = 5;
 const operators = ['abay', 'baro', 'didessa'];
-const tableMs = 5;
-/** Longest time after which a commit whose answer was lost takes effect. */
-const longestDelayMs = 15_000;
 /** Time without faults after which everything must have converged. */
 const healMs = 60_000;
 
@@ -97,7 +93,8 @@
 	readonly #reached = Array.from({length: processes}, () => 0);
 	/** Head when each process started, or undefined once it could not read the table properly. */
 	readonly #startHeads: Array<number | undefined> = [];
-	#uncertain = 0;
+	/** The table as the operators see it. */
+	readonly #table: FaultyTable;
 	#writes = 0;
 
 	constructor(scenario: RecordsScenario, variant: RecordsVariant = {}) {
@@ -114,6 +111,8 @@
 				}
 			},
 		});
+		const {table, clock} = this.#fleet;
+		this.#table = new FaultyTable(table, clock, this.#random);
 		this.#desks = operators.map((_, index) => {
 			const random = new Random(scenario.seed + index);
 			return {
@@ -140,7 +139,7 @@
 		}
 
 		this.#heal();
-		fleet.runUntil(fleet.now + healMs + longestDelayMs);
+		fleet.runUntil(fleet.now + healMs + longestCommitDelayMs);
 		this.#checkEnd();
 	}
 
@@ -179,9 +178,11 @@
 
 			case 'outage': {
 				fleet.tableDown = true;
+				this.#table.isDown = true;
 				this.#startHeads.fill(undefined);
 				fleet.runUntil(fleet.now + action.ms);
 				fleet.tableDown = false;
+				this.#table.isDown = false;
 				break;
 			}
 
@@ -196,7 +197,7 @@
 			}
 
 			case 'faults': {
-				this.#uncertain = action.uncertain;
+				this.#table.uncertain = action.uncertain;
 				fleet.loss = action.loss;
 				fleet.staleReads = action.stale;
 				if (action.stale > 0) {
@@ -222,7 +223,7 @@
 	}
 
 	#heal(): void {
-		this.#uncertain = 0;
+		this.#table.uncertain = 0;
 		this.#fleet.loss = 0;
 		this.#fleet.staleReads = 0;
 		for (const desk of this.#desks) {
@@ -289,39 +290,12 @@
 			this.#results.set(effect.id, effect.result);
 		} else if (effect.type === 'table') {
 			const {id, call} = effect;
-			const {clock} = this.#fleet;
-			clock.after(tableMs * this.#random.next(), () => {
-				const answer = this.#answer(call);
-				clock.after(tableMs * this.#random.next(), () => {
-					this.#tell(index, {type: 'table', id, answer});
-				});
+			this.#table.call(call, (answer) => {
+				this.#tell(index, {type: 'table', id, answer});
 			});
 		}
 	}
 
-	#answer(call: TableCall): TableAnswer {
-		const {table, tableDown, clock} = this.#fleet;
-		if (tableDown) {
-			return {type: 'unavailable'};
-		}
-
-		if (call.type !== 'commit' || this.#random.next() >= this.#uncertain) {
-			return table.callNow(call);
-		}
-
-		const kind = this.#random.integer(3);
-		if (kind === 0) {
-			table.callNow(call);
-		} else if (kind === 1) {
-			// The table was slow: the commit takes effect after its answer was given up.
-			clock.after(this.#random.next() * longestDelayMs, () => {
-				table.callNow(call);
-			});
-		}
-
-		return {type: 'uncertain'};
-	}
-
 	#log(): LogEntry[] {
 		return this.#fleet.table
 			.scanNow(logPrefix, '', Infinity)
