Resume, query and cancel requests from any entry

Cause: an answer died with its caller's connection, and nobody could ask what became of a request. Before: no such messages. Conclusion: a caller can come back at any entry.

--- a/src/daemons/entry/entry-daemon.ts
+++ b/src/daemons/entry/entry-daemon.ts
@@ -35,6 +35,7 @@
 	type ParsedRequest,
 } from './caller-request.js';
 import {textOf} from './completion.js';
+import {parseRequestRoute} from './request-route.js';
 import {SidecarLinks} from './links.js';
 
 export type EntryDaemonOptions = {
@@ -52,6 +53,7 @@
 	readonly #catalogue = new Catalogue();
 	readonly #metrics = new Metrics();
 	readonly #answers = new Map<string, Answer>();
+	readonly #queries = new Map<string, ServerResponse>();
 	readonly #server: Server;
 	readonly #links: SidecarLinks;
 	readonly #task: Task<EntryMessage, EntryEffect>;
@@ -173,7 +175,7 @@
 		}
 
 		try {
-			const path = (message.url ?? '/').split('?', 1)[0];
+			const path = (message.url ?? '/').split('?', 1)[0]!;
 			if (message.method === 'GET' && path === '/healthz') {
 				response.end('ok\n');
 			} else if (message.method === 'GET' && path === '/readyz') {
@@ -183,6 +185,8 @@
 					.end(ready ? 'ready\n' : 'not ready\n');
 			} else if (message.method === 'GET' && path === '/v1/models') {
 				this.#sendModels(message, response);
+			} else if (path.startsWith('/v1/requests/')) {
+				this.#onRequestRoute(message, response, id);
 			} else {
 				const body = await readBody(message);
 				this.#route(this.#parse(message, body, id), response);
@@ -216,16 +220,60 @@
 	#route(parsed: ParsedRequest, response: ServerResponse): void {
 		const {request} = parsed;
 		requireIdempotencyKey(request);
-		const answer = new Answer(response, parsed.answer, request.id, (upTo) => {
-			this.#task.post({type: 'taken', requestId: request.id, upTo});
+		this.#addAnswer(response, parsed.answer, request.id);
+		this.#task.post({type: 'request', request});
+	}
+
+	#onRequestRoute(
+		message: IncomingMessage,
+		response: ServerResponse,
+		id: string,
+	): void {
+		const route = parseRequestRoute(message, this.#catalogue, id);
+		if (!route) {
+			throw new ApiError(404, 'not_found', `no ${message.method} here`);
+		}
+
+		if (route.type === 'events') {
+			this.#addAnswer(response, 'stream', id);
+		} else {
+			this.#queries.set(id, response);
+			response.once('close', () => {
+				this.#queries.delete(id);
+			});
+		}
+
+		this.#task.post(route);
+	}
+
+	#addAnswer(
+		response: ServerResponse,
+		form: ParsedRequest['answer'],
+		requestId: string,
+	): void {
+		const answer = new Answer(response, form, requestId, (upTo) => {
+			this.#task.post({type: 'taken', requestId, upTo});
 		});
-		this.#answers.set(request.id, answer);
+		this.#answers.set(requestId, answer);
 		response.once('close', () => {
-			if (this.#answers.delete(request.id)) {
-				this.#task.post({type: 'callerGone', requestId: request.id});
+			if (this.#answers.delete(requestId)) {
+				this.#task.post({type: 'callerGone', requestId});
 			}
 		});
-		this.#task.post({type: 'request', request});
+	}
+
+	#sendStatus({id, status}: Extract<EntryEffect, {type: 'status'}>): void {
+		const response = this.#queries.get(id);
+		response?.writeHead(status.state === 'unknown' ? 404 : 200, {
+			'content-type': 'application/json',
+		});
+		response?.end(
+			JSON.stringify({
+				state: status.state,
+				outcome: status.outcome ?? null,
+				event_id: status.eventId ?? null,
+			}),
+		);
 	}
 
 	#carryOut(effect: EntryEffect): void {
@@ -272,6 +320,11 @@
 				break;
 			}
 
+			case 'status': {
+				this.#sendStatus(effect);
+				break;
+			}
+
 			case 'drained': {
 				this.#resolveDrained();
 				break;
--- a/src/lab/cluster.ts
+++ b/src/lab/cluster.ts
@@ -217,6 +217,7 @@
 			}
 
 			case 'head':
+			case 'status':
 			case 'drained':
 			case 'count':
 			case 'timing':
--- a/src/lab/direct-router.ts
+++ b/src/lab/direct-router.ts
@@ -62,6 +62,8 @@
 				break;
 			}
 
+			case 'events':
+			case 'query':
 			case 'callerGone':
 			case 'taken':
 			case 'linkLost':
