Look on for a place to continue an answer, and settle a lost link at a timeout

Cause: a link that was lost while a cancelled attempt was waited for made the entry ask to be woken at once for ever; an answer in its middle was cut when the other endpoints refused it once. Change: such a loss counts as silence; an answer that has begun is offered again every 250 ms for 5 s, endpoints at which it has failed last.

--- a/src/services/entry/progress.ts
+++ b/src/services/entry/progress.ts
@@ -53,6 +53,10 @@
 	revoking: EntryAttempt | undefined;
 	/** Set while the final answer waits for the sidecar's word on a cancelled attempt. */
 	closing: {readonly until: number; readonly failure: Failure} | undefined;
+	/** A place to continue the answer is looked for until then. */
+	continueUntil: number;
+	/** Time at which the endpoints are asked again; undefined when none is set. */
+	continueAt: number | undefined;
 	/** An earlier attempt has started. */
 	ranBefore: boolean;
 	/** It is not known of an earlier attempt whether it has started. */
@@ -89,6 +93,8 @@
 		superseded: [],
 		revoking: undefined,
 		closing: undefined,
+		continueUntil: 0,
+		continueAt: undefined,
 		ranBefore: false,
 		doubtful: false,
 		headSent: false,
@@ -138,6 +144,10 @@
 		times.push(detached.until, detached.retryAt);
 	}
 
+	if (progress.continueAt !== undefined) {
+		times.push(progress.continueAt);
+	}
+
 	if (progress.offers.size > 0) {
 		times.push(progress.offersExpireAt);
 	}
--- a/src/services/entry/request-flow.ts
+++ b/src/services/entry/request-flow.ts
@@ -25,6 +25,10 @@
 /** Longest wait for a sidecar's word on an attempt that was cancelled at its deadline, in milliseconds. */
 const closingMs = 500;
 
+/** Time for which a place to continue an answer that has begun is looked for, and the pause between two rounds, in milliseconds. */
+const continueMs = 5000;
+const continuePauseMs = 250;
+
 type Chunk = Extract<Update, {type: 'chunk'}>;
 type Ended = Extract<Update, {type: 'ended'}>;
 
@@ -110,7 +114,11 @@
 	linkLost(progress: Progress, endpoint: string, now: number): void {
 		if (progress.offers.delete(endpoint) && progress.offers.size === 0) {
 			this.#select(progress, now);
-		} else if (progress.attempt?.endpoint.name === endpoint) {
+		} else if (progress.attempt?.endpoint.name !== endpoint) {
+			// The request does not depend on this link.
+		} else if (progress.closing) {
+			this.#onSilence(progress, now);
+		} else {
 			this.#attachments.linkLost(progress, progress.attempt, now);
 		}
 	}
@@ -146,6 +154,12 @@
 			} else if (attempt.detached.retryAt <= now) {
 				this.#attachments.reopen(progress, attempt, now);
 			}
+		} else if (progress.continueAt !== undefined) {
+			if (progress.continueAt <= now) {
+				progress.continueAt = undefined;
+				this.#parts.selection.reset(progress);
+				this.#select(progress, now);
+			}
 		} else if (progress.offers.size > 0 && progress.offersExpireAt <= now) {
 			progress.offers.clear();
 			this.#select(progress, now);
@@ -190,6 +204,11 @@
 			return;
 		}
 
+		if (progress.sequence > 0 && progress.continueUntil > now) {
+			progress.continueAt = now + continuePauseMs;
+			return;
+		}
+
 		const outcome = outcomeWithoutAnswer(progress);
 		const failure =
 			outcome === 'not_run'
@@ -341,6 +360,7 @@
 		if (progress.closing !== undefined || progress.deadline <= now) {
 			this.#endWithoutAnswer(progress, progress.closing?.failure ?? timedOut);
 		} else if (canContinue && this.#parts.budget.spend(contract.workspace)) {
+			progress.continueUntil = now + continueMs;
 			this.#parts.selection.reset(progress);
 			this.#select(progress, now);
 		} else {
--- a/src/services/entry/selection.ts
+++ b/src/services/entry/selection.ts
@@ -26,17 +26,21 @@
 		this.#options = options;
 	}
 
-	/** Starts anew with all eligible endpoints but those at which the request has failed. */
+	/** Starts anew with all eligible endpoints; those at which the request has failed come last. */
 	reset(progress: Progress): void {
-		const {request} = progress;
-		progress.candidates = orderCandidates(
-			request.endpoints.filter(
-				({leaving, name}) => !leaving && !progress.failedAt.has(name),
-			),
-			request.profile.prefix,
-			this.#options.place,
-			this.#options.random,
-		);
+		const {request, failedAt} = progress;
+		const eligible = request.endpoints.filter(({leaving}) => !leaving);
+		const order = (endpoints: EndpointView[]) =>
+			orderCandidates(
+				endpoints,
+				request.profile.prefix,
+				this.#options.place,
+				this.#options.random,
+			);
+		progress.candidates = [
+			...order(eligible.filter(({name}) => !failedAt.has(name))),
+			...order(eligible.filter(({name}) => failedAt.has(name))),
+		].slice(0, maxOffers);
 		progress.accepted = [];
 		progress.offers.clear();
 		progress.rounds = 0;
