--- a/src/daemons/sidecar/sidecar-daemon.ts
+++ b/src/daemons/sidecar/sidecar-daemon.ts
@@ -78,6 +78,7 @@
 					epochMs: Date.now() - monotonicNow(),
 					incarnation: this.#incarnation,
 					scheduler: new Scheduler(new Random(options.seed)),
+					random: new Random(options.seed + 1),
 				}),
 				(effect) => {
 					this.#carryOut(effect);
--- a/src/services/sidecar/claims.ts
+++ b/src/services/sidecar/claims.ts
@@ -1,4 +1,4 @@
-import {hash32} from '../../base/index.js';
+import {hash32, type Random} from '../../base/index.js';
 import {
 	runKey,
 	type AttemptStart,
@@ -13,6 +13,7 @@
 import type {CommonEffect} from '../effect.js';
 import {
 	Ledger,
+	Sweep,
 	claimWork,
 	cleanUpWork,
 	completionWork,
@@ -65,6 +66,8 @@
 	readonly incarnation: string;
 	/** Wall-clock time at monotonic time 0, in milliseconds since 1970. */
 	readonly epochMs: number;
+	/** Spreads the sweeps of expired run records; without it there are none. */
+	readonly random: Random | undefined;
 };
 
 /** Result of the claims' part in a message. */
@@ -77,12 +80,14 @@
 export class Claims {
 	readonly #options: ClaimsOptions;
 	readonly #ledger = new Ledger('claims');
+	readonly #sweep: Sweep | undefined;
 	/** By attempt. */
 	readonly #claims = new Map<string, Claim>();
 	#output: ClaimsOutput = {effects: [], events: []};
 
 	constructor(options: ClaimsOptions) {
 		this.#options = options;
+		this.#sweep = options.random && new Sweep(options.random);
 	}
 
 	/** Claims and table writes in progress. */
@@ -91,7 +96,10 @@
 	}
 
 	nextWake(): number | undefined {
-		return this.#ledger.nextWake();
+		const times = [this.#ledger.nextWake(), this.#sweep?.nextWake()].filter(
+			(time) => time !== undefined,
+		);
+		return times.length === 0 ? undefined : Math.min(...times);
 	}
 
 	/** Results since the last call. */
@@ -201,10 +209,15 @@
 
 	answer(tableId: string, answer: TableAnswer, now: number): void {
 		this.#apply(this.#ledger.answer(tableId, answer, now), now);
+		const wallNow = this.#options.epochMs + now;
+		this.#output.effects.push(
+			...(this.#sweep?.answer(tableId, answer, wallNow) ?? []),
+		);
 	}
 
 	advance(now: number): void {
 		this.#apply(this.#ledger.advance(now), now);
+		this.#output.effects.push(...(this.#sweep?.advance(now) ?? []));
 	}
 
 	#frame(claim: Claim, id: string, now: number): WorkFrame {
