--- a/src/services/entry/request-flow.ts
+++ b/src/services/entry/request-flow.ts
@@ -19,6 +19,7 @@
 	type EntryAttempt,
 	type Progress,
 } from './progress.js';
+import {currentProfile} from './remaining-profile.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {Selection} from './selection.js';
 
@@ -242,7 +243,7 @@
 			attempt: attempt.id,
 			requestId: request.id,
 			incarnation,
-			profile: request.profile,
+			profile: currentProfile(progress, now),
 			call: request.call,
 			idempotent: request.idempotent,
 			idempotencyKey: request.idempotencyKey,
