--- a/src/lab/experiment-report.ts
+++ b/src/lab/experiment-report.ts
@@ -18,6 +18,7 @@
 	return {
 		workload: row.workload,
 		load: row.load.toFixed(1),
+		'tight peak %': (row.tightPeak * 100).toFixed(0),
 		variant: row.variant,
 		'attainment %': byClass.join(', '),
 		'unanswered/late/slow': Object.values(row.misses)
--- a/src/lab/workload.ts
+++ b/src/lab/workload.ts
@@ -72,6 +72,27 @@
 	return {perSecond: (1000 * batch) / (output * gapMs), batch};
 }
 
+/** Largest demand of the highest tier during a run, as a part of the capacity. */
+export function tightPeak(
+	workload: Workload,
+	model: EngineModel,
+	load: number,
+): number {
+	const cost = (item: ClassDemand) =>
+		item.part *
+		(lognormalMean(item.outputTokens, item.spread) * model.sequenceMs +
+			(lognormalMean(item.promptTokens, promptSpread) - item.sharedTokens / 2) *
+				model.promptTokenMs);
+	let all = 0;
+	let tight = 0;
+	for (const item of workload.classes) {
+		all += cost(item);
+		tight += item.contract.tier === 0 ? cost(item) * item.burst : 0;
+	}
+
+	return (load * tight) / all;
+}
+
 /** Standard normal number by the Box-Muller transform. */
 function normal(random: Random): number {
 	return (
