Start urgent work while the pace holds back a patient class

Cause: a patient ticket that was held back by the pace of prompts also held back the urgent tickets behind it. Change: the next ticket is chosen among those that may start now; prompts of patient classes may take a fifth of the time.

--- a/src/services/sidecar/backlog.ts
+++ b/src/services/sidecar/backlog.ts
@@ -65,13 +65,17 @@
 		this.#size--;
 	}
 
-	/** The ticket that goes next: of the class furthest below its share, else of the highest tier and least slack. */
-	next(places: number, now: number): Choice | undefined {
+	/** The ticket that goes next among those that `mayStart` accepts: of the class furthest below its share, else of the highest tier and least slack. */
+	next(
+		places: number,
+		mayStart: (item: QueuedTicket) => boolean,
+		now: number,
+	): Choice | undefined {
 		let owed: ClassQueue | undefined;
 		let owedPart = 1;
 		let best: ClassQueue | undefined;
 		for (const queue of this.#queues.values()) {
-			if (queue.size === 0) {
+			if (queue.size === 0 || !mayStart(queue.first!)) {
 				continue;
 			}
 
--- a/src/services/sidecar/prefill-pace.ts
+++ b/src/services/sidecar/prefill-pace.ts
@@ -1,5 +1,5 @@
 /** Part of the endpoint's time that starts of lower tiers may spend on prompts. */
-const prefillPart = 0.25;
+const prefillPart = 0.2;
 
 /**
  * Spreads the starts of long prompts over time. An engine processes a prompt
--- a/src/services/sidecar/scheduler.ts
+++ b/src/services/sidecar/scheduler.ts
@@ -135,7 +135,13 @@
 			return undefined;
 		}
 
-		const next = this.#backlog.next(limit, now);
+		const isPacing = this.#policy.pacing && now < this.#pace.nextAt;
+		this.#pacedUntil = isPacing ? this.#pace.nextAt : Infinity;
+		const next = this.#backlog.next(
+			limit,
+			(item) => !isPacing || this.#isUrgent(item),
+			now,
+		);
 		if (!next || !this.#fitsMemory(next.item)) {
 			return undefined;
 		}
@@ -145,11 +151,6 @@
 			return undefined;
 		}
 
-		if (this.#isPaced(item) && now < this.#pace.nextAt) {
-			this.#pacedUntil = this.#pace.nextAt;
-			return undefined;
-		}
-
 		const {attempt, profile} = item.ticket;
 		this.#queued.delete(attempt);
 		this.#expiry.remove(this.#givenUpAt(item), item);
@@ -415,10 +416,6 @@
 		return this.#policy.admission && now + wait > item.latestStart;
 	}
 
-	#isPaced(item: QueuedTicket): boolean {
-		return this.#policy.pacing && !this.#isUrgent(item);
-	}
-
 	/** The first-token target is too short to wait until a place becomes free. */
 	#isUrgent(item: QueuedTicket): boolean {
 		const {firstTokenMs} = item.ticket.profile.contract;
