--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,10 +1,12 @@
 #!/usr/bin/env node
 import {defineCommand, runMain} from 'citty';
+import {capacityCommand} from './capacity.js';
 import {checkCommand} from './check.js';
 import {daemonCommand} from './daemon.js';
 import {demoCommand} from './demo.js';
 import {dumpCommand} from './dump.js';
 import {experimentCommand} from './experiment.js';
+import {spreadBenchCommand} from './spread-bench.js';
 
 const main = defineCommand({
 	meta: {
@@ -15,10 +17,12 @@
 	subCommands: {
 		entry: daemonCommand('entry'),
 		sidecar: daemonCommand('sidecar'),
+		capacity: capacityCommand,
 		check: checkCommand,
 		dump: dumpCommand,
 		demo: demoCommand,
 		experiment: experimentCommand,
+		'spread-bench': spreadBenchCommand,
 	},
 });
 
--- a/src/daemons/sidecar/sidecar-daemon.ts
+++ b/src/daemons/sidecar/sidecar-daemon.ts
@@ -34,7 +34,7 @@
 } from '../link/index.js';
 import {logEvent} from '../log.js';
 import {Metrics} from '../metrics.js';
-import {Task} from '../task.js';
+import {monotonicNow, Task} from '../task.js';
 
 const loadIntervalMs = 500;
 
@@ -79,6 +79,8 @@
 		this.#task = this.#store.add(
 			new Task(
 				new Sidecar({
+					endpoint: options.settings.process.instance,
+					epochMs: Date.now() - monotonicNow(),
 					incarnation: this.#incarnation,
 					scheduler: new Scheduler(new Random(hash32(this.#incarnation))),
 				}),
--- a/src/services/entry/remaining-profile.ts
+++ b/src/services/entry/remaining-profile.ts
@@ -1,4 +1,5 @@
 import type {Profile} from '../../platform/index.js';
+import type {Progress} from './progress.js';
 
 /** Least first-token target that is sent, in milliseconds; the message schema requires a positive one. */
 const smallestTargetMs = 1;
@@ -16,3 +17,14 @@
 		contract: {...contract, firstTokenMs: Math.max(smallestTargetMs, left)},
 	};
 }
+
+/** Profile for the request's next attempt; an answer that continues elsewhere gets the whole target again. */
+export function currentProfile(
+	{request, deadline, sequence}: Progress,
+	now: number,
+): Profile {
+	const elapsedMs = now - (deadline - request.timeoutMs);
+	return sequence > 0
+		? request.profile
+		: remainingProfile(request.profile, elapsedMs);
+}
