--- /dev/null
+++ b/src/cli/fuzz.ts
@@ -0,0 +1,104 @@
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import {defineCommand} from 'citty';
+import {
+	campaigns,
+	findingSchema,
+	replay,
+	runRound,
+	type Finding,
+} from '../lab/fuzz/index.js';
+
+/** Looks for violations of the request path's invariants in virtual time. Exit code 1 when it finds one. */
+export const fuzz = defineCommand({
+	meta: {
+		name: 'fuzz',
+		description: 'look for violations of the invariants in virtual time',
+	},
+	args: {
+		seed: {type: 'string', default: '1', description: 'first seed'},
+		runs: {
+			type: 'string',
+			default: '200',
+			description: 'runs of each campaign and seed',
+		},
+		minutes: {
+			type: 'string',
+			default: '0',
+			description: 'go on with the following seeds for this time',
+		},
+		campaign: {type: 'string', description: 'only this campaign'},
+		replay: {
+			type: 'string',
+			description: 'file with the JSON of a finding to run again',
+		},
+	},
+	run({args}) {
+		const found = args.replay
+			? replayFile(args.replay)
+			: runRounds({
+					seed: Number(args.seed),
+					runs: Number(args.runs),
+					minutes: Number(args.minutes),
+					campaign: args.campaign,
+				});
+		if (found) {
+			process.exitCode = 1;
+		}
+	},
+});
+
+function replayFile(path: string): boolean {
+	const {campaign, property, plan} = findingSchema.parse(
+		JSON.parse(readFileSync(path, 'utf8')),
+	);
+	const {trace, violations} = replay(campaign, plan);
+	write([...trace, ...violations]);
+	return violations.some((text) => text.startsWith(`${property}: `));
+}
+
+/** Runs seed after seed until the time is over; true when a property was violated. */
+function runRounds(options: {
+	readonly seed: number;
+	readonly runs: number;
+	readonly minutes: number;
+	readonly campaign: string | undefined;
+}): boolean {
+	const {runs, minutes, campaign: only} = options;
+	const end = Date.now() + minutes * 60_000;
+	let {seed} = options;
+	let found = false;
+	do {
+		for (const campaign of campaigns) {
+			if (only !== undefined && campaign.name !== only) {
+				continue;
+			}
+
+			const findings = runRound(campaign, seed, runs);
+			write([
+				`campaign ${campaign.name}, seed ${seed}, ${runs} runs: ${findings.length} of ${campaign.properties.length} properties violated`,
+				...findings.flatMap((finding) => describe(finding)),
+			]);
+			found ||= findings.length > 0;
+		}
+
+		seed++;
+	} while (Date.now() < end);
+
+	return found;
+}
+
+function describe(finding: Finding): string[] {
+	const {campaign, property, seed, plan, violations, trace} = finding;
+	return [
+		`violated: ${property} (campaign ${campaign}, seed ${seed})`,
+		...violations.slice(0, 5),
+		JSON.stringify({campaign, property, plan}),
+		...trace,
+		'',
+	];
+}
+
+function write(lines: readonly string[]): void {
+	process.stdout.write(`${lines.join('\n')}\n`);
+}
--- /dev/null
+++ b/src/lab/fuzz/arbitraries.ts
@@ -0,0 +1,164 @@
+import * as fc from 'fast-check';
+import type {Plan, RequestStep, Step} from './plan.js';
+
+/** Time in which the steps of a plan happen, in milliseconds. */
+const planMs = 12_000;
+
+const index = fc.nat({max: 5});
+const at = fc.nat({max: planMs});
+const process = fc.record({
+	role: fc.constantFrom('entry', 'sidecar'),
+	index,
+});
+
+const request: fc.Arbitrary<RequestStep> = fc.record({
+	type: fc.constant('request'),
+	at,
+	entry: index,
+	workspace: fc.nat({max: 1}),
+	requestClass: fc.constantFrom('tight', 'loose'),
+	target: fc.constantFrom('model', 'service'),
+	length: fc.integer({min: 1, max: 60}),
+	timeoutMs: fc.integer({min: 100, max: 10_000}),
+	resumable: fc.boolean(),
+	key: fc.option(fc.nat({max: 9}), {nil: undefined, freq: 3}),
+	copies: fc.oneof(
+		{weight: 4, arbitrary: fc.constant(1)},
+		{weight: 1, arbitrary: fc.integer({min: 2, max: 30})},
+	),
+	goneAfterMs: fc.option(fc.integer({min: 1, max: 4000}), {
+		nil: undefined,
+		freq: 1,
+	}),
+	takeMs: fc.oneof(
+		{weight: 4, arbitrary: fc.constant(0)},
+		{weight: 1, arbitrary: fc.nat({max: 300})},
+	),
+});
+
+const forMs = fc.integer({min: 1, max: 8000});
+
+const fault: fc.Arbitrary<Step> = fc.oneof(
+	fc.record({
+		type: fc.constant('cut' as const),
+		at,
+		entry: index,
+		endpoint: index,
+	}),
+	fc.record({
+		type: fc.constant('silence' as const),
+		at,
+		entry: index,
+		endpoint: index,
+		direction: fc.constantFrom('up' as const, 'down' as const, 'both' as const),
+	}),
+	fc.record({
+		type: fc.constant('partition' as const),
+		at,
+		entry: index,
+		endpoint: index,
+		forMs,
+	}),
+	fc.record({type: fc.constant('pause' as const), at, process, forMs}),
+	fc.record({
+		type: fc.constant('kill' as const),
+		at,
+		process,
+		downMs: fc.integer({min: 1, max: 4000}),
+		reset: fc.boolean(),
+	}),
+	fc.record({
+		type: fc.constant('crash' as const),
+		at,
+		endpoint: index,
+		downMs: fc.integer({min: 1, max: 4000}),
+	}),
+	fc.record({
+		type: fc.constant('slow' as const),
+		at,
+		endpoint: index,
+		factor: fc.constantFrom(2, 10, 50),
+		forMs,
+	}),
+	fc.record({
+		type: fc.constant('table' as const),
+		at,
+		forMs,
+		mode: fc.constantFrom(
+			'refused' as const,
+			'lostBefore' as const,
+			'lostAfter' as const,
+			'late' as const,
+			'hanging' as const,
+		),
+	}),
+);
+
+const leave: fc.Arbitrary<Step> = fc.record({
+	type: fc.constant('leave' as const),
+	at,
+	process,
+});
+
+function plan(
+	steps: fc.Arbitrary<Step[]>,
+	lossy: fc.Arbitrary<boolean>,
+): fc.Arbitrary<Plan> {
+	return fc.record({
+		seed: fc.nat(),
+		entries: fc.integer({min: 1, max: 3}),
+		engines: fc.integer({min: 1, max: 3}),
+		services: fc.integer({min: 1, max: 2}),
+		lossy,
+		shares: fc.constant({tight: 0.5, loose: 0.2}),
+		steps,
+	});
+}
+
+/** Several entries and endpoints with requests, faults and planned stops. */
+export const faultyPlan = plan(
+	fc.array(
+		fc.oneof(
+			{weight: 5, arbitrary: request},
+			{weight: 3, arbitrary: fault},
+			{weight: 1, arbitrary: leave},
+		),
+		{maxLength: 30, size: 'max'},
+	),
+	fc.boolean(),
+);
+
+/** Requests and planned stops, but no faults. */
+export const calmPlan = plan(
+	fc.array(
+		fc.oneof({weight: 5, arbitrary: request}, {weight: 1, arbitrary: leave}),
+		{maxLength: 20, size: 'max'},
+	),
+	fc.constant(false),
+);
+
+/** One endpoint under a backlog of both classes, without guaranteed shares or faults. */
+export const backlogPlan: fc.Arbitrary<Plan> = fc.record({
+	seed: fc.nat(),
+	entries: fc.integer({min: 1, max: 2}),
+	engines: fc.constant(1),
+	services: fc.constant(0),
+	lossy: fc.constant(false),
+	shares: fc.constant({tight: 0, loose: 0}),
+	steps: fc.array(
+		fc.record({
+			type: fc.constant('request' as const),
+			at: fc.nat({max: 5000}),
+			entry: index,
+			workspace: fc.nat({max: 1}),
+			requestClass: fc.constantFrom('tight' as const, 'loose' as const),
+			target: fc.constant('model' as const),
+			length: fc.integer({min: 1, max: 60}),
+			timeoutMs: fc.constant(300_000),
+			resumable: fc.constant(false),
+			copies: fc.integer({min: 1, max: 20}),
+			takeMs: fc.constant(0),
+		}),
+		{minLength: 1, maxLength: 6, size: 'max'},
+	),
+});
--- /dev/null
+++ b/src/lab/fuzz/callers.ts
@@ -0,0 +1,230 @@
+import type {EndpointView, EntryEffect} from '../../services/index.js';
+import type {Order} from './answer.js';
+import type {History, Sent} from './history.js';
+import type {EntryHost} from './network.js';
+import type {Plan, RequestStep} from './plan.js';
+import type {Timeline} from './timeline.js';
+
+/** Latency between callers and entries, one way, in milliseconds. */
+const callerLatencyMs = 3;
+
+const tiers = {tight: 0, loose: 1} as const;
+
+/** Sends requests as planned and records what the entries answer. */
+export class Callers {
+	readonly #timeline: Timeline;
+	readonly #history: History;
+	readonly #shares: Plan['shares'];
+	readonly #takeMs = new Map<string, number>();
+
+	constructor(timeline: Timeline, history: History, shares: Plan['shares']) {
+		this.#timeline = timeline;
+		this.#history = history;
+		this.#shares = shares;
+	}
+
+	/** Sends one request; `id` is unique in the run. */
+	send(
+		id: string,
+		step: RequestStep,
+		entry: EntryHost,
+		endpoints: readonly EndpointView[],
+		probe: boolean,
+	): void {
+		const {incarnation} = entry;
+		if (incarnation === undefined) {
+			// The connection is refused: nothing was sent.
+			return;
+		}
+
+		const workspace = `workspace-${step.workspace}`;
+		const keyed = step.key !== undefined && step.target === 'service';
+		// Requests of one key are the same request, so they have the same length.
+		const length = keyed ? (step.key! % 7) + 1 : step.length;
+		const identity = keyed ? `${workspace}.key-${step.key!}` : id;
+		const sent: Sent = {
+			id,
+			identity,
+			entry: entry.name,
+			entryIncarnation: incarnation,
+			at: this.#timeline.now,
+			timeoutMs: step.timeoutMs,
+			requestClass: step.requestClass,
+			tier: tiers[step.requestClass],
+			target: step.target,
+			length,
+			keyed,
+			probe,
+			arrived: false,
+			goneAt: undefined,
+			lostAt: undefined,
+			heads: 0,
+			text: '',
+			sequences: [],
+			ends: [],
+			afterEnd: 0,
+		};
+		this.#history.sent.set(id, sent);
+		this.#takeMs.set(id, step.takeMs);
+		this.#note(`${id} sent to ${incarnation}`, {identity, length});
+		const order: Order = {
+			request: id,
+			identity,
+			keyed,
+			length,
+			tier: sent.tier,
+		};
+		this.#timeline.after(callerLatencyMs, () => {
+			if (entry.incarnation !== incarnation) {
+				// The connection is refused: the entry never saw the request.
+				this.#history.sent.delete(id);
+				return;
+			}
+
+			sent.arrived = true;
+			entry.deliver(incarnation, {
+				type: 'request',
+				request: {
+					id,
+					profile: {
+						contract: {
+							workspace,
+							requestClass: step.requestClass,
+							tier: sent.tier,
+							firstTokenMs: 60_000,
+							gapMs: 1000,
+							share: this.#shares[step.requestClass],
+							weight: 1,
+							patience: 10,
+						},
+						target: step.target,
+						kind: step.target === 'model' ? 'model' : 'service',
+						promptTokens: step.target === 'model' ? 100 : 0,
+						prefix: [`prefix-${step.workspace}`],
+					},
+					call: {
+						method: 'POST',
+						path: '/v1/call',
+						headers: {},
+						body: JSON.stringify(order),
+					},
+					idempotent: !keyed,
+					idempotencyKey: keyed ? `key-${step.key!}` : undefined,
+					resumable: step.resumable,
+					timeoutMs: step.timeoutMs,
+					endpoints,
+				},
+			});
+		});
+		if (step.goneAfterMs !== undefined) {
+			this.#timeline.after(step.goneAfterMs, () => {
+				this.#leave(sent, entry);
+			});
+		}
+	}
+
+	/** An entry's process has ended: its callers lose their connections. */
+	onEntryEnd(incarnation: string): void {
+		for (const sent of this.#history.sent.values()) {
+			if (
+				sent.entryIncarnation === incarnation &&
+				sent.arrived &&
+				sent.ends.length === 0
+			) {
+				sent.lostAt ??= this.#timeline.now;
+			}
+		}
+	}
+
+	/** Callers that are connected to an entry's process and have no final answer. */
+	waitingAt(incarnation: string): Sent[] {
+		return [...this.#history.sent.values()].filter(
+			(sent) =>
+				sent.entryIncarnation === incarnation &&
+				sent.arrived &&
+				sent.ends.length === 0 &&
+				sent.goneAt === undefined &&
+				sent.lostAt === undefined,
+		);
+	}
+
+	onHead(effect: Extract<EntryEffect, {type: 'head'}>): void {
+		const sent = this.#open(effect.requestId);
+		if (sent) {
+			sent.heads++;
+		}
+	}
+
+	onChunk(
+		effect: Extract<EntryEffect, {type: 'chunk'}>,
+		entry: EntryHost,
+		incarnation: string,
+	): void {
+		const sent = this.#open(effect.requestId);
+		if (!sent) {
+			return;
+		}
+
+		sent.sequences.push(effect.sequence);
+		sent.text += effect.data;
+		this.#timeline.after(
+			callerLatencyMs + (this.#takeMs.get(sent.id) ?? 0),
+			() => {
+				entry.deliver(incarnation, {
+					type: 'taken',
+					requestId: effect.requestId,
+					upTo: effect.sequence,
+				});
+			},
+		);
+	}
+
+	onEnd(effect: Extract<EntryEffect, {type: 'end'}>): void {
+		const sent = this.#open(effect.requestId);
+		if (!sent) {
+			return;
+		}
+
+		const code = effect.failure?.code;
+		sent.ends.push({at: this.#timeline.now, outcome: effect.outcome, code});
+		this.#note(`${sent.id} told ${effect.outcome}`, {code});
+	}
+
+	#leave(sent: Sent, entry: EntryHost): void {
+		if (sent.ends.length > 0 || sent.lostAt !== undefined) {
+			return;
+		}
+
+		sent.goneAt = this.#timeline.now;
+		this.#note(`${sent.id} caller gone`, {});
+		this.#timeline.after(callerLatencyMs, () => {
+			entry.deliver(sent.entryIncarnation, {
+				type: 'callerGone',
+				requestId: sent.id,
+			});
+		});
+	}
+
+	/** The request, unless its caller can no longer be told anything. */
+	#open(id: string): Sent | undefined {
+		const sent = this.#history.sent.get(id);
+		if (!sent) {
+			this.#history.exceptions.push(`answer to an unknown request ${id}`);
+			return undefined;
+		}
+
+		if (sent.ends.length > 0) {
+			sent.afterEnd++;
+		}
+
+		return sent.goneAt === undefined && sent.lostAt === undefined
+			? sent
+			: undefined;
+	}
+
+	#note(text: string, fields: Record<string, unknown>): void {
+		this.#history.lines.push(
+			`${this.#timeline.now.toFixed(1)} ${text} ${JSON.stringify(fields)}`,
+		);
+	}
+}
--- /dev/null
+++ b/src/lab/fuzz/fake-table.ts
@@ -0,0 +1,107 @@
+import type {Random} from '../../base/index.js';
+import type {TableAnswer, TableCall} from '../../platform/index.js';
+import {MemoryTable} from '../../platform/standins/index.js';
+import type {Step} from './plan.js';
+import type {Timeline} from './timeline.js';
+
+type Mode = Extract<Step, {type: 'table'}>['mode'];
+
+/** Time after which a client gives up waiting for the table, in milliseconds. */
+const clientTimeoutMs = 2000;
+
+/** Table in virtual time whose writes fail before or after they take effect. */
+export class FakeTable {
+	readonly #rows = new MemoryTable();
+	readonly #timeline: Timeline;
+	readonly #random: Random;
+	#mode: Mode | undefined;
+
+	constructor(timeline: Timeline, random: Random) {
+		this.#timeline = timeline;
+		this.#random = random;
+	}
+
+	setMode(mode: Mode | undefined): void {
+		this.#mode = mode;
+	}
+
+	call(call: TableCall, onAnswer: (answer: TableAnswer) => void): void {
+		const request = 0.5 + this.#random.next() * 5;
+		const response = 0.5 + this.#random.next() * 5;
+		const write = call.type === 'commit';
+		const answerAfter = (ms: number, answer: TableAnswer): void => {
+			this.#timeline.after(ms, () => {
+				onAnswer(answer);
+			});
+		};
+
+		// The mode at the time of the call holds for the whole of it.
+		switch (this.#mode) {
+			case undefined: {
+				this.#timeline.after(request, () => {
+					answerAfter(response, this.#apply(call));
+				});
+				break;
+			}
+
+			case 'refused': {
+				answerAfter(request, {type: 'unavailable'});
+				break;
+			}
+
+			case 'lostBefore': {
+				answerAfter(clientTimeoutMs, {
+					type: write ? 'uncertain' : 'unavailable',
+				});
+				break;
+			}
+
+			case 'lostAfter': {
+				this.#timeline.after(request, () => {
+					this.#apply(call);
+				});
+				answerAfter(clientTimeoutMs, {
+					type: write ? 'uncertain' : 'unavailable',
+				});
+				break;
+			}
+
+			case 'late': {
+				this.#timeline.after(clientTimeoutMs * 1.5, () => {
+					this.#apply(call);
+				});
+				answerAfter(clientTimeoutMs, {
+					type: write ? 'uncertain' : 'unavailable',
+				});
+				break;
+			}
+
+			case 'hanging': {
+				answerAfter(30_000, {type: write ? 'uncertain' : 'unavailable'});
+				break;
+			}
+		}
+	}
+
+	#apply(call: TableCall): TableAnswer {
+		switch (call.type) {
+			case 'read': {
+				return {type: 'row', row: this.#rows.readNow(call.key)};
+			}
+
+			case 'scan': {
+				return {
+					type: 'rows',
+					rows: this.#rows.scanNow(call.prefix, call.after, call.limit),
+				};
+			}
+
+			case 'commit': {
+				return {
+					type: 'decision',
+					decision: this.#rows.commitNow(call.transaction),
+				};
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/lab/fuzz/fuzzer.ts
@@ -0,0 +1,130 @@
+import * as fc from 'fast-check';
+import {z} from 'zod';
+import {backlogPlan, calmPlan, faultyPlan} from './arbitraries.js';
+import type {Sabotage} from './machines.js';
+import {planSchema, type Plan} from './plan.js';
+import {
+	atMostOnce,
+	drained,
+	finalAnswer,
+	leavingStartsNothing,
+	notRun,
+	plannedStop,
+	recovery,
+	tierOrder,
+	undisturbed,
+	wholeAnswer,
+	type Property,
+} from './properties/index.js';
+import {World} from './world.js';
+
+/** A kind of plan with the properties that every run of it must have. */
+export type Campaign = {
+	readonly name: string;
+	readonly plans: fc.Arbitrary<Plan>;
+	readonly properties: readonly Property[];
+};
+
+const always = [
+	wholeAnswer,
+	notRun,
+	atMostOnce,
+	leavingStartsNothing,
+	plannedStop,
+	finalAnswer,
+	recovery,
+	drained,
+];
+
+export const campaigns: readonly Campaign[] = [
+	{name: 'faulty', plans: faultyPlan, properties: always},
+	{name: 'calm', plans: calmPlan, properties: [...always, undisturbed]},
+	{name: 'backlog', plans: backlogPlan, properties: [...always, tierOrder]},
+];
+
+/** What a finding needs in order to be run again. */
+export const findingSchema = z.object({
+	campaign: z.string(),
+	property: z.string(),
+	plan: planSchema,
+});
+
+/** A plan under which a property does not hold, shrunk as far as possible. */
+export type Finding = z.infer<typeof findingSchema> & {
+	readonly seed: number;
+	readonly violations: readonly string[];
+	readonly trace: readonly string[];
+};
+
+/** Options of a search; `seed` and `runs` decide which plans are tried. */
+export type SearchOptions = {
+	readonly seed: number;
+	readonly runs: number;
+	readonly sabotage?: Sabotage;
+};
+
+/** Looks for a plan that violates a property, and shrinks it. */
+export function search(
+	campaign: Campaign,
+	property: Property,
+	{seed, runs, sabotage}: SearchOptions,
+): Finding | undefined {
+	const result = fc.check(
+		fc.property(
+			campaign.plans,
+			(plan) =>
+				property.violations(new World(plan, sabotage).run()).length === 0,
+		),
+		{seed, numRuns: runs},
+	);
+	if (!result.counterexample) {
+		return undefined;
+	}
+
+	const [plan] = result.counterexample;
+	const history = new World(plan, sabotage).run();
+	return {
+		campaign: campaign.name,
+		property: property.name,
+		seed,
+		plan,
+		violations: property.violations(history),
+		trace: history.lines,
+	};
+}
+
+/** Checks all properties of a campaign on the same runs; shrinks one case of each that is violated. */
+export function runRound(
+	campaign: Campaign,
+	seed: number,
+	runs: number,
+): Finding[] {
+	const violated = new Set<Property>();
+	fc.check(
+		fc.property(campaign.plans, (plan) => {
+			const history = new World(plan).run();
+			for (const property of campaign.properties) {
+				if (property.violations(history).length > 0) {
+					violated.add(property);
+				}
+			}
+		}),
+		{seed, numRuns: runs},
+	);
+	return [...violated].flatMap(
+		(property) => search(campaign, property, {seed, runs}) ?? [],
+	);
+}
+
+/** Runs one plan and names all violated properties of its campaign. */
+export function replay(
+	name: string,
+	plan: Plan,
+): {readonly trace: readonly string[]; readonly violations: string[]} {
+	const history = new World(plan).run();
+	const campaign = campaigns.find((item) => item.name === name);
+	const violations = (campaign?.properties ?? []).flatMap((property) =>
+		property.violations(history).map((text) => `${property.name}: ${text}`),
+	);
+	return {trace: history.lines, violations};
+}
--- /dev/null
+++ b/src/lab/fuzz/properties/index.ts
@@ -0,0 +1,11 @@
+export * from './at-most-once.js';
+export * from './drained.js';
+export * from './final-answer.js';
+export * from './leaving.js';
+export * from './not-run.js';
+export * from './planned-stop.js';
+export type * from './property.js';
+export * from './recovery.js';
+export * from './tier-order.js';
+export * from './undisturbed.js';
+export * from './whole-answer.js';
--- /dev/null
+++ b/src/lab/fuzz/properties/recovery.ts
@@ -0,0 +1,13 @@
+import type {Property} from './property.js';
+
+/** After all faults have ended, every new request succeeds. */
+export const recovery: Property = {
+	name: 'recovery',
+	violations: (history) =>
+		[...history.sent.values()]
+			.filter(({probe, ends}) => probe && ends.at(0)?.outcome !== 'completed')
+			.map(
+				({id, entry, target, ends}) =>
+					`${id}: ${target} at ${entry} told ${ends[0]?.outcome ?? 'nothing'} (${ends[0]?.code ?? ''})`,
+			),
+};
--- a/src/platform/standins/memory-table.ts
+++ b/src/platform/standins/memory-table.ts
@@ -6,20 +6,30 @@
 	#revision = 0;
 
 	async read(key: string): Promise<Row | undefined> {
+		return this.readNow(key);
+	}
+
+	async scan(prefix: string, after?: string, limit?: number): Promise<Row[]> {
+		return this.scanNow(prefix, after, limit);
+	}
+
+	async commit(transaction: Transaction): Promise<Decision> {
+		return this.commitNow(transaction);
+	}
+
+	/** Synchronous read for harnesses that run in virtual time. */
+	readNow(key: string): Row | undefined {
 		return this.#rows.get(key);
 	}
 
-	async scan(prefix: string, after = '', limit = 1000): Promise<Row[]> {
+	/** Synchronous scan for harnesses that run in virtual time. */
+	scanNow(prefix: string, after = '', limit = 1000): Row[] {
 		return [...this.#rows.values()]
 			.filter((row) => row.key.startsWith(prefix) && row.key > after)
 			.toSorted((a, b) => (a.key < b.key ? -1 : 1))
 			.slice(0, limit);
 	}
 
-	async commit(transaction: Transaction): Promise<Decision> {
-		return this.commitNow(transaction);
-	}
-
 	/** Synchronous commit for harnesses that run in virtual time. */
 	commitNow(transaction: Transaction): Decision {
 		for (const check of transaction.checks) {
