--- a/src/platform/standins/memory-table.ts
+++ b/src/platform/standins/memory-table.ts
@@ -9,14 +9,10 @@
 		return this.readNow(key);
 	}
 
-	async scan(prefix: string, after?: string, limit?: number): Promise<Row[]> {
+	async scan(prefix: string, after = '', limit = 1000): Promise<Row[]> {
 		return this.scanNow(prefix, after, limit);
 	}
 
-	async commit(transaction: Transaction): Promise<Decision> {
-		return this.commitNow(transaction);
-	}
-
 	/** Synchronous read for harnesses that run in virtual time. */
 	readNow(key: string): Row | undefined {
 		return this.#rows.get(key);
@@ -30,6 +26,15 @@
 			.slice(0, limit);
 	}
 
+	async commit(transaction: Transaction): Promise<Decision> {
+		return this.commitNow(transaction);
+	}
+
+	/** Synchronous read for harnesses that run in virtual time. */
+	rowNow(key: string): Row | undefined {
+		return this.#rows.get(key);
+	}
+
 	/** Synchronous commit for harnesses that run in virtual time. */
 	commitNow(transaction: Transaction): Decision {
 		for (const check of transaction.checks) {
