--- a/src/lab/fuzz/arbitraries.ts
+++ b/src/lab/fuzz/arbitraries.ts
@@ -110,6 +110,8 @@
 		engines: fc.integer({min: 1, max: 3}),
 		services: fc.integer({min: 1, max: 2}),
 		lossy,
+		engineGapMs: fc.constant(20),
+		gapTargetMs: fc.constantFrom(32, 1000),
 		shares: fc.constant({tight: 0.5, loose: 0.2}),
 		steps,
 	});
@@ -144,6 +146,8 @@
 	engines: fc.constant(1),
 	services: fc.constant(0),
 	lossy: fc.constant(false),
+	engineGapMs: fc.constant(50),
+	gapTargetMs: fc.constant(80),
 	shares: fc.constant({tight: 0, loose: 0}),
 	steps: fc.array(
 		fc.record({
@@ -156,9 +160,53 @@
 			length: fc.integer({min: 1, max: 60}),
 			timeoutMs: fc.constant(300_000),
 			resumable: fc.constant(false),
-			copies: fc.integer({min: 1, max: 20}),
+			copies: fc.integer({min: 1, max: 25}),
 			takeMs: fc.constant(0),
 		}),
 		{minLength: 1, maxLength: 6, size: 'max'},
 	),
 });
+
+/** Seconds for which the burst goes on. */
+const burstSeconds = 50;
+
+const backlogged = {
+	type: 'request',
+	entry: 0,
+	workspace: 0,
+	target: 'model',
+	length: 40,
+	timeoutMs: 300_000,
+	resumable: false,
+	takeMs: 0,
+} as const;
+
+/** One endpoint, a burst of the higher tier above its capacity and a backlog of the lower one. */
+export const burstPlan: fc.Arbitrary<Plan> = fc
+	.record({
+		seed: fc.nat(),
+		loose: fc.integer({min: 80, max: 120}),
+		bursts: fc.array(fc.integer({min: 3, max: 8}), {
+			minLength: burstSeconds,
+			maxLength: burstSeconds,
+		}),
+	})
+	.map(({seed, loose, bursts}) => ({
+		seed,
+		entries: 1,
+		engines: 1,
+		services: 0,
+		lossy: false,
+		engineGapMs: 200,
+		gapTargetMs: 320,
+		shares: {tight: 0.5, loose: 0.2},
+		steps: [
+			{...backlogged, requestClass: 'loose', at: 0, copies: loose},
+			...bursts.map((copies, second): RequestStep => ({
+				...backlogged,
+				requestClass: 'tight',
+				at: second * 1000,
+				copies,
+			})),
+		],
+	}));
--- a/src/lab/fuzz/callers.ts
+++ b/src/lab/fuzz/callers.ts
@@ -14,13 +14,13 @@
 export class Callers {
 	readonly #clock: VirtualClock;
 	readonly #history: History;
-	readonly #shares: Plan['shares'];
+	readonly #plan: Plan;
 	readonly #takeMs = new Map<string, number>();
 
-	constructor(clock: VirtualClock, history: History, shares: Plan['shares']) {
+	constructor(clock: VirtualClock, history: History, plan: Plan) {
 		this.#clock = clock;
 		this.#history = history;
-		this.#shares = shares;
+		this.#plan = plan;
 	}
 
 	/** Sends one request; `id` is unique in the run. */
@@ -90,14 +90,14 @@
 							requestClass: step.requestClass,
 							tier: sent.tier,
 							firstTokenMs: 60_000,
-							gapMs: 1000,
-							share: this.#shares[step.requestClass],
+							gapMs: this.#plan.gapTargetMs,
+							share: this.#plan.shares[step.requestClass],
 							weight: 1,
 							patience: 10,
 						},
 						target: step.target,
 						kind: step.target === 'model' ? 'model' : 'service',
-						promptTokens: step.target === 'model' ? 100 : 0,
+						promptTokens: step.target === 'model' ? 16 : 0,
 						prefix: [`prefix-${step.workspace}`],
 					},
 					call: {
--- a/src/lab/fuzz/fake-endpoint.ts
+++ b/src/lab/fuzz/fake-endpoint.ts
@@ -12,7 +12,6 @@
 
 /** Runs that an engine computes at full speed; more share it. */
 const fullSpeedRuns = 8;
-const engineGapMs = 20;
 
 type Run = {
 	readonly executed: Executed;
@@ -31,6 +30,8 @@
 	readonly clock: VirtualClock;
 	readonly history: History;
 	readonly random: Random;
+	/** Time for one step of the batch, in milliseconds. */
+	readonly gapMs: number;
 };
 
 /** Engine or plain service in virtual time. An engine continues answers and stops cancelled ones; a service does neither. */
@@ -217,7 +218,7 @@
 
 	#gap(): number {
 		const crowd = Math.max(1, this.#runs.size / fullSpeedRuns);
-		return engineGapMs * this.#slowness * crowd;
+		return this.#options.gapMs * this.#slowness * crowd;
 	}
 
 	#finish(
--- a/src/lab/fuzz/fuzzer.ts
+++ b/src/lab/fuzz/fuzzer.ts
@@ -1,6 +1,6 @@
 import * as fc from 'fast-check';
 import {z} from 'zod';
-import {backlogPlan, calmPlan, faultyPlan} from './arbitraries.js';
+import {backlogPlan, burstPlan, calmPlan, faultyPlan} from './arbitraries.js';
 import type {Sabotage} from './machines.js';
 import {planSchema, type Plan} from './plan.js';
 import {
@@ -11,6 +11,7 @@
 	notRun,
 	plannedStop,
 	recovery,
+	starvation,
 	tierOrder,
 	undisturbed,
 	wholeAnswer,
@@ -40,6 +41,7 @@
 	{name: 'faulty', plans: faultyPlan, properties: always},
 	{name: 'calm', plans: calmPlan, properties: [...always, undisturbed]},
 	{name: 'backlog', plans: backlogPlan, properties: [...always, tierOrder]},
+	{name: 'burst', plans: burstPlan, properties: [...always, starvation]},
 ];
 
 /** What a finding needs in order to be run again. */
--- a/src/lab/fuzz/history.ts
+++ b/src/lab/fuzz/history.ts
@@ -1,4 +1,5 @@
 import type {Outcome} from '../../platform/index.js';
+import type {Plan} from './plan.js';
 
 /** A request as its caller sent it and what the caller was told. Times are virtual milliseconds. */
 export type Sent = {
@@ -64,6 +65,8 @@
 
 /** All that the oracle knows. */
 export class History {
+	/** Guaranteed shares by class. */
+	readonly shares: Plan['shares'];
 	readonly sent = new Map<string, Sent>();
 	readonly executed: Executed[] = [];
 	readonly leaves: Leave[] = [];
@@ -78,6 +81,10 @@
 	/** Human-readable lines in order of time, for a trace. */
 	readonly lines: string[] = [];
 
+	constructor(shares: Plan['shares']) {
+		this.shares = shares;
+	}
+
 	/** Time for which a process was paused within an interval, in milliseconds. */
 	pausedWithin(process: string, from: number, to: number): number {
 		let total = 0;
--- a/src/lab/fuzz/plan.ts
+++ b/src/lab/fuzz/plan.ts
@@ -89,6 +89,9 @@
 	services: z.int().min(0).max(8),
 	/** Some messages are late because the transport sends them again. */
 	lossy: z.boolean(),
+	/** Time for one step of an engine's batch, and the target of both classes for the time between tokens. */
+	engineGapMs: z.number().positive(),
+	gapTargetMs: z.number().positive(),
 	/** Guaranteed shares of the two classes. */
 	shares: z.object({
 		tight: z.number().min(0).max(1),
--- a/src/lab/fuzz/properties/index.ts
+++ b/src/lab/fuzz/properties/index.ts
@@ -6,6 +6,7 @@
 export * from './planned-stop.js';
 export type * from './property.js';
 export * from './recovery.js';
+export * from './starvation.js';
 export * from './tier-order.js';
 export * from './undisturbed.js';
 export * from './whole-answer.js';
--- a/src/lab/fuzz/world.ts
+++ b/src/lab/fuzz/world.ts
@@ -38,7 +38,7 @@
 
 /** Entries, sidecars, endpoints, callers, network and table of one run in virtual time. */
 export class World {
-	readonly history = new History();
+	readonly history: History;
 	readonly #plan: Plan;
 	readonly #sabotage: Sabotage;
 	readonly #clock = new VirtualClock();
@@ -53,6 +53,7 @@
 	#requests = 0;
 
 	constructor(plan: Plan, sabotage: Sabotage = {}) {
+		this.history = new History(plan.shares);
 		this.#plan = plan;
 		this.#sabotage = sabotage;
 		this.#streams = new Streams(plan.seed);
@@ -63,7 +64,7 @@
 			plan.lossy ? this.#quietAt : 0,
 		);
 		this.#table = new FakeTable(this.#clock, this.#streams.get('table'));
-		this.#callers = new Callers(this.#clock, this.history, plan.shares);
+		this.#callers = new Callers(this.#clock, this.history, plan);
 		for (let n = 0; n < plan.entries; n++) {
 			this.#entries.push(this.#createEntry(`entry-${n}`));
 		}
@@ -148,6 +149,7 @@
 			clock: this.#clock,
 			history: this.history,
 			random: this.#streams.get(`endpoint ${name}`),
+			gapMs: this.#plan.engineGapMs,
 		});
 		const station: Station = {
 			host,
