--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,9 +1,11 @@
 #!/usr/bin/env node
 import {defineCommand, runMain} from 'citty';
+import {capacityCommand} from './capacity.js';
 import {checkCommand} from './check.js';
 import {daemonCommand} from './daemon.js';
 import {demoCommand} from './demo.js';
 import {dumpCommand} from './dump.js';
+import {experimentCommand} from './experiment.js';
 import {spreadBenchCommand} from './spread-bench.js';
 
 const main = defineCommand({
@@ -15,9 +17,11 @@
 	subCommands: {
 		entry: daemonCommand('entry'),
 		sidecar: daemonCommand('sidecar'),
+		capacity: capacityCommand,
 		check: checkCommand,
 		dump: dumpCommand,
 		demo: demoCommand,
+		experiment: experimentCommand,
 		'spread-bench': spreadBenchCommand,
 	},
 });
--- a/src/daemons/sidecar/sidecar-daemon.ts
+++ b/src/daemons/sidecar/sidecar-daemon.ts
@@ -1,6 +1,11 @@
 import {randomUUID} from 'node:crypto';
 import {Agent} from 'undici';
-import {DisposableStore, Random, type Disposable} from '../../base/index.js';
+import {
+	DisposableStore,
+	hash32,
+	Random,
+	type Disposable,
+} from '../../base/index.js';
 import {HttpEngine, HttpService} from '../../platform/adapters/index.js';
 import {
 	callTable,
@@ -77,7 +82,7 @@
 					endpoint: options.settings.process.instance,
 					epochMs: Date.now() - monotonicNow(),
 					incarnation: this.#incarnation,
-					scheduler: new Scheduler(new Random(options.seed)),
+					scheduler: new Scheduler(new Random(hash32(this.#incarnation))),
 				}),
 				(effect) => {
 					this.#carryOut(effect);
--- a/src/lab/variants.ts
+++ b/src/lab/variants.ts
@@ -5,6 +5,8 @@
 const firstCome: Partial<SchedulerPolicy> = {
 	tiers: false,
 	shares: false,
+	headroom: false,
+	pacing: false,
 	fairness: false,
 	slack: false,
 	admission: false,
--- a/src/services/entry/selection.ts
+++ b/src/services/entry/selection.ts
@@ -8,6 +8,7 @@
 	type Place,
 } from './candidates.js';
 import type {Progress} from './progress.js';
+import {currentProfile} from './remaining-profile.js';
 
 /** Time after which an offer without a reply counts as refused, in milliseconds. */
 const offerTimeoutMs = 250;
@@ -55,7 +56,7 @@
 			this.#options.send(endpoint, {
 				type: 'offer',
 				id: progress.request.id,
-				profile: progress.request.profile,
+				profile: currentProfile(progress, now),
 				remainingMs: progress.deadline - now,
 			});
 		}
--- a/src/services/sidecar/endpoint-speed.ts
+++ b/src/services/sidecar/endpoint-speed.ts
@@ -12,6 +12,7 @@
 export class EndpointSpeed {
 	#gapMs = initialGapMs;
 	#occupancyMs = initialOccupancyMs;
+	#deviationMs = 0;
 	#weight = 0;
 	#sumX = 0;
 	#sumY = 0;
@@ -36,6 +37,8 @@
 	}
 
 	observeFirstToken(ms: number, uncachedTokens: number): void {
+		const error = Math.abs(ms - this.prefillMs(uncachedTokens));
+		this.#deviationMs += (error - this.#deviationMs) * newSampleWeight;
 		this.#weight = this.#weight * retained + 1;
 		this.#sumX = this.#sumX * retained + uncachedTokens;
 		this.#sumY = this.#sumY * retained + ms;
@@ -43,17 +46,33 @@
 		this.#sumXy = this.#sumXy * retained + uncachedTokens * ms;
 	}
 
-	/** Expected time from the start to the first token, in milliseconds. */
-	prefillMs(uncachedTokens: number): number {
+	/** Time from the start to the first token that is rarely exceeded, in milliseconds; mean and deviation as in RFC 6298. */
+	cautiousPrefillMs(uncachedTokens: number): number {
+		return this.prefillMs(uncachedTokens) + 4 * this.#deviationMs;
+	}
+
+	/** Time that each uncached prompt token adds to the first token, in milliseconds. */
+	get promptTokenMs(): number {
 		if (this.#weight < 5) {
-			return this.#gapMs + uncachedTokens * initialPrefillMsPerToken;
+			return initialPrefillMsPerToken;
 		}
 
 		const meanX = this.#sumX / this.#weight;
 		const meanY = this.#sumY / this.#weight;
 		const varianceX = this.#sumXx / this.#weight - meanX ** 2;
 		const covariance = this.#sumXy / this.#weight - meanX * meanY;
-		const slope = varianceX > 1 ? Math.max(0, covariance / varianceX) : 0;
+		return varianceX > 1 ? Math.max(0, covariance / varianceX) : 0;
+	}
+
+	/** Expected time from the start to the first token, in milliseconds. */
+	prefillMs(uncachedTokens: number): number {
+		const slope = this.promptTokenMs;
+		if (this.#weight < 5) {
+			return this.#gapMs + uncachedTokens * slope;
+		}
+
+		const meanX = this.#sumX / this.#weight;
+		const meanY = this.#sumY / this.#weight;
 		return Math.max(0, meanY + slope * (uncachedTokens - meanX));
 	}
 
@@ -62,6 +81,7 @@
 			gapMs: this.#gapMs,
 			occupancyMs: this.#occupancyMs,
 			prefillMs: this.prefillMs(0),
+			deviationMs: this.#deviationMs,
 		};
 	}
 }
--- a/src/services/sidecar/scheduler.ts
+++ b/src/services/sidecar/scheduler.ts
@@ -10,11 +10,18 @@
 import {ConcurrencyLimit} from './concurrency-limit.js';
 import {EndpointSpeed} from './endpoint-speed.js';
 import {GapTarget} from './gap-target.js';
+import {Headroom} from './headroom.js';
 import {LengthEstimate} from './length-estimate.js';
 import {LoadView} from './load-view.js';
+import {PrefillPace} from './prefill-pace.js';
 import {PrefixCache} from './prefix-cache.js';
 import {Reservations} from './reservations.js';
-import {kvTokensOf, RunningSet, type RunningTicket} from './running-set.js';
+import {
+	kvTokensOf,
+	meanGapMs,
+	RunningSet,
+	type RunningTicket,
+} from './running-set.js';
 import {defaultPolicy, type SchedulerPolicy} from './scheduler-policy.js';
 import {ShareAccount} from './share-account.js';
 import type {Demand, QueuedTicket, Shed, Ticket} from './ticket.js';
@@ -42,6 +49,8 @@
 	readonly #limit: ConcurrencyLimit;
 	readonly #speed = new EndpointSpeed();
 	readonly #gapTarget = new GapTarget();
+	readonly #headroom = new Headroom();
+	readonly #pace = new PrefillPace();
 	readonly #lengths = new LengthEstimate();
 	readonly #load = new LoadView();
 	readonly #prefixCache = new PrefixCache();
@@ -53,6 +62,8 @@
 	/** Set when work has arrived that may displace queued work. */
 	#displacing = false;
 	#displacedAt = 0;
+	/** Time until which the next ticket waits because of the pace of starts. */
+	#pacedUntil = Infinity;
 
 	/** `random` spreads the retry times; `policy` switches single mechanisms off for experiments. */
 	constructor(random: Random, policy: Partial<SchedulerPolicy> = {}) {
@@ -74,10 +85,11 @@
 			},
 			now,
 		);
+		this.#noteOffer(item, now);
 		const reservedMs = this.#policy.reservations
 			? this.#reservations.occupancyMs(profile.contract.tier, now)
 			: 0;
-		const wait = this.#wait(item, reservedMs);
+		const wait = this.#wait(item, reservedMs, now);
 		if (this.#tooLate(item, wait, now) || this.#isFullFor(item)) {
 			return {type: 'refuse', refusal: this.#overloaded(wait)};
 		}
@@ -94,7 +106,7 @@
 	enqueue(ticket: Ticket, now: number): Shed[] {
 		this.#reservations.take(ticket.profile, now);
 		const item = this.#measure(ticket, now);
-		const wait = this.#wait(item, 0);
+		const wait = this.#wait(item, 0, now);
 		if (this.#tooLate(item, wait, now) || this.#isFullFor(item)) {
 			return [{ticket, refusal: this.#overloaded(wait)}];
 		}
@@ -117,13 +129,24 @@
 
 	/** Removes and returns the next ticket to start, if there is a place for one; it then counts as running. */
 	takeNext(now: number): Ticket | undefined {
-		const {limit} = this.#places();
-		if (this.#running.size + this.#load.otherRunning >= limit) {
+		this.#pacedUntil = Infinity;
+		const {limit, running} = this.#places();
+		if (running >= limit) {
 			return undefined;
 		}
 
-		const item = this.#backlog.next(limit, now);
-		if (!item || !this.#fitsMemory(item)) {
+		const next = this.#backlog.next(limit, now);
+		if (!next || !this.#fitsMemory(next.item)) {
+			return undefined;
+		}
+
+		const {item, isOwed} = next;
+		if (!isOwed && running >= limit - this.#reserve(item, now)) {
+			return undefined;
+		}
+
+		if (this.#isPaced(item) && now < this.#pace.nextAt) {
+			this.#pacedUntil = this.#pace.nextAt;
 			return undefined;
 		}
 
@@ -133,6 +156,10 @@
 		this.#backlog.take(item);
 		this.#running.start(item, now);
 		this.#load.onOwnRunning(this.#running.size);
+		this.#pace.onStart(
+			item.demand.uncachedTokens * this.#speed.promptTokenMs,
+			now,
+		);
 		this.#account.add(
 			profile.contract.requestClass,
 			item.demand.uncachedTokens * promptTokenCost,
@@ -184,6 +211,7 @@
 			);
 		if (completed) {
 			this.#speed.observeOccupancy(occupancyMs);
+			this.#onAnswer(running);
 			this.#lengths.record(
 				ticket.profile,
 				isModel ? running.tokens + ticket.resumedTokens : occupancyMs,
@@ -203,7 +231,7 @@
 			const reason = item.ticket.deadline <= now ? 'deadline' : 'overloaded';
 			shed.push({
 				ticket: item.ticket,
-				refusal: {...this.#overloaded(this.#wait(item, 0)), reason},
+				refusal: {...this.#overloaded(this.#wait(item, 0, now)), reason},
 			});
 		}
 
@@ -227,6 +255,7 @@
 		const times = [
 			this.#expiry.firstKey ?? Infinity,
 			this.#displacing ? this.#nextDisplacement() : Infinity,
+			this.#queued.size > 0 ? this.#pacedUntil : Infinity,
 		];
 		const next = Math.min(...times);
 		return Number.isFinite(next) ? next : undefined;
@@ -258,14 +287,41 @@
 		this.#prefixCache.onPrompt(prefix, now);
 		if (kind === 'service') {
 			const target = contract.firstTokenMs * serviceTargetPart;
-			this.#limit.observe((now - startedAt) / target, this.#running.size, now);
+			this.#limit.observe(
+				(now - startedAt) / target,
+				this.#running.size,
+				0,
+				now,
+			);
 		}
 	}
 
 	#onGap(gapMs: number, now: number): void {
 		this.#speed.observeGap(gapMs);
 		const target = this.#gapTarget.tightest(now);
-		this.#limit.observe(gapMs / target, this.#running.size, now);
+		this.#limit.observe(
+			gapMs / target,
+			this.#running.size,
+			this.#reserve(undefined, now),
+			now,
+		);
+	}
+
+	/** Slow answers count for the limit only in the classes that cannot wait, which are the ones with tight targets. */
+	#onAnswer(running: RunningTicket): void {
+		const gapMs = meanGapMs(running);
+		if (gapMs !== undefined && this.#isUrgent(running.item)) {
+			const {contract} = running.item.ticket.profile;
+			this.#limit.onAnswer(gapMs > contract.gapMs);
+		}
+	}
+
+	#noteOffer(item: QueuedTicket, now: number): void {
+		const {requestClass} = item.ticket.profile.contract;
+		if (this.#isUrgent(item)) {
+			const tier = this.#backlog.tierOf(item);
+			this.#headroom.note(requestClass, tier, now);
+		}
 	}
 
 	/** Expected demand of a ticket and the latest time at which it has to start. */
@@ -277,7 +333,7 @@
 			Math.min(
 				deadline,
 				arrivedAt + contract.firstTokenMs * contract.patience,
-			) - demand.prefillMs;
+			) - this.#speed.cautiousPrefillMs(demand.uncachedTokens);
 		return {
 			ticket,
 			demand,
@@ -333,14 +389,42 @@
 		};
 	}
 
-	#wait(item: QueuedTicket, reservedMs: number): number {
-		return expectedWait(item, this.#backlog, this.#places(), reservedMs);
+	#wait(item: QueuedTicket, reservedMs: number, now: number): number {
+		const places = this.#places();
+		const limit = places.limit - this.#reserve(item, now);
+		return expectedWait(
+			item,
+			this.#backlog,
+			{...places, limit: Math.max(1, limit)},
+			reservedMs,
+		);
+	}
+
+	/** Places that a ticket, or the lowest tier, leaves free for higher tiers. */
+	#reserve(item: QueuedTicket | undefined, now: number): number {
+		if (!this.#policy.headroom) {
+			return 0;
+		}
+
+		const {limit, occupancyMs} = this.#places();
+		const tier = item ? this.#backlog.tierOf(item) : Infinity;
+		return this.#headroom.places(tier, limit, occupancyMs / limit, now);
 	}
 
 	#tooLate(item: QueuedTicket, wait: number, now: number): boolean {
 		return this.#policy.admission && now + wait > item.latestStart;
 	}
 
+	#isPaced(item: QueuedTicket): boolean {
+		return this.#policy.pacing && !this.#isUrgent(item);
+	}
+
+	/** The first-token target is too short to wait until a place becomes free. */
+	#isUrgent(item: QueuedTicket): boolean {
+		const {firstTokenMs} = item.ticket.profile.contract;
+		return firstTokenMs < this.#speed.occupancyMs;
+	}
+
 	/** The queue is at its bound and holds nothing of a lower tier that could be shed instead. */
 	#isFullFor(item: QueuedTicket): boolean {
 		if (this.#queued.size < maxQueued) {
@@ -381,7 +465,7 @@
 		);
 		return late.map((item) => {
 			this.#drop(item);
-			const refusal = this.#overloaded(this.#wait(item, 0));
+			const refusal = this.#overloaded(this.#wait(item, 0, now));
 			return {ticket: item.ticket, refusal};
 		});
 	}
