Handle the status effect in the fuzzing world, add the fuzz command

Cause: entries answer queries with a new effect, which the world did not handle; the fuzz command was not in the command line. Change: the world lists the effect with those that need no action; main lists fuzz.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -6,6 +6,7 @@
 import {demoCommand} from './demo.js';
 import {dumpCommand} from './dump.js';
 import {experimentCommand} from './experiment.js';
+import {fuzzCommand} from './fuzz.js';
 import {spreadBenchCommand} from './spread-bench.js';
 
 const main = defineCommand({
@@ -22,6 +23,7 @@
 		dump: dumpCommand,
 		demo: demoCommand,
 		experiment: experimentCommand,
+		fuzz: fuzzCommand,
 		'spread-bench': spreadBenchCommand,
 	},
 });
--- a/src/lab/fuzz/world.ts
+++ b/src/lab/fuzz/world.ts
@@ -243,6 +243,8 @@
 				break;
 			}
 
+			// No caller of this world queries a request yet.
+			case 'status':
 			case 'count':
 			case 'timing':
 			case 'log': {
