--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -9,67 +9,67 @@
 			'Router for language-model traffic with service levels and priorities',
 	},
 	subCommands: {
-		entry: async () => {
+		async entry() {
 			const commands = await import('./daemon.js');
 			return commands.daemonCommand('entry');
 		},
-		sidecar: async () => {
+		async sidecar() {
 			const commands = await import('./daemon.js');
 			return commands.daemonCommand('sidecar');
 		},
-		check: async () => {
+		async check() {
 			const commands = await import('./check.js');
 			return commands.checkCommand;
 		},
-		dump: async () => {
+		async dump() {
 			const commands = await import('./dump.js');
 			return commands.dumpCommand;
 		},
-		apply: async () => {
+		async apply() {
 			const commands = await import('./apply.js');
 			return commands.applyCommand;
 		},
-		get: async () => {
+		async get() {
 			const commands = await import('./get.js');
 			return commands.getCommand;
 		},
-		list: async () => {
+		async list() {
 			const commands = await import('./list.js');
 			return commands.listCommand;
 		},
-		diff: async () => {
+		async diff() {
 			const commands = await import('./diff.js');
 			return commands.diffCommand;
 		},
-		history: async () => {
+		async history() {
 			const commands = await import('./history.js');
 			return commands.historyCommand;
 		},
-		delete: async () => {
+		async delete() {
 			const commands = await import('./delete.js');
 			return commands.deleteCommand;
 		},
-		validate: async () => {
+		async validate() {
 			const commands = await import('./validate.js');
 			return commands.validateCommand;
 		},
-		demo: async () => {
+		async demo() {
 			const commands = await import('./demo.js');
 			return commands.demoCommand;
 		},
-		experiment: async () => {
+		async experiment() {
 			const commands = await import('./experiment.js');
 			return commands.experimentCommand;
 		},
-		fuzz: async () => {
+		async fuzz() {
 			const commands = await import('./fuzz.js');
 			return commands.fuzzCommand;
 		},
-		'spread-bench': async () => {
+		async 'spread-bench'() {
 			const commands = await import('./spread-bench.js');
 			return commands.spreadBenchCommand;
 		},
-		capacity: async () => {
+		async capacity() {
 			const commands = await import('./capacity.js');
 			return commands.capacityCommand;
 		},
