Give the daemons limits, metrics, logs and mutual peer authentication

Cause: the daemons read bodies and peer messages without bounds, sent the peer key in clear to whatever listened on a sidecar's address, ignored timing effects, and carried out common effects twice in two copies.

Change: settings sections [limits], [metrics] and [log], all mistakes reported in one go; StatsD by hot-shots; key=value or JSON log lines; one DaemonCore for records, admin, effects, table calls and the graceful stop; HMAC proofs over nonces in hello and hello.prove with two keys on either side; links count work in flight, send heartbeats only meanwhile and close when idle; batches of notifications are cut below the largest message; answers are written only while the caller reads; the last stream event names the outcome; a stop waits until answers and updates have been handed over.

Before: the tests of link.test.ts, metrics.test.ts and settings.test.ts have nothing to run against; a burst of 8 notifications of 4 MiB was one message of 32 MiB, above the 16 MiB limit. After: they pass, and the fleet test still does.

Conclusion: the entry's flow control relies on the sidecar's window; the answer_bytes limit only catches a sidecar that ignores it.

--- a/src/daemons/config-poller.ts
+++ b/src/daemons/config-poller.ts
@@ -1,7 +1,7 @@
 import type {Disposable} from '../base/index.js';
 import type {InstanceList, Row, Table} from '../platform/index.js';
 import type {Catalogue} from '../services/index.js';
-import {logEvent} from './log.js';
+import type {Log} from './log.js';
 
 const intervalMs = 1000;
 const pageSize = 1000;
@@ -10,6 +10,7 @@
 	readonly table: Table;
 	readonly instances: InstanceList;
 	readonly catalogue: Catalogue;
+	readonly log: Log;
 	/** Called after each successful read. */
 	readonly onDidRead: () => void;
 };
@@ -42,7 +43,7 @@
 			]);
 			this.#options.catalogue.replaceAll(rows);
 			this.#options.catalogue.setInstances(instances);
-			this.#setFailing(false, '');
+			this.#setFailing(false);
 			this.#options.onDidRead();
 		} catch (error) {
 			this.#setFailing(true, String(error));
@@ -67,10 +68,14 @@
 		}
 	}
 
-	#setFailing(failing: boolean, reason: string): void {
+	#setFailing(failing: boolean, reason = ''): void {
 		if (failing !== this.#failing) {
 			this.#failing = failing;
-			logEvent(failing ? 'platform_lost' : 'platform_back', {reason});
+			if (failing) {
+				this.#options.log.warn('platform_lost', {reason});
+			} else {
+				this.#options.log.info('platform_back');
+			}
 		}
 	}
 }
--- a/src/daemons/entry/caller-request.ts
+++ b/src/daemons/entry/caller-request.ts
@@ -1,4 +1,4 @@
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import type {IncomingMessage} from 'node:http';
 import {z} from 'zod';
@@ -10,8 +10,6 @@
 /** Usual length of a token, in characters, for prompt estimates. */
 const charactersPerToken = 4;
 
-const maxBodyBytes = 4 * 1024 * 1024;
-
 const modelCallSchema = z.looseObject({
 	model: z.string().min(1),
 	stream: z.boolean().nullish(),
@@ -27,26 +25,6 @@
 	readonly answer: 'stream' | 'json' | 'raw';
 };
 
-/** Reads a request body; throws `ApiError` 413 when it is too large. */
-export async function readBody(message: IncomingMessage): Promise<Buffer> {
-	const parts: Buffer[] = [];
-	let size = 0;
-	for await (const part of message as AsyncIterable<Buffer>) {
-		size += part.length;
-		if (size > maxBodyBytes) {
-			throw new ApiError(
-				413,
-				'body_too_large',
-				`the body is larger than ${maxBodyBytes} bytes`,
-			);
-		}
-
-		parts.push(part);
-	}
-
-	return Buffer.concat(parts);
-}
-
 /** The workspace of the request's API key; throws `ApiError` 401 when there is none. */
 export function authenticate(
 	message: IncomingMessage,
--- /dev/null
+++ b/src/daemons/entry/caller-server.ts
@@ -0,0 +1,269 @@
+import {randomUUID} from 'node:crypto';
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+import type {Duplex} from 'node:stream';
+import type {Disposable} from '../../base/index.js';
+import type {Limits} from '../../platform/index.js';
+import type {Catalogue} from '../../services/index.js';
+import {listen} from '../listen.js';
+import type {Log} from '../log.js';
+import {ApiError, errorAnswerOf, errorBody, sendError} from './api-error.js';
+import {
+	authenticate,
+	parseModelRequest,
+	parseServiceRequest,
+	requireIdempotencyKey,
+	type ParsedRequest,
+} from './caller-request.js';
+import {BodyReader} from './request-body.js';
+
+/** Time after which a caller is told to try again when the entry is full, in milliseconds. */
+const busyRetryMs = 1000;
+
+export type CallerServerOptions = {
+	readonly catalogue: Catalogue;
+	readonly limits: Limits;
+	readonly log: Log;
+	/** Whether the process has records and takes new requests. */
+	readonly isReady: () => boolean;
+	/** Takes over a checked request; the response is its to answer. */
+	readonly onRequest: (parsed: ParsedRequest, response: ServerResponse) => void;
+};
+
+/** The HTTP server for callers: limits, authentication and routes. */
+export class CallerServer implements Disposable {
+	readonly #options: CallerServerOptions;
+	readonly #server: Server;
+	readonly #bodies: BodyReader;
+	readonly #responses = new Set<ServerResponse>();
+	#leaving = false;
+	#onIdle: (() => void) | undefined;
+
+	constructor(options: CallerServerOptions) {
+		this.#options = options;
+		const {limits} = options;
+		this.#bodies = new BodyReader(limits);
+		this.#server = createServer(
+			{
+				maxHeaderSize: limits.header_bytes,
+				headersTimeout: limits.header_timeout_ms,
+				requestTimeout: limits.request_timeout_ms,
+				keepAliveTimeout: limits.idle_timeout_ms,
+				connectionsCheckingInterval: Math.min(1000, limits.header_timeout_ms),
+			},
+			(request, response) => {
+				void this.#onRequest(request, response);
+			},
+		);
+		this.#server.maxConnections = limits.connections;
+		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+			refuseConnection(error, socket);
+		});
+	}
+
+	/** Requests in progress. */
+	get requests(): number {
+		return this.#responses.size;
+	}
+
+	/** Bytes of request bodies held. */
+	get bodyBytes(): number {
+		return this.#bodies.heldBytes;
+	}
+
+	/** Starts to listen; rejects when the address cannot be used. Returns the port. */
+	async listen(address: string): Promise<number> {
+		return listen(this.#server, address);
+	}
+
+	/** Accepts no new connections and tells kept-alive callers to close theirs. */
+	leave(): void {
+		this.#leaving = true;
+		this.#server.close();
+		this.#server.closeIdleConnections();
+	}
+
+	/** Resolves when every answer has been handed to its caller's connection. */
+	async idle(): Promise<void> {
+		return new Promise((resolve) => {
+			if (this.#responses.size === 0) {
+				resolve();
+			} else {
+				this.#onIdle = resolve;
+			}
+		});
+	}
+
+	dispose(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
+	async #onRequest(
+		message: IncomingMessage,
+		response: ServerResponse,
+	): Promise<void> {
+		const id = `req-${randomUUID()}`;
+		this.#track(response);
+		try {
+			await this.#route(message, response, id);
+		} catch (error) {
+			if (!message.complete) {
+				// The rest of the request is not waited for.
+				response.setHeader('connection', 'close');
+			}
+
+			sendError(response, id, errorAnswerOf(error));
+			if (!(error instanceof ApiError)) {
+				this.#options.log.warn('request_error', {id, error: String(error)});
+			}
+		}
+	}
+
+	#track(response: ServerResponse): void {
+		this.#responses.add(response);
+		if (this.#leaving) {
+			response.setHeader('connection', 'close');
+		}
+
+		response.once('close', () => {
+			this.#responses.delete(response);
+			if (this.#leaving) {
+				// A connection whose answer began before the stop has not been told to close.
+				this.#server.closeIdleConnections();
+			}
+
+			if (this.#responses.size === 0) {
+				this.#onIdle?.();
+			}
+		});
+	}
+
+	async #route(
+		message: IncomingMessage,
+		response: ServerResponse,
+		id: string,
+	): Promise<void> {
+		const path = (message.url ?? '/').split('?', 1)[0]!;
+		switch (`${message.method} ${path}`) {
+			case 'GET /healthz': {
+				response.end('ok\n');
+				break;
+			}
+
+			case 'GET /readyz': {
+				const isReady = this.#options.isReady();
+				response.writeHead(isReady ? 200 : 503);
+				response.end(isReady ? 'ready\n' : 'not ready\n');
+				break;
+			}
+
+			case 'GET /v1/models': {
+				this.#sendModels(message, response);
+				break;
+			}
+
+			default: {
+				await this.#take(message, response, id);
+			}
+		}
+	}
+
+	/** Reads and checks a request that is to be routed. */
+	async #take(
+		message: IncomingMessage,
+		response: ServerResponse,
+		id: string,
+	): Promise<void> {
+		const {catalogue, limits, onRequest} = this.#options;
+		if (this.#responses.size > limits.requests) {
+			throw new ApiError(
+				503,
+				'entry_busy',
+				`this entry has ${limits.requests} requests in progress, the most it takes`,
+				busyRetryMs,
+			);
+		}
+
+		const parse = parserOf(message);
+		// Before the body is read: callers without a key must not occupy memory.
+		authenticate(message, catalogue);
+		const body = await this.#bodies.read(message);
+		response.once('close', () => {
+			body.release();
+		});
+		const parsed = parse(message, body.content(), catalogue, id);
+		requireIdempotencyKey(parsed.request);
+		onRequest(parsed, response);
+	}
+
+	#sendModels(message: IncomingMessage, response: ServerResponse): void {
+		const {catalogue} = this.#options;
+		authenticate(message, catalogue);
+		const data = catalogue.models().map((id) => ({
+			id,
+			object: 'model',
+			created: 0,
+			owned_by: 'cicadaswitch',
+		}));
+		response.writeHead(200, {'content-type': 'application/json'});
+		response.end(JSON.stringify({object: 'list', data}));
+	}
+}
+
+/** The check that fits a route; throws `ApiError` 404 when there is no such route. */
+function parserOf(message: IncomingMessage): typeof parseModelRequest {
+	const url = message.url ?? '/';
+	if (url.startsWith('/services/')) {
+		return parseServiceRequest;
+	}
+
+	const path = url.split('?', 1)[0]!;
+	if (
+		message.method === 'POST' &&
+		(path === '/v1/chat/completions' || path === '/v1/completions')
+	) {
+		return parseModelRequest;
+	}
+
+	throw new ApiError(404, 'not_found', `no ${message.method} ${path} here`);
+}
+
+/** Answers a request that is not HTTP, exceeds the header limit or does not arrive in time. */
+function refuseConnection(error: NodeJS.ErrnoException, socket: Duplex): void {
+	if (error.code === 'ECONNRESET' || !socket.writable) {
+		socket.destroy();
+		return;
+	}
+
+	const [status, phrase, code] =
+		error.code === 'HPE_HEADER_OVERFLOW'
+			? ([431, 'Request Header Fields Too Large', 'headers_too_large'] as const)
+			: error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+				? ([408, 'Request Timeout', 'request_timeout'] as const)
+				: ([400, 'Bad Request', 'bad_request'] as const);
+	const body = errorBody({
+		status,
+		code,
+		text: phrase,
+		outcome: 'not_run',
+		retryAfterMs: undefined,
+		retry: false,
+	});
+	socket.end(
+		[
+			`HTTP/1.1 ${status} ${phrase}`,
+			'content-type: application/json',
+			`content-length: ${body.length}`,
+			'x-cicadaswitch-outcome: not_run',
+			'x-should-retry: false',
+			'connection: close',
+			'',
+			body,
+		].join('\r\n'),
+	);
+}
--- a/src/daemons/entry/entry-daemon.ts
+++ b/src/daemons/entry/entry-daemon.ts
@@ -1,81 +1,64 @@
-import {randomUUID} from 'node:crypto';
-import {
-	createServer,
-	type IncomingMessage,
-	type Server,
-	type ServerResponse,
-} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import {DisposableStore, Random, type Disposable} from '../../base/index.js';
 import {
-	callTable,
-	type InstanceList,
-	type Settings,
-	type Table,
-} from '../../platform/index.js';
-import {
-	Catalogue,
 	Entry,
 	type EntryEffect,
 	type EntryMessage,
 } from '../../services/index.js';
-import {AdminServer} from '../admin/index.js';
-import {ConfigPoller} from '../config-poller.js';
-import {listen} from '../listen.js';
-import {logEvent} from '../log.js';
-import {Metrics} from '../metrics.js';
+import {DaemonCore, type DaemonOptions} from '../daemon-core.js';
+import {PeerKeys} from '../link/index.js';
 import {monotonicNow, Task} from '../task.js';
+import {AnswerTimes} from './answer-times.js';
 import {Answer} from './answer.js';
-import {ApiError, errorBody} from './api-error.js';
-import {
-	authenticate,
-	parseModelRequest,
-	parseServiceRequest,
-	readBody,
-	requireIdempotencyKey,
-	type ParsedRequest,
-} from './caller-request.js';
+import {CallerServer} from './caller-server.js';
+import type {ParsedRequest} from './caller-request.js';
 import {textOf} from './completion.js';
 import {SidecarLinks} from './links.js';
 
-export type EntryDaemonOptions = {
-	readonly settings: Settings;
-	readonly table: Table;
-	readonly instances: InstanceList;
-	readonly seed: number;
+const gaugeIntervalMs = 1000;
+
+type OpenAnswer = {
+	readonly answer: Answer;
+	readonly times: AnswerTimes;
+	readonly parsed: ParsedRequest;
 };
 
 /** The entry process: owns the caller and admin sockets and the links to sidecars. */
 export class EntryDaemon implements Disposable {
-	readonly #options: EntryDaemonOptions;
+	readonly #options: DaemonOptions;
 	readonly #store = new DisposableStore();
-	readonly #incarnation = randomUUID();
-	readonly #catalogue = new Catalogue();
-	readonly #metrics = new Metrics();
-	readonly #answers = new Map<string, Answer>();
-	readonly #server: Server;
+	readonly #core: DaemonCore;
+	readonly #answers = new Map<string, OpenAnswer>();
+	readonly #server: CallerServer;
 	readonly #links: SidecarLinks;
 	readonly #task: Task<EntryMessage, EntryEffect>;
-	readonly #admin: AdminServer;
-	readonly #poller: ConfigPoller;
-	readonly #drained: Promise<void>;
-	#resolveDrained: () => void = () => undefined;
-	#ready = false;
-	#leaving = false;
 
-	constructor(options: EntryDaemonOptions) {
+	constructor(options: DaemonOptions) {
 		this.#options = options;
-		const {process, peers} = options.settings;
-		this.#drained = new Promise((resolve) => {
-			this.#resolveDrained = resolve;
-		});
+		const {process, peers, limits} = options.settings;
+		this.#core = this.#store.add(
+			new DaemonCore(options, {
+				dump: () => ({
+					entry: this.#task.dump(),
+					links: this.#links.size,
+					bodyBytes: this.#server.bodyBytes,
+				}),
+				onDidRead: () => undefined,
+				leave: () => {
+					this.#server.leave();
+					this.#task.post({type: 'leave'});
+				},
+				onTableAnswer: (id, answer) => {
+					this.#task.post({type: 'table', id, answer});
+				},
+			}),
+		);
 		this.#links = this.#store.add(
-			new SidecarLinks(peers.key, () => ({
-				instance: process.instance,
-				role: 'entry',
-				incarnation: this.#incarnation,
-				dataCentre: process.data_centre,
-				revision: 0,
-			})),
+			new SidecarLinks({
+				keys: new PeerKeys([peers.key, peers.previous_key]),
+				own: () => this.#core.hello,
+				idleMs: limits.link_idle_ms,
+			}),
 		);
 		const entry = new Entry({
 			place: {dataCentre: process.data_centre, region: process.region},
@@ -88,66 +71,41 @@
 				this.#carryOut(effect);
 			}),
 		);
-		this.#connectLinks();
-		this.#poller = this.#store.add(
-			new ConfigPoller({
-				table: options.table,
-				instances: options.instances,
-				catalogue: this.#catalogue,
-				onDidRead: () => {
-					this.#ready = true;
+		this.#server = this.#store.add(
+			new CallerServer({
+				catalogue: this.#core.catalogue,
+				limits,
+				log: this.#core.log,
+				isReady: () => this.#core.isReady,
+				onRequest: (parsed, response) => {
+					this.#onRequest(parsed, response);
 				},
 			}),
 		);
-		this.#admin = this.#store.add(
-			new AdminServer({
-				dump: () => this.dump(),
-				isReady: () => this.#ready && !this.#leaving,
-				drain: () => {
-					void this.drain();
-				},
+		this.#connectLinks();
+		this.#store.add(
+			this.#core.repeat(gaugeIntervalMs, () => {
+				this.#gauge();
 			}),
 		);
-		this.#server = createServer((request, response) => {
-			void this.#onRequest(request, response);
-		});
 	}
 
 	/** Opens the admin and caller addresses; rejects when one cannot be used. Resolves to the caller port. */
 	async start(): Promise<number> {
-		const {addresses, process} = this.#options.settings;
-		await this.#poller.read();
-		await this.#admin.listen(addresses.admin);
-		const port = await listen(this.#server, addresses.caller!);
-		logEvent('entry_started', {instance: process.instance, port});
+		const {addresses} = this.#options.settings;
+		await this.#core.start();
+		const port = await this.#server.listen(addresses.caller!);
+		this.#core.log.info('started', {port});
 		return port;
 	}
 
-	/** Takes no new requests; resolves when the last one in progress has ended. */
+	/** Takes no new requests; resolves when every answer has been handed to its caller. */
 	async drain(): Promise<void> {
-		if (!this.#leaving) {
-			this.#leaving = true;
-			logEvent('entry_draining', {requests: this.#answers.size});
-			this.#server.close();
-			this.#server.closeIdleConnections();
-			this.#task.post({type: 'leave'});
-		}
-
-		return this.#drained;
-	}
-
-	dump(): unknown {
-		return {
-			instance: this.#options.settings.process.instance,
-			incarnation: this.#incarnation,
-			entry: this.#task.dump(),
-			metrics: this.#metrics.dump(),
-		};
+		await this.#core.drain();
+		await this.#server.idle();
 	}
 
 	dispose(): void {
-		this.#server.close();
-		this.#server.closeAllConnections();
 		this.#store.dispose();
 	}
 
@@ -156,72 +114,33 @@
 			this.#task.post({type: 'linkUp', endpoint, incarnation});
 		});
 		this.#links.onDidLose(({endpoint}) => {
+			this.#core.metrics.count('links_closed', 1);
 			this.#task.post({type: 'linkLost', endpoint});
 		});
 		this.#links.onDidReceive(({endpoint, message}) => {
 			this.#task.post({type: 'peer', endpoint, message});
 		});
+		this.#links.onDidReject(({endpoint, reason}) => {
+			this.#core.metrics.count('peer_errors', 1);
+			this.#core.log.warn('peer_error', {endpoint, reason});
+		});
 	}
 
-	async #onRequest(
-		message: IncomingMessage,
-		response: ServerResponse,
-	): Promise<void> {
-		const id = `req-${randomUUID()}`;
-		if (this.#leaving) {
-			response.setHeader('connection', 'close');
-		}
-
-		try {
-			const path = (message.url ?? '/').split('?', 1)[0];
-			if (message.method === 'GET' && path === '/healthz') {
-				response.end('ok\n');
-			} else if (message.method === 'GET' && path === '/readyz') {
-				const ready = this.#ready && !this.#leaving;
-				response
-					.writeHead(ready ? 200 : 503)
-					.end(ready ? 'ready\n' : 'not ready\n');
-			} else if (message.method === 'GET' && path === '/v1/models') {
-				this.#sendModels(message, response);
-			} else {
-				const body = await readBody(message);
-				this.#route(this.#parse(message, body, id), response);
-			}
-		} catch (error) {
-			this.#sendError(error, response, id);
-		}
-	}
-
-	#parse(
-		message: IncomingMessage,
-		body: Awaited<ReturnType<typeof readBody>>,
-		id: string,
-	): ParsedRequest {
-		const url = message.url ?? '/';
-		if (url.startsWith('/services/')) {
-			return parseServiceRequest(message, body, this.#catalogue, id);
-		}
-
-		const path = url.split('?', 1)[0];
-		if (
-			message.method === 'POST' &&
-			(path === '/v1/chat/completions' || path === '/v1/completions')
-		) {
-			return parseModelRequest(message, body, this.#catalogue, id);
-		}
-
-		throw new ApiError(404, 'not_found', `no ${message.method} ${path} here`);
-	}
-
-	#route(parsed: ParsedRequest, response: ServerResponse): void {
+	#onRequest(parsed: ParsedRequest, response: ServerResponse): void {
 		const {request} = parsed;
-		requireIdempotencyKey(request);
-		const answer = new Answer(response, parsed.answer, request.id, (upTo) => {
-			this.#task.post({type: 'taken', requestId: request.id, upTo});
+		const answer = new Answer(response, {
+			form: parsed.answer,
+			requestId: request.id,
+			mostWaiting: this.#options.settings.limits.answer_bytes,
+			onDidTake: (upTo) => {
+				this.#task.post({type: 'taken', requestId: request.id, upTo});
+			},
 		});
-		this.#answers.set(request.id, answer);
+		const times = new AnswerTimes();
+		this.#answers.set(request.id, {answer, times, parsed});
 		response.once('close', () => {
 			if (this.#answers.delete(request.id)) {
+				this.#core.metrics.count('callers_gone', 1);
 				this.#task.post({type: 'callerGone', requestId: request.id});
 			}
 		});
@@ -236,91 +155,46 @@
 			}
 
 			case 'head': {
-				this.#answers.get(effect.requestId)?.head(effect);
+				this.#answers.get(effect.requestId)?.answer.head(effect);
 				break;
 			}
 
 			case 'chunk': {
-				this.#answers.get(effect.requestId)?.chunk(effect);
+				const open = this.#answers.get(effect.requestId);
+				open?.times.chunk(effect.eventId);
+				open?.answer.chunk(effect);
 				break;
 			}
 
 			case 'end': {
-				const answer = this.#answers.get(effect.requestId);
-				this.#answers.delete(effect.requestId);
-				answer?.end(effect.outcome, effect.failure);
-				this.#metrics.count('requests', 1, {outcome: effect.outcome});
-				break;
-			}
-
-			case 'count': {
-				this.#metrics.count(effect.name, effect.value, effect.tags);
-				break;
-			}
-
-			case 'timing': {
-				break;
-			}
-
-			case 'log': {
-				logEvent(effect.event, effect.fields);
-				break;
-			}
-
-			case 'table': {
-				void this.#callTable(effect);
+				this.#end(effect);
 				break;
 			}
 
+			case 'count':
+			case 'timing':
+			case 'log':
+			case 'table':
 			case 'drained': {
-				this.#resolveDrained();
+				this.#core.carryOut(effect);
 				break;
 			}
 		}
 	}
 
-	async #callTable(
-		effect: Extract<EntryEffect, {type: 'table'}>,
-	): Promise<void> {
-		const answer = await callTable(this.#options.table, effect.call);
-		this.#task.post({type: 'table', id: effect.id, answer});
-	}
-
-	#sendModels(message: IncomingMessage, response: ServerResponse): void {
-		authenticate(message, this.#catalogue);
-		const data = this.#catalogue.models().map((id) => ({
-			id,
-			object: 'model',
-			created: 0,
-			owned_by: 'cicadaswitch',
-		}));
-		response.writeHead(200, {'content-type': 'application/json'});
-		response.end(JSON.stringify({object: 'list', data}));
-	}
-
-	#sendError(error: unknown, response: ServerResponse, id: string): void {
-		const {status, code, message} =
-			error instanceof ApiError
-				? error
-				: {
-						status: 500,
-						code: 'internal_error',
-						message: 'the entry failed to handle the request',
-					};
-		if (response.headersSent || response.destroyed) {
-			response.destroy();
-			return;
+	#end(effect: Extract<EntryEffect, {type: 'end'}>): void {
+		const open = this.#answers.get(effect.requestId);
+		if (open) {
+			this.#answers.delete(effect.requestId);
+			open.answer.end(effect);
+			const {profile} = open.parsed.request;
+			open.times.report(this.#core.metrics, profile, effect.outcome);
 		}
+	}
 
-		response.writeHead(status, {
-			'content-type': 'application/json',
-			'x-request-id': id,
-			'x-cicadaswitch-outcome': 'not_run',
-			'x-should-retry': 'false',
-		});
-		response.end(errorBody(status, code, message));
-		if (!(error instanceof ApiError)) {
-			logEvent('request_error', {id, error: String(error)});
-		}
+	#gauge(): void {
+		this.#core.metrics.gauge('requests_in_progress', this.#answers.size);
+		this.#core.metrics.gauge('links', this.#links.size);
+		this.#core.metrics.gauge('body_bytes', this.#server.bodyBytes);
 	}
 }
--- a/src/daemons/entry/links.ts
+++ b/src/daemons/entry/links.ts
@@ -9,6 +9,7 @@
 	receiveFromSidecar,
 	sendToSidecar,
 	type Link,
+	type PeerKeys,
 } from '../link/index.js';
 
 type OpenLink = {link: Link | undefined; readonly waiting: EntryToSidecar[]};
@@ -19,10 +20,16 @@
 	readonly message: SidecarToEntry;
 };
 
+export type SidecarLinksOptions = {
+	readonly keys: PeerKeys;
+	readonly own: () => Hello;
+	/** Time after which a link without work in flight is closed, in milliseconds. */
+	readonly idleMs: number;
+};
+
 /** Owns the entry's links to sidecars; opens them when a message is to be sent. */
 export class SidecarLinks implements Disposable {
-	readonly #key: string;
-	readonly #own: () => Hello;
+	readonly #options: SidecarLinksOptions;
 	readonly #store = new DisposableStore();
 	readonly #links = new Map<string, OpenLink>();
 	readonly #onDidOpen = this.#store.add(
@@ -32,13 +39,23 @@
 	readonly #onDidLose = this.#store.add(new Emitter<{endpoint: string}>());
 	readonly #onDidReceive = this.#store.add(new Emitter<SidecarPost>());
 
+	readonly #onDidReject = this.#store.add(
+		new Emitter<{endpoint: string; reason: string}>(),
+	);
+
 	readonly onDidOpen = this.#onDidOpen.event;
 	readonly onDidLose = this.#onDidLose.event;
+	/** A link could not be opened, or a message on it was refused. */
+	readonly onDidReject = this.#onDidReject.event;
 	readonly onDidReceive = this.#onDidReceive.event;
 
-	constructor(key: string, own: () => Hello) {
-		this.#key = key;
-		this.#own = own;
+	constructor(options: SidecarLinksOptions) {
+		this.#options = options;
+	}
+
+	/** Number of links that are open or being opened. */
+	get size(): number {
+		return this.#links.size;
 	}
 
 	send(endpoint: string, address: string, message: EntryToSidecar): void {
@@ -60,7 +77,14 @@
 	async #open(endpoint: string, address: string): Promise<void> {
 		const open = this.#links.get(endpoint)!;
 		try {
-			const {link, peer} = await connect(address, this.#key, this.#own());
+			const {keys, own, idleMs} = this.#options;
+			const {link, peer} = await connect(address, {keys, own: own(), idleMs});
+			if (peer.role !== 'sidecar' || peer.instance !== endpoint) {
+				// The address has passed to another instance since it was listed.
+				link.dispose();
+				throw new Error(`${address} is now ${peer.role} ${peer.instance}`);
+			}
+
 			open.link = this.#store.add(link);
 			receiveFromSidecar(link, (message) => {
 				this.#onDidReceive.fire({endpoint, message});
@@ -69,11 +93,15 @@
 				this.#store.delete(link);
 				this.#lose(endpoint);
 			});
+			link.onDidReject((reason) => {
+				this.#onDidReject.fire({endpoint, reason});
+			});
 			this.#onDidOpen.fire({endpoint, incarnation: peer.incarnation});
 			for (const message of open.waiting.splice(0)) {
 				sendToSidecar(link, message);
 			}
-		} catch {
+		} catch (error) {
+			this.#onDidReject.fire({endpoint, reason: String(error)});
 			this.#lose(endpoint);
 		}
 	}
--- a/src/daemons/index.ts
+++ b/src/daemons/index.ts
@@ -2,3 +2,4 @@
 export * from './entry/index.js';
 export * from './link/index.js';
 export * from './sidecar/index.js';
+export type {DaemonOptions} from './daemon-core.js';
--- a/src/daemons/link/index.ts
+++ b/src/daemons/link/index.ts
@@ -1,4 +1,6 @@
 export * from './connect.js';
+export * from './handshake.js';
 export * from './link-server.js';
 export * from './link.js';
+export * from './peer-keys.js';
 export * from './peer-method.js';
--- a/src/daemons/link/link-server.ts
+++ b/src/daemons/link/link-server.ts
@@ -1,18 +1,35 @@
 import type {Buffer} from 'node:buffer';
-import {createHash, timingSafeEqual} from 'node:crypto';
 import {createServer, type IncomingMessage, type Server} from 'node:http';
+import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {WebSocketServer} from 'ws';
 import {DisposableStore, Emitter, type Disposable} from '../../base/index.js';
+import type {Hello, Limits} from '../../platform/index.js';
 import {listen} from '../listen.js';
-import {Link} from './link.js';
+import {welcome} from './handshake.js';
+import {Link, maxPayloadBytes} from './link.js';
+import type {PeerKeys} from './peer-keys.js';
 
-const maxPayloadBytes = 16 * 1024 * 1024;
+/** Time in which a peer must prove that it knows a key, in milliseconds. */
+const proofTimeoutMs = 2000;
 
-/** Accepts links from peers that present one of the valid keys. */
+/** Bytes that a peer may send before it has proved that it knows a key. */
+const unprovenBytes = 32 * 1024;
+
+export type LinkServerOptions = {
+	readonly keys: PeerKeys;
+	readonly own: () => Hello;
+	readonly limits: Limits;
+};
+
+/** A link whose other end has proved that it knows a key. */
+export type AcceptedLink = {readonly link: Link; readonly peer: Hello};
+
+/** Accepts links from peers that know one of the valid keys. */
 export class LinkServer implements Disposable {
+	readonly #options: LinkServerOptions;
 	readonly #store = new DisposableStore();
-	readonly #keys: readonly string[];
+	readonly #links = new Set<Link>();
 	readonly #server: Server;
 	readonly #sockets = new WebSocketServer({
 		noServer: true,
@@ -20,15 +37,23 @@
 		perMessageDeflate: false,
 	});
 
-	readonly #onDidAccept = this.#store.add(new Emitter<Link>());
+	readonly #onDidAccept = this.#store.add(new Emitter<AcceptedLink>());
 	readonly onDidAccept = this.#onDidAccept.event;
 
-	/** `keys` holds the current key and, during a rotation, the previous one. */
-	constructor(keys: readonly string[]) {
-		this.#keys = keys;
-		this.#server = createServer((request, response) => {
-			response.writeHead(426).end();
-		});
+	constructor(options: LinkServerOptions) {
+		this.#options = options;
+		const {limits} = options;
+		this.#server = createServer(
+			{
+				maxHeaderSize: limits.header_bytes,
+				headersTimeout: limits.header_timeout_ms,
+				requestTimeout: limits.header_timeout_ms,
+			},
+			(request, response) => {
+				response.writeHead(426, {connection: 'close'}).end();
+			},
+		);
+		this.#server.maxConnections = limits.connections;
 		this.#server.on('upgrade', (request, socket, head) => {
 			this.#onUpgrade(request, socket, head);
 		});
@@ -39,34 +64,55 @@
 		return listen(this.#server, address);
 	}
 
+	/** Accepts no new links; resolves when what is queued on the present ones has been sent and they are closed. */
+	async end(): Promise<void> {
+		this.#server.close();
+		await Promise.all([...this.#links].map(async (link) => link.end()));
+	}
+
 	dispose(): void {
 		this.#store.dispose();
 		this.#server.close();
 	}
 
 	#onUpgrade(request: IncomingMessage, socket: Duplex, head: Buffer): void {
-		if (!this.#isAuthentic(request.headers.authorization ?? '')) {
-			socket.end('HTTP/1.1 401 Unauthorized\r\nconnection: close\r\n\r\n');
-			return;
-		}
-
 		this.#sockets.handleUpgrade(request, socket, head, (webSocket) => {
-			const link = this.#store.add(new Link(webSocket));
+			// The opening side closes idle links; a longer time here finds those whose other end has vanished.
+			const idleMs = this.#options.limits.link_idle_ms * 2;
+			const link = this.#store.add(new Link(webSocket, {idleMs}));
+			this.#links.add(link);
 			link.onDidClose(() => {
+				this.#links.delete(link);
 				this.#store.delete(link);
 			});
-			this.#onDidAccept.fire(link);
+			this.#awaitProof(link, request.socket);
 		});
 	}
 
-	#isAuthentic(authorization: string): boolean {
-		const given = digest(authorization);
-		return this.#keys.some((key) =>
-			timingSafeEqual(given, digest(`Bearer ${key}`)),
-		);
-	}
-}
+	#awaitProof(link: Link, socket: Socket): void {
+		const timer = setTimeout(() => {
+			link.abort();
+		}, proofTimeoutMs);
+		const limitBytes = () => {
+			if (socket.bytesRead > unprovenBytes) {
+				link.abort();
+			}
+		};
 
-function digest(text: string): Uint8Array {
-	return createHash('sha256').update(text).digest();
+		const stop = () => {
+			clearTimeout(timer);
+			socket.off('data', limitBytes);
+		};
+
+		socket.on('data', limitBytes);
+		link.onDidClose(stop);
+		welcome(link, {
+			keys: this.#options.keys,
+			own: this.#options.own,
+			onDidProve: (peer) => {
+				stop();
+				this.#onDidAccept.fire({link, peer});
+			},
+		});
+	}
 }
--- a/src/daemons/link/peer-method.ts
+++ b/src/daemons/link/peer-method.ts
@@ -22,6 +22,11 @@
 
 /** Sends an entry's message over a link. */
 export function sendToSidecar(link: Link, message: EntryToSidecar): void {
+	trackRequest(link, message);
+	if (message.type === 'offer') {
+		link.expectReply();
+	}
+
 	link.notify(entryMethods[message.type], () => message);
 }
 
@@ -32,7 +37,9 @@
 ): void {
 	for (const method of Object.values(entryMethods)) {
 		link.on(method, (parameters: unknown) => {
-			receive(entryToSidecarSchema.parse(parameters));
+			const message = entryToSidecarSchema.parse(parameters);
+			trackRequest(link, message);
+			receive(message);
 		});
 	}
 }
@@ -47,6 +54,7 @@
 	});
 	link.on('attempt.update', (parameters: unknown) => {
 		for (const update of updatesSchema.parse(parameters).updates) {
+			trackUpdate(link, update);
 			receive({type: 'update', update});
 		}
 	});
@@ -72,6 +80,7 @@
 		}
 
 		this.#updates.push(message.update);
+		trackUpdate(this.#link, message.update);
 	}
 
 	#takeUpdates(): {updates: Update[]} {
@@ -80,3 +89,41 @@
 		return {updates};
 	}
 }
+
+/** An attempt is in flight on the link from the entry's message until the sidecar's last update. */
+function trackRequest(link: Link, message: EntryToSidecar): void {
+	switch (message.type) {
+		case 'start':
+		case 'attach':
+		case 'cancel': {
+			link.hold(message.attempt);
+			break;
+		}
+
+		case 'detach': {
+			link.release(message.attempt);
+			break;
+		}
+
+		case 'offer':
+		case 'credit': {
+			break;
+		}
+	}
+}
+
+function trackUpdate(link: Link, update: Update): void {
+	switch (update.type) {
+		case 'refused':
+		case 'ended': {
+			link.release(update.attempt);
+			break;
+		}
+
+		case 'started':
+		case 'head':
+		case 'chunk': {
+			break;
+		}
+	}
+}
--- a/src/daemons/listen.ts
+++ b/src/daemons/listen.ts
@@ -1,10 +1,17 @@
 import type {Server} from 'node:net';
 
+/** Host and port of an address "IP:port". */
+export function splitAddress(address: string): {host: string; port: number} {
+	const separator = address.lastIndexOf(':');
+	return {
+		host: address.slice(0, separator),
+		port: Number(address.slice(separator + 1)),
+	};
+}
+
 /** Starts a server on "IP:port" and resolves to the port; rejects when the address cannot be used. */
 export async function listen(server: Server, address: string): Promise<number> {
-	const separator = address.lastIndexOf(':');
-	const host = address.slice(0, separator);
-	const port = Number(address.slice(separator + 1));
+	const {host, port} = splitAddress(address);
 	return new Promise((resolve, reject) => {
 		server.once('error', reject);
 		server.listen({host, port}, () => {
--- /dev/null
+++ b/src/daemons/log.test.ts
@@ -0,0 +1,16 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {formatLine} from './log.js';
+
+// Guards against values that break a line into two or forge a field of their own.
+test('log lines keep each value in its field', () => {
+	const line = {
+		event: 'platform_lost',
+		reason: 'no "table"\nevent=x',
+		tries: 2,
+	};
+	expect(formatLine(line, 'text')).toEqual(
+		String.raw`event=platform_lost reason="no \"table\"\nevent=x" tries=2`,
+	);
+	expect(JSON.parse(formatLine(line, 'json'))).toEqual(line);
+});
--- /dev/null
+++ b/src/daemons/metrics/index.ts
@@ -0,0 +1,1 @@
+export * from './metrics.js';
--- a/src/daemons/sidecar/sidecar-daemon.ts
+++ b/src/daemons/sidecar/sidecar-daemon.ts
@@ -1,82 +1,71 @@
-import {randomUUID} from 'node:crypto';
 import {Agent} from 'undici';
 import {DisposableStore, Random, type Disposable} from '../../base/index.js';
 import {HttpEngine, HttpService} from '../../platform/adapters/index.js';
+import type {Endpoint, Execution} from '../../platform/index.js';
 import {
-	callTable,
-	helloSchema,
-	type Endpoint,
-	type Execution,
-	type Hello,
-	type InstanceList,
-	type Settings,
-	type Table,
-} from '../../platform/index.js';
-import {
-	Catalogue,
 	Scheduler,
 	Sidecar,
 	type SidecarEffect,
 	type SidecarMessage,
 } from '../../services/index.js';
-import {AdminServer} from '../admin/index.js';
-import {ConfigPoller} from '../config-poller.js';
+import {DaemonCore, type DaemonOptions} from '../daemon-core.js';
 import {
 	LinkServer,
+	PeerKeys,
 	receiveFromEntry,
 	SidecarSender,
-	type Link,
+	type AcceptedLink,
 } from '../link/index.js';
-import {logEvent} from '../log.js';
-import {Metrics} from '../metrics.js';
 import {monotonicNow, Task} from '../task.js';
 
 const loadIntervalMs = 500;
-
-export type SidecarDaemonOptions = {
-	readonly settings: Settings;
-	readonly table: Table;
-	readonly instances: InstanceList;
-	readonly seed: number;
-};
+const gaugeIntervalMs = 1000;
 
 /** The process beside one endpoint: owns the links from entries and the calls at the endpoint. */
 export class SidecarDaemon implements Disposable {
-	readonly #options: SidecarDaemonOptions;
+	readonly #options: DaemonOptions;
 	readonly #store = new DisposableStore();
-	readonly #incarnation = randomUUID();
-	readonly #catalogue = new Catalogue();
-	readonly #metrics = new Metrics();
+	readonly #core: DaemonCore;
 	readonly #server: LinkServer;
-	readonly #admin: AdminServer;
-	readonly #poller: ConfigPoller;
 	readonly #endpoint: Endpoint;
 	readonly #senders = new Map<string, SidecarSender>();
 	readonly #executions = new Map<string, Execution>();
 	readonly #task: Task<SidecarMessage, SidecarEffect>;
-	readonly #drained: Promise<void>;
-	#resolveDrained: () => void = () => undefined;
 	#linkCount = 0;
 	#lastCacheEvent = 0;
-	#leaving = false;
 
-	constructor(options: SidecarDaemonOptions) {
+	constructor(options: DaemonOptions) {
 		this.#options = options;
-		const {endpoint, peers} = options.settings;
+		const {endpoint, peers, limits} = options.settings;
 		const pool = new Agent();
 		this.#endpoint =
 			endpoint!.type === 'engine'
 				? new HttpEngine(endpoint!.url, pool)
 				: new HttpService(endpoint!.url, pool);
-		this.#drained = new Promise((resolve) => {
-			this.#resolveDrained = resolve;
-		});
+		this.#core = this.#store.add(
+			new DaemonCore(options, {
+				dump: () => ({
+					sidecar: this.#task.dump(),
+					links: this.#senders.size,
+					executions: this.#executions.size,
+				}),
+				onDidRead: () => {
+					this.#onRecords();
+				},
+				leave: () => {
+					this.#task.post({type: 'leave'});
+				},
+				onTableAnswer: (id, answer) => {
+					this.#task.post({type: 'table', id, answer});
+				},
+			}),
+		);
 		this.#task = this.#store.add(
 			new Task(
 				new Sidecar({
 					endpoint: options.settings.process.instance,
 					epochMs: Date.now() - monotonicNow(),
-					incarnation: this.#incarnation,
+					incarnation: this.#core.incarnation,
 					scheduler: new Scheduler(new Random(options.seed)),
 				}),
 				(effect) => {
@@ -85,87 +74,60 @@
 			),
 		);
 		this.#server = this.#store.add(
-			new LinkServer(
-				[peers.key, peers.previous_key].filter((key) => key !== undefined),
-			),
+			new LinkServer({
+				keys: new PeerKeys([peers.key, peers.previous_key]),
+				own: () => this.#core.hello,
+				limits,
+			}),
 		);
-		this.#server.onDidAccept((link) => {
-			this.#onLink(link);
+		this.#server.onDidAccept((accepted) => {
+			this.#onLink(accepted);
 		});
-		this.#poller = this.#store.add(
-			new ConfigPoller({
-				table: options.table,
-				instances: options.instances,
-				catalogue: this.#catalogue,
-				onDidRead: () => {
-					this.#onRecords();
-				},
+		this.#store.add(
+			this.#core.repeat(loadIntervalMs, () => {
+				void this.#readEndpoint();
 			}),
 		);
-		this.#admin = this.#store.add(
-			new AdminServer({
-				dump: () => this.dump(),
-				isReady: () => !this.#leaving,
-				drain: () => {
-					void this.drain();
-				},
+		this.#store.add(
+			this.#core.repeat(gaugeIntervalMs, () => {
+				this.#gauge();
 			}),
 		);
-		this.#store.add(this.#pollEndpoint());
 	}
 
 	/** Opens the admin and peer addresses; rejects when one cannot be used. Resolves to the peer port. */
 	async start(): Promise<number> {
-		const {addresses, process} = this.#options.settings;
-		await this.#poller.read();
-		await this.#admin.listen(addresses.admin);
-		const port = await this.#server.listen(addresses.peer!);
-		logEvent('sidecar_started', {instance: process.instance, port});
+		await this.#core.start();
+		const port = await this.#server.listen(
+			this.#options.settings.addresses.peer!,
+		);
+		this.#core.log.info('started', {port});
 		return port;
 	}
 
-	/** Takes no new work; resolves when the last attempt in progress has ended. */
+	/** Takes no new work; resolves when the last attempt in progress has ended and the entries have been told. */
 	async drain(): Promise<void> {
-		if (!this.#leaving) {
-			this.#leaving = true;
-			logEvent('sidecar_draining', {running: this.#executions.size});
-			this.#task.post({type: 'leave'});
-		}
-
-		return this.#drained;
-	}
-
-	dump(): unknown {
-		return {
-			instance: this.#options.settings.process.instance,
-			sidecar: this.#task.dump(),
-			metrics: this.#metrics.dump(),
-		};
+		await this.#core.drain();
+		await this.#server.end();
 	}
 
 	dispose(): void {
 		this.#store.dispose();
 	}
 
-	#onLink(link: Link): void {
+	#onLink({link, peer}: AcceptedLink): void {
 		const id = `link-${++this.#linkCount}`;
 		this.#senders.set(id, new SidecarSender(link));
-		link.on('hello', (parameters): Hello => {
-			helloSchema.parse(parameters);
-			const {process} = this.#options.settings;
-			return {
-				instance: process.instance,
-				role: 'sidecar',
-				incarnation: this.#incarnation,
-				dataCentre: process.data_centre,
-				revision: 0,
-			};
-		});
 		receiveFromEntry(link, (message) => {
 			this.#task.post({type: 'peer', link: id, message});
 		});
+		link.onDidReject((reason) => {
+			this.#core.metrics.count('peer_errors', 1);
+			this.#core.log.warn('peer_error', {peer: peer.instance, reason});
+		});
 		link.onDidClose(() => {
 			this.#senders.delete(id);
+			this.#core.metrics.count('links_closed', 1);
 			this.#task.post({type: 'linkLost', link: id});
 		});
 	}
@@ -174,7 +136,7 @@
 		const {instance} = this.#options.settings.process;
 		this.#task.post({
 			type: 'targets',
-			targets: this.#catalogue.targetsOf(instance),
+			targets: this.#core.catalogue.targetsOf(instance),
 		});
 	}
 
@@ -197,6 +159,7 @@
 			}
 
 			case 'pauseRun': {
+				this.#core.metrics.count('runs_paused', 1);
 				this.#executions.get(effect.attempt)?.pause();
 				break;
 			}
@@ -206,27 +169,12 @@
 				break;
 			}
 
-			case 'count': {
-				this.#metrics.count(effect.name, effect.value, effect.tags);
-				break;
-			}
-
-			case 'timing': {
-				break;
-			}
-
-			case 'log': {
-				logEvent(effect.event, effect.fields);
-				break;
-			}
-
-			case 'table': {
-				void this.#callTable(effect);
-				break;
-			}
-
+			case 'count':
+			case 'timing':
+			case 'log':
+			case 'table':
 			case 'drained': {
-				this.#resolveDrained();
+				this.#core.carryOut(effect);
 				break;
 			}
 		}
@@ -244,24 +192,6 @@
 		this.#executions.set(attempt, execution);
 	}
 
-	async #callTable(
-		effect: Extract<SidecarEffect, {type: 'table'}>,
-	): Promise<void> {
-		const answer = await callTable(this.#options.table, effect.call);
-		this.#task.post({type: 'table', id: effect.id, answer});
-	}
-
-	#pollEndpoint(): Disposable {
-		const timer = setInterval(() => {
-			void this.#readEndpoint();
-		}, loadIntervalMs);
-		return {
-			dispose() {
-				clearInterval(timer);
-			},
-		};
-	}
-
 	/** Reads load and cache events; an endpoint that does not answer is seen through its failed calls. */
 	async #readEndpoint(): Promise<void> {
 		try {
@@ -271,7 +201,12 @@
 			this.#lastCacheEvent = events.at(-1)?.number ?? this.#lastCacheEvent;
 			this.#task.post({type: 'cache', events});
 		} catch {
-			this.#metrics.count('endpoint_poll_failures', 1);
+			this.#core.metrics.count('endpoint_poll_failures', 1);
 		}
 	}
+
+	#gauge(): void {
+		this.#core.metrics.gauge('runs_in_progress', this.#executions.size);
+		this.#core.metrics.gauge('links', this.#senders.size);
+	}
 }
--- a/src/platform/messages/index.ts
+++ b/src/platform/messages/index.ts
@@ -1,4 +1,5 @@
 export * from './attempt.js';
+export * from './handshake.js';
 export * from './peer.js';
 export * from './spread.js';
 export * from './table-call.js';
--- a/src/platform/settings/index.ts
+++ b/src/platform/settings/index.ts
@@ -1,1 +1,2 @@
 export * from './settings.js';
+export type {Limits} from './limits.js';
--- a/src/platform/settings/settings.ts
+++ b/src/platform/settings/settings.ts
@@ -1,19 +1,8 @@
 import {parse} from 'ini';
 import VError from 'verror';
 import {z} from 'zod';
-
-const addressPattern = /^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v;
-
-const address = z.string().regex(addressPattern, {
-	error: 'an IPv4 address and port such as 127.0.0.1:8080',
-});
-const url = z.string().regex(/^http:\/\/[\d.]+:\d+$/v, {
-	error: 'a URL such as http://127.0.0.1:9000',
-});
-const identifier = z.string().regex(/^[a-z\d][a-z\d.\-]{0,62}$/v, {
-	error: '1 to 63 of a-z, 0-9, "." and "-"',
-});
-const peerKey = z.string().min(16, {error: 'at least 16 characters'});
+import {limitsSection} from './limits.js';
+import {address, flag, identifier, peerKey, url} from './values.js';
 
 const processSection = z.strictObject({
 	role: z.enum(['entry', 'sidecar']),
@@ -28,8 +17,10 @@
 	caller: address.optional(),
 	/** Where entries connect to a sidecar; sidecars only. */
 	peer: address.optional(),
-	/** State dump and health; loopback unless set otherwise. */
+	/** State dump and health. */
 	admin: address,
+	/** Allows an admin address that is not on loopback. */
+	admin_remote: flag.default(false),
 });
 
 const peersSection = z.strictObject({
@@ -48,35 +39,34 @@
 	url,
 });
 
+const metricsSection = z.strictObject({
+	/** StatsD server; samples are sent only when it is set. */
+	address: address.optional(),
+	/** Put in front of each metric's name. */
+	prefix: z
+		.string()
+		.regex(/^[\w.\-]{0,64}$/v, {
+			error: 'up to 64 letters, digits, "_", "." and "-"',
+		})
+		.default('cicadaswitch.'),
+});
+
+const logSection = z.strictObject({
+	format: z.enum(['text', 'json']).default('text'),
+	level: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
+});
+
 /** Settings of one process, as read from its INI file. */
-export const settingsSchema = z
-	.strictObject({
-		process: processSection,
-		addresses: addressesSection,
-		peers: peersSection,
-		platform: platformSection,
-		endpoint: endpointSection.optional(),
-	})
-	.check((context) => {
-		const {process, addresses, endpoint} = context.value;
-		const required =
-			process.role === 'entry'
-				? ([['addresses', 'caller', addresses.caller]] as const)
-				: ([
-						['addresses', 'peer', addresses.peer],
-						['endpoint', 'url', endpoint?.url],
-					] as const);
-		for (const [section, key, value] of required) {
-			if (value === undefined) {
-				context.issues.push({
-					code: 'custom',
-					path: [section, key],
-					message: `required for role "${process.role}"`,
-					input: undefined,
-				});
-			}
-		}
-	});
+export const settingsSchema = z.strictObject({
+	process: processSection,
+	addresses: addressesSection,
+	peers: peersSection,
+	platform: platformSection,
+	endpoint: endpointSection.optional(),
+	limits: limitsSection.prefault({}),
+	metrics: metricsSection.prefault({}),
+	log: logSection.prefault({}),
+});
 export type Settings = z.infer<typeof settingsSchema>;
 
 /** The settings file is missing, unreadable or has a value that is not allowed. */
@@ -84,6 +74,12 @@
 	override name = 'SettingsInvalid';
 }
 
+/** A value that is not allowed. */
+type Mistake = {
+	readonly path: readonly PropertyKey[];
+	readonly message: string;
+};
+
 /**
  * Reads settings from INI text.
  *
@@ -94,19 +90,75 @@
 	// The library's objects have no prototype, which the schema does not take for objects.
 	const raw: unknown = structuredClone(parse(text));
 	const result = settingsSchema.safeParse(raw);
-	if (result.success) {
+	const mistakes = [
+		...(result.error?.issues ?? []).flatMap((issue) => mistakesOf(issue)),
+		...mistakesAcrossSections(raw),
+	];
+	if (result.success && mistakes.length === 0) {
 		return result.data;
 	}
 
-	const lines = result.error.issues.map((issue) => {
-		const [section = '', ...keys] = issue.path.map(String);
-		const seen = valueAt(raw, issue.path);
-		const shown = seen === undefined ? 'nothing' : JSON.stringify(seen);
-		return `${file}: [${section}] ${keys.join('.')}: ${shown} is not allowed: ${issue.message}`;
+	const lines = mistakes.map(({path, message}) => {
+		const [section = '', ...keys] = path.map(String);
+		const place = [`[${section}]`, ...keys].join(' ');
+		const seen = valueAt(raw, path);
+		const shown =
+			seen === undefined
+				? 'nothing'
+				: typeof seen === 'object'
+					? 'a section'
+					: JSON.stringify(seen);
+		return `${file}: ${place}: ${shown} is not allowed: ${message}`;
 	});
 	throw new SettingsInvalid({}, '%s', lines.join('\n'));
 }
 
+/** One mistake for each unknown section or key, and one for any other issue. */
+function mistakesOf(issue: z.core.$ZodIssue): Mistake[] {
+	if (issue.code !== 'unrecognized_keys') {
+		const missing = issue.code === 'invalid_type' && issue.input === undefined;
+		return [
+			{
+				path: issue.path,
+				message: missing ? `required (${issue.message})` : issue.message,
+			},
+		];
+	}
+
+	const kind = issue.path.length === 0 ? 'section' : 'key';
+	return issue.keys.map((key) => ({
+		path: [...issue.path, key],
+		message: `unknown ${kind}`,
+	}));
+}
+
+/** What depends on two settings; checked even when a section has mistakes of its own. */
+function mistakesAcrossSections(raw: unknown): Mistake[] {
+	const role = valueAt(raw, ['process', 'role']);
+	const required =
+		role === 'entry'
+			? [['addresses', 'caller']]
+			: role === 'sidecar'
+				? [
+						['addresses', 'peer'],
+						['endpoint', 'url'],
+					]
+				: [];
+	const mistakes = required
+		.filter((path) => valueAt(raw, path) === undefined)
+		.map((path) => ({path, message: `required for role "${String(role)}"`}));
+	const admin = valueAt(raw, ['addresses', 'admin']);
+	const isRemote = valueAt(raw, ['addresses', 'admin_remote']) === true;
+	if (typeof admin === 'string' && !admin.startsWith('127.') && !isRemote) {
+		mistakes.push({
+			path: ['addresses', 'admin'],
+			message: 'must be on loopback unless admin_remote is true',
+		});
+	}
+
+	return mistakes;
+}
+
 function valueAt(value: unknown, path: readonly PropertyKey[]): unknown {
 	let current = value;
 	for (const key of path) {
