--- a/src/daemons/entry/caller-server.ts
+++ b/src/daemons/entry/caller-server.ts
@@ -20,6 +20,7 @@
 	type ParsedRequest,
 } from './caller-request.js';
 import {BodyReader} from './request-body.js';
+import {parseRequestRoute, type RequestRoute} from './request-route.js';
 
 /** Time after which a caller is told to try again when the entry is full, in milliseconds. */
 const busyRetryMs = 1000;
@@ -32,6 +33,8 @@
 	readonly isReady: () => boolean;
 	/** Takes over a checked request; the response is its to answer. */
 	readonly onRequest: (parsed: ParsedRequest, response: ServerResponse) => void;
+	/** Takes over a question about an earlier request. */
+	readonly onRoute: (route: RequestRoute, response: ServerResponse) => void;
 };
 
 /** The HTTP server for callers: limits, authentication and routes. */
@@ -168,6 +171,11 @@
 			}
 
 			default: {
+				if (path.startsWith('/v1/requests/')) {
+					this.#takeRoute(message, response, id);
+					break;
+				}
+
 				await this.#take(message, response, id);
 			}
 		}
@@ -201,6 +209,20 @@
 		onRequest(parsed, response);
 	}
 
+	/** Checks a question about an earlier request. */
+	#takeRoute(
+		message: IncomingMessage,
+		response: ServerResponse,
+		id: string,
+	): void {
+		const route = parseRequestRoute(message, this.#options.catalogue, id);
+		if (!route) {
+			throw new ApiError(404, 'not_found', `no ${message.method} here`);
+		}
+
+		this.#options.onRoute(route, response);
+	}
+
 	#sendModels(message: IncomingMessage, response: ServerResponse): void {
 		const {catalogue} = this.#options;
 		authenticate(message, catalogue);
--- a/src/daemons/entry/entry-daemon.ts
+++ b/src/daemons/entry/entry-daemon.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import {DisposableStore, Random, type Disposable} from '../../base/index.js';
+import type {Profile} from '../../platform/index.js';
 import {
 	Entry,
 	type EntryEffect,
@@ -14,13 +15,15 @@
 import type {ParsedRequest} from './caller-request.js';
 import {textOf} from './completion.js';
 import {SidecarLinks} from './links.js';
+import type {RequestRoute} from './request-route.js';
 
 const gaugeIntervalMs = 1000;
 
 type OpenAnswer = {
 	readonly answer: Answer;
 	readonly times: AnswerTimes;
-	readonly parsed: ParsedRequest;
+	/** Absent when a caller asks for the rest of an earlier answer. */
+	readonly profile: Profile | undefined;
 };
 
 /** The entry process: owns the caller and admin sockets and the links to sidecars. */
@@ -29,6 +32,8 @@
 	readonly #store = new DisposableStore();
 	readonly #core: DaemonCore;
 	readonly #answers = new Map<string, OpenAnswer>();
+	/** Responses to callers that ask what became of a request. */
+	readonly #queries = new Map<string, ServerResponse>();
 	readonly #server: CallerServer;
 	readonly #links: SidecarLinks;
 	readonly #task: Task<EntryMessage, EntryEffect>;
@@ -80,6 +85,9 @@
 				onRequest: (parsed, response) => {
 					this.#onRequest(parsed, response);
 				},
+				onRoute: (route, response) => {
+					this.#onRoute(route, response);
+				},
 			}),
 		);
 		this.#connectLinks();
@@ -126,25 +134,46 @@
 		});
 	}
 
-	#onRequest(parsed: ParsedRequest, response: ServerResponse): void {
-		const {request} = parsed;
+	#onRequest({request, answer}: ParsedRequest, response: ServerResponse): void {
+		this.#addAnswer(response, answer, request.id, request.profile);
+		this.#task.post({type: 'request', request});
+	}
+
+	#onRoute(route: RequestRoute, response: ServerResponse): void {
+		if (route.type === 'events') {
+			this.#addAnswer(response, 'stream', route.id, undefined);
+		} else {
+			this.#queries.set(route.id, response);
+			response.once('close', () => {
+				this.#queries.delete(route.id);
+			});
+		}
+
+		this.#task.post(route);
+	}
+
+	#addAnswer(
+		response: ServerResponse,
+		form: ParsedRequest['answer'],
+		requestId: string,
+		profile: Profile | undefined,
+	): void {
 		const answer = new Answer(response, {
-			form: parsed.answer,
-			requestId: request.id,
+			form,
+			requestId,
 			mostWaiting: this.#options.settings.limits.answer_bytes,
 			onDidTake: (upTo) => {
-				this.#task.post({type: 'taken', requestId: request.id, upTo});
+				this.#task.post({type: 'taken', requestId, upTo});
 			},
 		});
 		const times = new AnswerTimes();
-		this.#answers.set(request.id, {answer, times, parsed});
+		this.#answers.set(requestId, {answer, times, profile});
 		response.once('close', () => {
-			if (this.#answers.delete(request.id)) {
+			if (this.#answers.delete(requestId)) {
 				this.#core.metrics.count('callers_gone', 1);
-				this.#task.post({type: 'callerGone', requestId: request.id});
+				this.#task.post({type: 'callerGone', requestId});
 			}
 		});
-		this.#task.post({type: 'request', request});
 	}
 
 	#carryOut(effect: EntryEffect): void {
@@ -171,6 +200,11 @@
 				break;
 			}
 
+			case 'status': {
+				this.#sendStatus(effect);
+				break;
+			}
+
 			case 'count':
 			case 'timing':
 			case 'log':
@@ -187,11 +221,26 @@
 		if (open) {
 			this.#answers.delete(effect.requestId);
 			open.answer.end(effect);
-			const {profile} = open.parsed.request;
-			open.times.report(this.#core.metrics, profile, effect.outcome);
+			if (open.profile) {
+				open.times.report(this.#core.metrics, open.profile, effect.outcome);
+			}
 		}
 	}
 
+	#sendStatus({id, status}: Extract<EntryEffect, {type: 'status'}>): void {
+		const response = this.#queries.get(id);
+		response?.writeHead(status.state === 'unknown' ? 404 : 200, {
+			'content-type': 'application/json',
+		});
+		response?.end(
+			JSON.stringify({
+				state: status.state,
+				outcome: status.outcome ?? null,
+				event_id: status.eventId ?? null,
+			}),
+		);
+	}
+
 	#gauge(): void {
 		this.#core.metrics.gauge('requests_in_progress', this.#answers.size);
 		this.#core.metrics.gauge('links', this.#links.size);
--- a/src/daemons/link/peer-method.ts
+++ b/src/daemons/link/peer-method.ts
@@ -16,6 +16,7 @@
 	detach: 'attempt.detach',
 	attach: 'attempt.attach',
 	credit: 'attempt.credit',
+	query: 'request.query',
 } as const satisfies Record<EntryToSidecar['type'], string>;
 
 const updatesSchema = z.object({updates: z.array(updateSchema)});
@@ -23,7 +24,7 @@
 /** Sends an entry's message over a link. */
 export function sendToSidecar(link: Link, message: EntryToSidecar): void {
 	trackRequest(link, message);
-	if (message.type === 'offer') {
+	if (message.type === 'offer' || message.type === 'query') {
 		link.expectReply();
 	}
 
@@ -49,9 +50,12 @@
 	link: Link,
 	receive: (message: SidecarToEntry) => void,
 ): void {
-	link.on('offer.reply', (parameters: unknown) => {
-		receive(sidecarToEntrySchema.parse(parameters));
-	});
+	for (const method of ['offer.reply', 'request.reply']) {
+		link.on(method, (parameters: unknown) => {
+			receive(sidecarToEntrySchema.parse(parameters));
+		});
+	}
+
 	link.on('attempt.update', (parameters: unknown) => {
 		for (const update of updatesSchema.parse(parameters).updates) {
 			trackUpdate(link, update);
@@ -70,17 +74,27 @@
 	}
 
 	send(message: SidecarToEntry): void {
-		if (message.type === 'offerReply') {
-			this.#link.notify('offer.reply', () => message);
-			return;
-		}
-
-		if (this.#updates.length === 0) {
-			this.#link.notify('attempt.update', () => this.#takeUpdates());
+		switch (message.type) {
+			case 'offerReply': {
+				this.#link.notify('offer.reply', () => message);
+				break;
+			}
+
+			case 'queryReply': {
+				this.#link.notify('request.reply', () => message);
+				break;
+			}
+
+			case 'update': {
+				if (this.#updates.length === 0) {
+					this.#link.notify('attempt.update', () => this.#takeUpdates());
+				}
+
+				this.#updates.push(message.update);
+				trackUpdate(this.#link, message.update);
+				break;
+			}
 		}
-
-		this.#updates.push(message.update);
-		trackUpdate(this.#link, message.update);
 	}
 
 	#takeUpdates(): {updates: Update[]} {
@@ -106,6 +120,7 @@
 		}
 
 		case 'offer':
+		case 'query':
 		case 'credit': {
 			break;
 		}
--- a/src/daemons/sidecar/sidecar-daemon.ts
+++ b/src/daemons/sidecar/sidecar-daemon.ts
@@ -1,5 +1,10 @@
 import {Agent} from 'undici';
-import {DisposableStore, Random, type Disposable} from '../../base/index.js';
+import {
+	DisposableStore,
+	hash32,
+	Random,
+	type Disposable,
+} from '../../base/index.js';
 import {HttpEngine, HttpService} from '../../platform/adapters/index.js';
 import type {Endpoint, Execution} from '../../platform/index.js';
 import {
@@ -66,7 +71,8 @@
 					endpoint: options.settings.process.instance,
 					epochMs: Date.now() - monotonicNow(),
 					incarnation: this.#core.incarnation,
-					scheduler: new Scheduler(new Random(options.seed)),
+					scheduler: new Scheduler(new Random(hash32(this.#core.incarnation))),
+					random: new Random(hash32(`${this.#core.incarnation} sweep`)),
 				}),
 				(effect) => {
 					this.#carryOut(effect);
