--- a/src/services/records/catalogue.ts
+++ b/src/services/records/catalogue.ts
@@ -180,7 +180,11 @@
 				break;
 			}
 
-			case 'class': {
+			case 'class':
+			case 'schedule':
+			case 'placement':
+			case 'key':
+			case 'term': {
 				break;
 			}
 		}
@@ -213,7 +217,11 @@
 				break;
 			}
 
-			case 'class': {
+			case 'class':
+			case 'schedule':
+			case 'placement':
+			case 'key':
+			case 'term': {
 				break;
 			}
 		}
