--- a/src/daemons/link/peer-method.ts
+++ b/src/daemons/link/peer-method.ts
@@ -23,6 +23,11 @@
 
 /** Sends an entry's message over a link. */
 export function sendToSidecar(link: Link, message: EntryToSidecar): void {
+	trackRequest(link, message);
+	if (message.type === 'offer' || message.type === 'query') {
+		link.expectReply();
+	}
+
 	link.notify(entryMethods[message.type], () => message);
 }
 
@@ -33,7 +38,9 @@
 ): void {
 	for (const method of Object.values(entryMethods)) {
 		link.on(method, (parameters: unknown) => {
-			receive(entryToSidecarSchema.parse(parameters));
+			const message = entryToSidecarSchema.parse(parameters);
+			trackRequest(link, message);
+			receive(message);
 		});
 	}
 }
@@ -51,6 +58,7 @@
 
 	link.on('attempt.update', (parameters: unknown) => {
 		for (const update of updatesSchema.parse(parameters).updates) {
+			trackUpdate(link, update);
 			receive({type: 'update', update});
 		}
 	});
@@ -83,6 +91,7 @@
 				}
 
 				this.#updates.push(message.update);
+				trackUpdate(this.#link, message.update);
 				break;
 			}
 		}
@@ -94,3 +103,42 @@
 		return {updates};
 	}
 }
+
+/** An attempt is in flight on the link from the entry's message until the sidecar's last update. */
+function trackRequest(link: Link, message: EntryToSidecar): void {
+	switch (message.type) {
+		case 'start':
+		case 'attach':
+		case 'cancel': {
+			link.hold(message.attempt);
+			break;
+		}
+
+		case 'detach': {
+			link.release(message.attempt);
+			break;
+		}
+
+		case 'offer':
+		case 'query':
+		case 'credit': {
+			break;
+		}
+	}
+}
+
+function trackUpdate(link: Link, update: Update): void {
+	switch (update.type) {
+		case 'refused':
+		case 'ended': {
+			link.release(update.attempt);
+			break;
+		}
+
+		case 'started':
+		case 'head':
+		case 'chunk': {
+			break;
+		}
+	}
+}
