--- a/src/cli/spread-bench.ts
+++ b/src/cli/spread-bench.ts
@@ -46,6 +46,11 @@
 			default: '6,60,600,5800',
 		},
 		seed: {type: 'string', description: 'Seed of the runs', default: '1'},
+		records: {
+			type: 'string',
+			description: 'Records in the table',
+			default: '50',
+		},
 		leave: {
 			type: 'boolean',
 			description:
@@ -56,27 +61,32 @@
 	run({args}) {
 		const json = args.json === true;
 		const seed = Number(args.seed);
+		const records = Number(args.records);
 		for (const members of args.members.split(',').map(Number)) {
 			if (
 				!Number.isInteger(members) ||
 				members < 1 ||
-				!Number.isInteger(seed)
+				!Number.isInteger(seed) ||
+				!Number.isInteger(records)
 			) {
-				console.error('--members takes positive integers, --seed an integer');
+				console.error(
+					'--members takes positive integers, --seed and --records integers',
+				);
 				process.exit(2);
 			}
 
+			const options = {members, seed, records};
 			for (const strategy of strategies) {
 				for (const scenario of spreadScenarios) {
-					print(measureSpread({members, seed, strategy, scenario}), json);
+					print(measureSpread({...options, strategy, scenario}), json);
 				}
 			}
 
 			for (const part of [0.01, 0.1, 1]) {
-				print(measureRestart({members, seed, part}), json);
+				print(measureRestart({...options, part}), json);
 			}
 
-			print(measureRestart({members, seed, part: 0.1, tableDown: true}), json);
+			print(measureRestart({...options, part: 0.1, tableDown: true}), json);
 			for (const loss of args.leave === true ? [0, 0.1] : []) {
 				print(measureLeave({members, seed, loss}), json);
 			}
--- a/src/lab/spread-bench.ts
+++ b/src/lab/spread-bench.ts
@@ -35,6 +35,7 @@
 /** Result of restarting part of a fleet with empty memory. */
 export type RestartRow = {
 	readonly members: number;
+	readonly records: number;
 	/** Part of the processes that restart at once, 0 to 1. */
 	readonly part: number;
 	readonly tableDown: boolean;
@@ -44,6 +45,9 @@
 	readonly p50Ms: number;
 	readonly p99Ms: number;
 	readonly worstMs: number;
+	/** Bytes sent by a process in the minute after the restart: mean and of the busiest. */
+	readonly bytes: number;
+	readonly worstBytes: number;
 	readonly readsAtRest: number;
 	readonly readsPeak: number;
 };
@@ -51,10 +55,12 @@
 export type SpreadBenchOptions = {
 	readonly members: number;
 	readonly seed: number;
+	/** Records in the table before the measurement. */
+	readonly records?: number;
 };
 
-/** Records in the table before the measurement. */
-const initialRecords = 50;
+/** Default number of records; the design scale has some 11,200, which 5,800 processes in one heap do not fit. */
+const defaultRecords = 50;
 /** Time in which the fleet starts, in milliseconds. */
 const warmUpMs = 30_000;
 const changes = 6;
@@ -107,6 +113,7 @@
 	},
 ): SpreadRow {
 	const {members, seed, strategy, scenario} = options;
+	const {records = defaultRecords} = options;
 	const acceptedAt = new Map<number, number>();
 	const reached = Array.from({length: members}, () => 0);
 	const delays: number[] = [];
@@ -131,7 +138,7 @@
 			reached[process] = revision;
 		},
 	});
-	for (let n = 0; n < initialRecords; n++) {
+	for (let n = 0; n < records; n++) {
 		fleet.accept(`class-${n}`);
 	}
 
@@ -187,8 +194,9 @@
 	},
 ): RestartRow {
 	const {members, seed, part, tableDown = false} = options;
+	const {records = defaultRecords} = options;
 	const fleet = new SpreadFleet({members, seed});
-	for (let n = 0; n < initialRecords; n++) {
+	for (let n = 0; n < records; n++) {
 		fleet.accept(`class-${n}`);
 	}
 
@@ -197,6 +205,7 @@
 	const restartAt = 2 * warmUpMs;
 	fleet.runUntil(restartAt);
 	fleet.tableDown = tableDown;
+	fleet.resetCounters();
 	const count = Math.max(1, Math.round(part * members));
 	const all = Array.from({length: members}, (_, n) => String(n));
 	const restarted = new Random(seed).sample(all, count).map(Number);
@@ -205,16 +214,20 @@
 	}
 
 	fleet.runUntil(2 * restartAt);
+	const {bytes, worstBytes} = fleet.counters();
 	const times = restarted
 		.map((index) => fleet.readyAt(index))
 		.filter((time) => time !== undefined)
 		.map((time) => time - restartAt);
 	return {
 		members,
+		records,
 		part,
 		tableDown,
 		missing: count - times.length,
 		...summary(times),
+		bytes: bytes / members,
+		worstBytes,
 		readsAtRest: mean(readsBetween(fleet, warmUpMs, restartAt)),
 		readsPeak: Math.max(...readsBetween(fleet, restartAt, 2 * restartAt)),
 	};
