Repeat an unanswered pull without growing delays

Cause: the time allowed for an answer doubled with each try, and no digest is sent meanwhile, so three lost messages in a row cost 7.5 s.

--- a/src/services/spread/spread.ts
+++ b/src/services/spread/spread.ts
@@ -375,7 +375,7 @@
 			message.snapshotAfter = this.#staging?.after;
 		}
 
-		const timeoutMs = jitter(answerTimeoutMs * 2 ** (tries - 1), this.#random);
+		const timeoutMs = jitter(answerTimeoutMs, this.#random);
 		this.#pull = {peer, tries, until: now + timeoutMs};
 		this.#send(peer, message);
 	}
