--- a/src/services/spread/spread.ts
+++ b/src/services/spread/spread.ts
@@ -244,6 +244,13 @@
 			return;
 		}
 
+		if (this.#staging?.after !== undefined && !this.#staging.isFromTable) {
+			// Goes on with another peer where the last one stopped.
+			this.#staging.source = peer;
+			this.#request(peer, now);
+			return;
+		}
+
 		const message: SpreadDigest = {type: 'digest', revision: this.#current};
 		if (!this.#store) {
 			message.ask = true;
@@ -284,7 +291,7 @@
 		this.#learn(push.entries, push.origin ?? peer);
 		if (!push.snapshot && this.#collectsFrom(peer)) {
 			// The peer is busy or empty; the next digest asks another one.
-			this.#staging = undefined;
+			this.#staging!.source = undefined;
 			return;
 		}
 
@@ -383,11 +390,8 @@
 	#onPullTimeout(now: number): void {
 		const tries = (this.#pull?.tries ?? 0) + 1;
 		this.#pull = undefined;
-		if (
-			this.#staging?.source !== undefined &&
-			this.#staging.after !== undefined
-		) {
-			this.#staging = undefined;
+		if (this.#staging?.after !== undefined) {
+			this.#staging.source = undefined;
 		}
 
 		const peer = this.#random.pick(this.#peers);
@@ -481,7 +485,7 @@
 
 	#onTableFailure(): void {
 		this.#tableFailures++;
-		if (this.#staging?.source === undefined) {
+		if (this.#staging?.isFromTable) {
 			this.#staging = undefined;
 		}
 	}
@@ -534,14 +538,14 @@
 		this.#learn(entries, this.#id);
 		if (rows.length === scanLimit) {
 			this.#scanLog(now);
-		} else if (this.#staging?.source === undefined) {
-			this.#staging?.confirm();
+		} else if (this.#staging?.isFromTable) {
+			this.#staging.confirm();
 		}
 	}
 
 	#loadFromTable(head: number, now: number): void {
 		this.#headBeforeLoad = head;
-		this.#staging = new Staging(undefined);
+		this.#staging = new Staging();
 		this.#scanRecords(now);
 	}
 
@@ -557,7 +561,7 @@
 
 	#onRecordRows(rows: readonly Row[], now: number): void {
 		const staging = this.#staging;
-		if (staging?.source !== undefined || staging?.after === undefined) {
+		if (!staging?.isFromTable || staging.after === undefined) {
 			return;
 		}
 
--- a/src/services/spread/staging.ts
+++ b/src/services/spread/staging.ts
@@ -5,12 +5,14 @@
  * Records that are being collected from a peer or the table.
  *
  * Pieces read one after the other may be of different revisions. The result is
- * consistent once the log entries from the first piece's revision up to the
- * last one's are applied over it, since an entry holds whole records.
+ * consistent once the log entries from the lowest revision of a piece up to
+ * the highest are applied over it, since an entry holds whole records.
  */
 export class Staging {
-	/** Peer that sends the pieces; undefined for the table. */
-	readonly source: string | undefined;
+	/** Peer that sends the pieces at present; undefined while there is none. */
+	source: string | undefined;
+	/** The pieces come from the table. */
+	readonly isFromTable: boolean;
 	readonly #records = new Map<
 		string,
 		SnapshotPiece['records'][number]['record']
@@ -23,8 +25,10 @@
 	#after = '';
 	#store: RecordStore | undefined;
 
-	constructor(source: string | undefined) {
+	/** Starts with a peer, or with the table. */
+	constructor(source?: string) {
 		this.source = source;
+		this.isFromTable = source === undefined;
 		this.#isConfirmed = source !== undefined;
 	}
 
@@ -52,7 +56,8 @@
 			return;
 		}
 
-		this.#base ??= revision;
+		// A later piece may come from a peer that is behind the first one.
+		this.#base = Math.min(this.#base ?? revision, revision);
 		this.#consistentAt = Math.max(this.#consistentAt, revision);
 		for (const {key, record} of piece.records) {
 			this.#records.set(key, record);
