--- a/src/lab/records-fuzz.ts
+++ b/src/lab/records-fuzz.ts
@@ -11,6 +11,7 @@
 } from '../platform/index.js';
 import {
 	headRevision,
+	Spread,
 	termKey,
 	Writer,
 	type Edit,
@@ -73,6 +74,8 @@
 };
 
 const processes = 5;
+/** Small enough that every record is a snapshot piece of its own. */
+const pieceCharacters = 100;
 const operators = ['abay', 'baro', 'didessa'];
 /** Time without faults after which everything must have converged. */
 const healMs = 60_000;
@@ -102,7 +105,9 @@
 		this.#fleet = new SpreadFleet({
 			members: processes,
 			seed: scenario.seed,
-			machine: variant.spread,
+			machine:
+				variant.spread ??
+				((id, random) => new Spread({id, random, pieceCharacters})),
 			onForce: (process, effect) => {
 				if (effect.type === 'apply') {
 					this.#checkApply(process, effect.entry);
--- a/src/services/spread/record-store.ts
+++ b/src/services/spread/record-store.ts
@@ -11,7 +11,7 @@
 /** Most JSON characters of log entries in one message, unless a single one is longer. */
 const charactersPerPush = 64 * 1024;
 /** Most JSON characters of records in one snapshot piece; a quarter of it made a start 2.8 times as long. */
-const charactersPerPiece = 256 * 1024;
+export const charactersPerPiece = 256 * 1024;
 
 const sizes = new WeakMap<object, number>();
 
@@ -107,7 +107,7 @@
 	}
 
 	/** Records after a key, as many as fit into one message. */
-	piece(after: string): SnapshotPiece {
+	piece(after: string, limit = charactersPerPiece): SnapshotPiece {
 		this.#keys ??= [...this.#records.keys()].toSorted();
 		const keys = this.#keys;
 		let low = 0;
@@ -127,7 +127,7 @@
 			const key = keys[index]!;
 			const record = this.#records.get(key)!;
 			characters += sizeOf(record) + key.length;
-			if (records.length > 0 && characters > charactersPerPiece) {
+			if (records.length > 0 && characters > limit) {
 				return {after, records, next: keys[index - 1]};
 			}
 
--- a/src/services/spread/spread.ts
+++ b/src/services/spread/spread.ts
@@ -53,6 +53,8 @@
 	readonly random: Random;
 	/** Chosen by measurement; see `src/lab/spread-bench.ts`. */
 	readonly policy?: SpreadPolicy;
+	/** Most JSON characters of records in one snapshot piece. */
+	readonly pieceCharacters?: number;
 };
 
 /** Brings accepted changes into force in one process, strictly in order of revision, from the table and from peers. */
@@ -60,6 +62,7 @@
 	readonly #id: string;
 	readonly #random: Random;
 	readonly #policy: SpreadPolicy;
+	readonly #pieceCharacters: number | undefined;
 	#peers: readonly string[] = [];
 	/** Records in force; undefined until the process may take part. */
 	#store: RecordStore | undefined;
@@ -101,6 +104,7 @@
 		this.#id = options.id;
 		this.#random = options.random;
 		this.#policy = options.policy ?? gossipPolicy();
+		this.#pieceCharacters = options.pieceCharacters;
 	}
 
 	/** Revision in force; undefined until the process may take part. */
@@ -327,7 +331,7 @@
 		if (digest.snapshotAfter !== undefined) {
 			const snapshot =
 				store && this.#takePiece(now)
-					? store.piece(digest.snapshotAfter)
+					? store.piece(digest.snapshotAfter, this.#pieceCharacters)
 					: undefined;
 			const revision = store?.revision ?? 0;
 			this.#send(peer, {type: 'push', revision, entries: [], snapshot});
