--- a/src/services/spread/spread.test.ts
+++ b/src/services/spread/spread.test.ts
@@ -106,6 +106,19 @@
 	expect(staging.result?.revision).toEqual(7);
 });
 
+// Guards against changes that are lost when a snapshot is continued with a peer that is behind the first one.
+test('staged records are of the lowest revision of their pieces', () => {
+	const staging = new Staging('b');
+	const [change] = entry(5).changes;
+	const record = change!.record!;
+	staging.add(7, {after: '', records: [{key: 'k1', record}], next: 'k1'});
+	staging.add(5, {after: 'k1', records: [{key: 'k2', record}]});
+	expect(staging.revision).toEqual(5);
+	staging.apply([entry(6, 'k2'), entry(7, 'k1')]);
+	const note = staging.result?.records.get('k2')?.['note'];
+	expect([staging.result?.revision, note]).toEqual([7, 6]);
+});
+
 // Guards against pieces that repeat or leave out records, and entries that the log no longer holds.
 test('a store hands out its records in pieces and its log without gaps', () => {
 	const store = new RecordStore(new Map(), 0);
