Spread records and membership between the processes

Cause: every process scanned all records and the instance list once a second, which is 5,800 scans/s at the design size, and a process could not start or learn a change while the table was away. Change: daemons run the spread and membership state machines over links between peers; entries get a peer address; leaving instances are known by gossip; the command in-force names the revision in force in every instance; the example records begin with their operator's term and are written by the writer. Ruled out: datagrams, since links already authenticate both ends. Conclusion: nothing on the request path reads the table but run records.

--- a/src/cli/apply.ts
+++ b/src/cli/apply.ts
@@ -1,5 +1,6 @@
 import {defineCommand} from 'citty';
 import type {Table} from '../platform/index.js';
+import {writeRecords} from '../daemons/index.js';
 import {exitCodes, terminal, type ExitCode, type Output} from './exit-code.js';
 import {recordArgs} from './record-args.js';
 import {
@@ -8,7 +9,7 @@
 	reportFiles,
 	type ReadText,
 } from './record-files.js';
-import {planRecords, reportWrite, writeRecords} from './write-records.js';
+import {planRecords, reportWrite} from './write-records.js';
 import {withTable} from './with-table.js';
 
 export type ApplyOptions = {
--- a/src/cli/delete.ts
+++ b/src/cli/delete.ts
@@ -2,10 +2,11 @@
 import {defineCommand} from 'citty';
 import type {Table} from '../platform/index.js';
 import type {Edit} from '../services/index.js';
+import {writeRecords} from '../daemons/index.js';
 import {exitCodes, terminal, type ExitCode, type Output} from './exit-code.js';
 import {recordArgs} from './record-args.js';
 import {parseTarget} from './record-files.js';
-import {planRecords, reportWrite, writeRecords} from './write-records.js';
+import {planRecords, reportWrite} from './write-records.js';
 import {withTable} from './with-table.js';
 
 export type DeleteOptions = {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -53,6 +53,10 @@
 			const commands = await import('./validate.js');
 			return commands.validateCommand;
 		},
+		async 'in-force'() {
+			const commands = await import('./in-force.js');
+			return commands.inForceCommand;
+		},
 		async demo() {
 			const commands = await import('./demo.js');
 			return commands.demoCommand;
--- a/src/daemons/daemon-core.ts
+++ b/src/daemons/daemon-core.ts
@@ -11,7 +11,8 @@
 } from '../platform/index.js';
 import {Catalogue, type CommonEffect} from '../services/index.js';
 import {AdminServer} from './admin/index.js';
-import {ConfigPoller} from './config-poller.js';
+import {Gossip} from './gossip/index.js';
+import {LinkServer, PeerKeys, type AcceptedLink} from './link/index.js';
 import {splitAddress} from './listen.js';
 import {Log} from './log.js';
 import {Metrics} from './metrics/index.js';
@@ -28,8 +29,10 @@
 export type DaemonRole = {
 	/** State of the role as plain data. */
 	readonly dump: () => Record<string, unknown>;
-	/** The records or the instance list have been read. */
-	readonly onDidRead: () => void;
+	/** The records in force or the instances have changed. */
+	readonly onDidChange: () => void;
+	/** Another process has opened a link. */
+	readonly onDidAccept?: (accepted: AcceptedLink) => void;
 	/** Stops taking new work; called once. */
 	readonly leave: () => void;
 	/** Hands the answer of a table operation to the state machine. */
@@ -49,17 +52,17 @@
 	readonly #options: DaemonOptions;
 	readonly #role: DaemonRole;
 	readonly #store = new DisposableStore();
-	readonly #poller: ConfigPoller;
+	readonly #gossip: Gossip;
+	readonly #server: LinkServer;
 	readonly #admin: AdminServer;
 	readonly #drained: Promise<void>;
 	#resolveDrained: () => void = () => undefined;
-	#hasRecords = false;
 	#leaving = false;
 
 	constructor(options: DaemonOptions, role: DaemonRole) {
 		this.#options = options;
 		this.#role = role;
-		const {process, metrics, log} = options.settings;
+		const {process, metrics, log, peers, limits} = options.settings;
 		this.#drained = new Promise((resolve) => {
 			this.#resolveDrained = resolve;
 		});
@@ -71,18 +74,36 @@
 				tags: {role: process.role, instance: process.instance},
 			}),
 		);
-		this.#poller = this.#store.add(
-			new ConfigPoller({
-				table: options.table,
-				instances: options.instances,
+		this.#gossip = this.#store.add(
+			new Gossip({
+				...options,
 				catalogue: this.catalogue,
 				log: this.log,
-				onDidRead: () => {
-					this.#hasRecords = true;
-					role.onDidRead();
+				incarnation: this.incarnation,
+				own: () => this.hello,
+				carryOut: (effect) => {
+					this.carryOut(effect);
 				},
+				onDidChange: role.onDidChange,
+				onDidLeave: () => {
+					void this.drain();
+				},
+			}),
+		);
+		this.#server = this.#store.add(
+			new LinkServer({
+				keys: new PeerKeys([peers.key, peers.previous_key]),
+				own: () => this.hello,
+				limits,
 			}),
 		);
+		this.#server.onDidAccept((accepted) => {
+			if (accepted.peer.role !== 'operator') {
+				this.#gossip.accept(accepted);
+			}
+
+			role.onDidAccept?.(accepted);
+		});
 		this.#admin = this.#store.add(
 			new AdminServer({
 				dump: () => this.dump(),
@@ -96,7 +117,7 @@
 
 	/** Whether the process has records and takes new work. */
 	get isReady(): boolean {
-		return this.#hasRecords && !this.#leaving;
+		return this.#gossip.revision !== undefined && !this.#leaving;
 	}
 
 	get isLeaving(): boolean {
@@ -111,17 +132,20 @@
 			role: process.role,
 			incarnation: this.incarnation,
 			dataCentre: process.data_centre,
-			revision: 0,
+			revision: this.#gossip.revision ?? 0,
 		};
 	}
 
-	/** Reads the records and opens the admin address; rejects when it cannot be used. */
-	async start(): Promise<void> {
-		await this.#poller.read();
-		await this.#admin.listen(this.#options.settings.addresses.admin);
+	/** Opens the admin and peer addresses and begins to learn records and instances; rejects when an address cannot be used. Resolves to the peer port. */
+	async start(): Promise<number> {
+		const {addresses} = this.#options.settings;
+		await this.#admin.listen(addresses.admin);
+		const port = await this.#server.listen(addresses.peer!);
+		await this.#gossip.start();
+		return port;
 	}
 
-	/** Takes no new work; resolves when nothing is in progress any more. */
+	/** Takes no new work; resolves when nothing is in progress any more and the peers have been told. */
 	async drain(): Promise<void> {
 		if (!this.#leaving) {
 			this.#leaving = true;
@@ -129,7 +153,8 @@
 			this.#role.leave();
 		}
 
-		return this.#drained;
+		await Promise.all([this.#drained, this.#gossip.leave()]);
+		await this.#server.end();
 	}
 
 	dump(): unknown {
@@ -140,6 +165,7 @@
 			incarnation: this.incarnation,
 			process: processUsage(),
 			...this.#role.dump(),
+			...this.#gossip.dump(),
 			metrics: this.metrics.dump(),
 		};
 	}
--- a/src/daemons/entry/entry-daemon.ts
+++ b/src/daemons/entry/entry-daemon.ts
@@ -48,7 +48,7 @@
 					links: this.#links.size,
 					bodyBytes: this.#server.bodyBytes,
 				}),
-				onDidRead: () => undefined,
+				onDidChange: () => undefined,
 				leave: () => {
 					this.#server.leave();
 					this.#task.post({type: 'leave'});
--- /dev/null
+++ b/src/daemons/gossip/index.ts
@@ -0,0 +1,2 @@
+export * from './gossip.js';
+export * from './peer-links.js';
--- a/src/daemons/index.ts
+++ b/src/daemons/index.ts
@@ -3,3 +3,5 @@
 export * from './link/index.js';
 export * from './sidecar/index.js';
 export type {DaemonOptions} from './daemon-core.js';
+export * from './gossip/index.js';
+export * from './records/index.js';
--- /dev/null
+++ b/src/daemons/records/index.ts
@@ -0,0 +1,1 @@
+export * from './write-records.js';
--- a/src/daemons/sidecar/sidecar-daemon.ts
+++ b/src/daemons/sidecar/sidecar-daemon.ts
@@ -15,8 +15,6 @@
 } from '../../services/index.js';
 import {DaemonCore, type DaemonOptions} from '../daemon-core.js';
 import {
-	LinkServer,
-	PeerKeys,
 	receiveFromEntry,
 	SidecarSender,
 	type AcceptedLink,
@@ -31,7 +29,6 @@
 	readonly #options: DaemonOptions;
 	readonly #store = new DisposableStore();
 	readonly #core: DaemonCore;
-	readonly #server: LinkServer;
 	readonly #endpoint: Endpoint;
 	readonly #senders = new Map<string, SidecarSender>();
 	readonly #executions = new Map<string, Execution>();
@@ -41,7 +38,7 @@
 
 	constructor(options: DaemonOptions) {
 		this.#options = options;
-		const {endpoint, peers, limits} = options.settings;
+		const {endpoint} = options.settings;
 		const pool = new Agent();
 		this.#endpoint =
 			endpoint!.type === 'engine'
@@ -54,9 +51,12 @@
 					links: this.#senders.size,
 					executions: this.#executions.size,
 				}),
-				onDidRead: () => {
+				onDidChange: () => {
 					this.#onRecords();
 				},
+				onDidAccept: (accepted) => {
+					this.#onLink(accepted);
+				},
 				leave: () => {
 					this.#task.post({type: 'leave'});
 				},
@@ -79,16 +79,6 @@
 				},
 			),
 		);
-		this.#server = this.#store.add(
-			new LinkServer({
-				keys: new PeerKeys([peers.key, peers.previous_key]),
-				own: () => this.#core.hello,
-				limits,
-			}),
-		);
-		this.#server.onDidAccept((accepted) => {
-			this.#onLink(accepted);
-		});
 		this.#store.add(
 			this.#core.repeat(loadIntervalMs, () => {
 				void this.#readEndpoint();
@@ -103,10 +93,7 @@
 
 	/** Opens the admin and peer addresses; rejects when one cannot be used. Resolves to the peer port. */
 	async start(): Promise<number> {
-		await this.#core.start();
-		const port = await this.#server.listen(
-			this.#options.settings.addresses.peer!,
-		);
+		const port = await this.#core.start();
 		this.#core.log.info('started', {port});
 		return port;
 	}
@@ -114,7 +101,6 @@
 	/** Takes no new work; resolves when the last attempt in progress has ended and the entries have been told. */
 	async drain(): Promise<void> {
 		await this.#core.drain();
-		await this.#server.end();
 	}
 
 	dispose(): void {
--- a/src/lab/capacity/slopes.ts
+++ b/src/lab/capacity/slopes.ts
@@ -170,7 +170,7 @@
 function instanceListTime(endpoints: number): number {
 	const rows = recordRows(100, endpoints);
 	const catalogue = new Catalogue();
-	catalogue.replaceAll(rows);
+	catalogue.replaceAll(new Map(rows.map(({key, value}) => [key, value])));
 	const instances = instancesOf(rows);
 	return microsecondsPerCall(10, (index) => {
 		catalogue.setInstances(
--- a/src/lab/capacity/workload.ts
+++ b/src/lab/capacity/workload.ts
@@ -55,10 +55,14 @@
 export function recordRows(
 	workspaces: number,
 	endpoints: number,
-): Array<{key: string; value: string}> {
-	const rows = ['interactive', 'standard', 'batch'].map((name, tier) => ({
+): Array<{key: string; value: unknown}> {
+	const rows: Array<{key: string; value: unknown}> = [
+		'interactive',
+		'standard',
+		'batch',
+	].map((name, tier) => ({
 		key: `record/class/${name}`,
-		value: JSON.stringify({
+		value: {
 			schema: 1,
 			kind: 'class',
 			name,
@@ -66,7 +70,7 @@
 			firstTokenMs: 660,
 			gapMs: 32,
 			share: 0.2,
-		}),
+		},
 	}));
 	for (let n = 0; n < workspaces; n++) {
 		rows.push(workspaceRow(n, 1));
@@ -76,28 +80,28 @@
 		const name = `endpoint-${n % fleetSize.models}-${n}`;
 		rows.push({
 			key: `record/endpoint/${name}`,
-			value: JSON.stringify({
+			value: {
 				schema: 1,
 				kind: 'endpoint',
 				name,
 				type: 'engine',
 				dataCentre: `dc-${n % fleetSize.dataCentres}`,
 				region: `region-${n % fleetSize.regions}`,
-			}),
+			},
 		});
 	}
 
 	for (let n = 0; n < fleetSize.models; n++) {
 		rows.push({
 			key: `record/rule/model-${n}`,
-			value: JSON.stringify({
+			value: {
 				schema: 1,
 				kind: 'rule',
 				name: `model-${n}`,
 				target: `model-${n}`,
 				targetKind: 'model',
 				endpoints: [`endpoint-${n}-*`],
-			}),
+			},
 		});
 	}
 
@@ -108,18 +112,18 @@
 export function workspaceRow(
 	number: number,
 	weight: number,
-): {key: string; value: string} {
+): {key: string; value: unknown} {
 	const name = `workspace-${String(number).padStart(4, '0')}`;
 	return {
 		key: `record/workspace/${name}`,
-		value: JSON.stringify({
+		value: {
 			schema: 1,
 			kind: 'workspace',
 			name,
 			keyHashes: [number.toString(16).padStart(64, '0')],
 			weight,
 			classes: ['interactive', 'standard', 'batch'],
-		}),
+		},
 	};
 }
 
@@ -138,7 +142,7 @@
 export function catalogueOf(workspaces: number, endpoints: number): Catalogue {
 	const rows = recordRows(workspaces, endpoints);
 	const catalogue = new Catalogue();
-	catalogue.replaceAll(rows);
+	catalogue.replaceAll(new Map(rows.map(({key, value}) => [key, value])));
 	catalogue.setInstances(instancesOf(rows));
 	return catalogue;
 }
--- /dev/null
+++ b/src/lab/fleet/configuration.test.ts
@@ -0,0 +1,142 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {test, type TestContext} from 'node:test';
+import {expect} from 'earl';
+import {request} from 'undici';
+import {z} from 'zod';
+import {writeRecords} from '../../daemons/index.js';
+import type {Edit} from '../../services/index.js';
+import {Fleet, type FleetProcess} from './fleet.js';
+
+const dumpSchema = z.object({
+	spread: z.object({revision: z.int().optional()}),
+	membership: z.object({
+		members: z.array(z.object({id: z.string(), state: z.string()})),
+	}),
+});
+
+/** Rounds of waiting before a condition counts as missed; generous, since only the condition matters. */
+const maxRounds = 600;
+const roundMs = 50;
+
+async function startFleet(t: TestContext): Promise<Fleet> {
+	const fleet = new Fleet({
+		deployment: 'gebeya',
+		entries: 2,
+		engines: 2,
+		services: 1,
+	});
+	t.after(async () => fleet.dispose());
+	await fleet.start();
+	return fleet;
+}
+
+async function until(condition: () => Promise<boolean>): Promise<boolean> {
+	for (let round = 0; round < maxRounds; round++) {
+		if (await condition()) {
+			return true;
+		}
+
+		await sleep(roundMs);
+	}
+
+	return false;
+}
+
+function all(fleet: Fleet): FleetProcess[] {
+	return [...fleet.entries, ...fleet.sidecars.values()];
+}
+
+async function revisions(fleet: Fleet): Promise<Array<number | undefined>> {
+	const dumps = await Promise.all(
+		all(fleet).map(async (each) => fleet.dump(each)),
+	);
+	return dumps.map((dump) => dumpSchema.parse(dump).spread.revision);
+}
+
+async function apply(fleet: Fleet, edits: Edit[]): Promise<number> {
+	const {result} = await writeRecords(fleet.table, {
+		operator: 'gebeya',
+		edits,
+	});
+	expect(result.type).toEqual('accepted');
+	return result.type === 'accepted' ? result.revision : 0;
+}
+
+function classEdit(firstTokenMs: number): Edit {
+	return {
+		kind: 'class',
+		name: 'extra',
+		record: {
+			schema: 1,
+			kind: 'class',
+			name: 'extra',
+			tier: 1,
+			firstTokenMs,
+			gapMs: 50,
+		},
+	};
+}
+
+// Guards against a process that never learns a change, and against one that serves while the table is away only on what it had read itself.
+test('a change reaches every process, also from peers while the table is down', async (t) => {
+	const fleet = await startFleet(t);
+	const revision = await apply(fleet, [classEdit(500)]);
+	expect(
+		await until(async () => {
+			const known = await revisions(fleet);
+			return known.every((each) => each === revision);
+		}),
+	).toEqual(true);
+
+	fleet.tableServer.fault = 'down';
+	const entry = await fleet.startEntry('entry-3', 'bole', 'addis');
+	const dump = dumpSchema.parse(await fleet.dump(entry));
+	expect(dump.spread.revision).toEqual(revision);
+});
+
+// Guards against an endpoint that goes on getting work after the platform has announced that it leaves.
+test('an endpoint that the platform lists as leaving gets no new work', async (t) => {
+	const fleet = await startFleet(t);
+	const leaving = fleet.instanceList.instances.find(
+		({id}) => id === 'kettle-1',
+	)!;
+	fleet.instanceList.instances = fleet.instanceList.instances.map((instance) =>
+		instance === leaving ? {...instance, state: 'leaving'} : instance,
+	);
+	const known = await until(async () => {
+		const dumps = await Promise.all(
+			all(fleet).map(async (each) => fleet.dump(each)),
+		);
+		return dumps.every((dump) =>
+			dumpSchema
+				.parse(dump)
+				.membership.members.some(
+					({id, state}) => id === 'kettle-1' && state === 'leaving',
+				),
+		);
+	});
+	expect(known).toEqual(true);
+
+	const before = fleet.engines.get('kettle-1')!.executed.length;
+	for (let n = 0; n < 10; n++) {
+		const answer = await request(
+			`http://${fleet.entries[n % 2]!.address}/v1/chat/completions`,
+			{
+				method: 'POST',
+				headers: {
+					'content-type': 'application/json',
+					authorization: 'Bearer sk-demo-reminders',
+				},
+				body: JSON.stringify({
+					model: 'kettle-llm',
+					max_tokens: 2,
+					messages: [{role: 'user', content: `hello ${n}`}],
+				}),
+			},
+		);
+		await answer.body.dump();
+		expect(answer.statusCode).toEqual(200);
+	}
+
+	expect(fleet.engines.get('kettle-1')!.executed.length).toEqual(before);
+});
--- a/src/lab/fleet/fleet.ts
+++ b/src/lab/fleet/fleet.ts
@@ -8,8 +8,8 @@
 import {request} from 'undici';
 import {z} from 'zod';
 import {DisposableStore} from '../../base/index.js';
+import {writeRecords} from '../../daemons/index.js';
 import {
-	recordKey,
 	recordSchema,
 	type ConfigRecord,
 	type EndpointRecord,
@@ -44,6 +44,8 @@
 	readonly child: ChildProcess;
 	/** Caller address of an entry or peer address of a sidecar. */
 	readonly address: string;
+	/** Where other processes connect. */
+	readonly peer: string;
 	readonly admin: string;
 };
 
@@ -102,11 +104,6 @@
 			`url = ${url}`,
 		]);
 		this.sidecars.set(endpoint.name, sidecar);
-		this.instanceList.instances.push({
-			id: endpoint.name,
-			address: peer,
-			state: 'live',
-		});
 	}
 
 	async startEntry(
@@ -148,13 +145,20 @@
 		const records = z
 			.array(recordSchema)
 			.parse(JSON.parse(await readFile(file, 'utf8')));
-		this.table.commitNow({
-			checks: [],
-			writes: records.map((record) => ({
-				key: recordKey(record),
-				value: JSON.stringify(record),
+		const {result} = await writeRecords(this.table, {
+			operator: this.#options.deployment,
+			edits: records.map((record) => ({
+				kind: record.kind,
+				name: record.name,
+				record,
 			})),
 		});
+		if (result.type !== 'accepted') {
+			throw new Error(
+				`the records of ${file} were not accepted: ${result.type}`,
+			);
+		}
+
 		return records;
 	}
 
@@ -198,9 +202,11 @@
 		const admin = `127.0.0.1:${await freePort()}`;
 		const file = path.join(this.#directory, `${name}.ini`);
 		const own = role === 'entry' ? 'caller' : 'peer';
+		const peer = role === 'entry' ? `127.0.0.1:${await freePort()}` : address;
 		const addresses = [
 			'[addresses]',
 			`${own} = ${address}`,
+			...(peer === address ? [] : [`peer = ${peer}`]),
 			`admin = ${admin}`,
 		];
 		await writeFile(file, [...lines, ...addresses, ''].join('\n'));
@@ -216,8 +222,9 @@
 			],
 			{cwd: root, stdio: ['ignore', 'ignore', 'inherit']},
 		);
-		const fleetProcess = {name, child, address, admin};
+		const fleetProcess = {name, child, address, peer, admin};
 		await waitUntilReady(fleetProcess);
+		this.instanceList.instances.push({id: name, address: peer, state: 'live'});
 		return fleetProcess;
 	}
 }
--- a/src/platform/settings/settings.test.ts
+++ b/src/platform/settings/settings.test.ts
@@ -41,6 +41,7 @@
 		'x.ini: [limits] conections: "5" is not allowed: unknown key',
 		'x.ini: [metric]: a section is not allowed: unknown section',
 		'x.ini: [addresses] caller: nothing is not allowed: required for role "entry"',
+		'x.ini: [addresses] peer: nothing is not allowed: required for role "entry"',
 		'x.ini: [addresses] admin: "10.0.0.1:8090" is not allowed: must be on loopback unless admin_remote is true',
 	]);
 });
--- a/src/platform/settings/settings.ts
+++ b/src/platform/settings/settings.ts
@@ -15,7 +15,7 @@
 const addressesSection = z.strictObject({
 	/** Where callers connect; entries only. */
 	caller: address.optional(),
-	/** Where entries connect to a sidecar; sidecars only. */
+	/** Where other processes of the system connect. */
 	peer: address.optional(),
 	/** State dump and health. */
 	admin: address,
@@ -137,7 +137,10 @@
 	const role = valueAt(raw, ['process', 'role']);
 	const required =
 		role === 'entry'
-			? [['addresses', 'caller']]
+			? [
+					['addresses', 'caller'],
+					['addresses', 'peer'],
+				]
 			: role === 'sidecar'
 				? [
 						['addresses', 'peer'],
--- a/src/services/records/catalogue.test.ts
+++ b/src/services/records/catalogue.test.ts
@@ -4,35 +4,35 @@
 
 const endpoint = (name: string) => ({
 	key: `record/endpoint/${name}`,
-	value: JSON.stringify({
+	value: {
 		schema: 1,
 		kind: 'endpoint',
 		name,
 		type: 'engine',
 		dataCentre: 'dc-1',
 		region: 'region-1',
-	}),
+	},
 });
 const rule = (endpoints: string[]) => ({
 	key: 'record/rule/r',
-	value: JSON.stringify({
+	value: {
 		schema: 1,
 		kind: 'rule',
 		name: 'r',
 		target: 'model',
 		targetKind: 'model',
 		endpoints,
-	}),
+	},
 });
 const workspace = (hash: string) => ({
 	key: 'record/workspace/w',
-	value: JSON.stringify({
+	value: {
 		schema: 1,
 		kind: 'workspace',
 		name: 'w',
 		keyHashes: [hash.repeat(64)],
 		classes: ['c'],
-	}),
+	},
 });
 
 function names(catalogue: Catalogue): string[] {
@@ -44,7 +44,14 @@
 // Guards against a built target that outlives a change of its rule, endpoint or instance.
 test('catalogue follows changes of rules, endpoints and instances', () => {
 	const catalogue = new Catalogue();
-	catalogue.replaceAll([endpoint('a-1'), endpoint('b-1'), rule(['a-*'])]);
+	for (const {key, value} of [
+		endpoint('a-1'),
+		endpoint('b-1'),
+		rule(['a-*']),
+	]) {
+		catalogue.set(key, value);
+	}
+
 	catalogue.setInstances([
 		{id: 'a-1', address: '127.0.0.1:1', state: 'live'},
 		{id: 'b-1', address: '127.0.0.1:2', state: 'live'},
--- a/src/services/records/catalogue.ts
+++ b/src/services/records/catalogue.ts
@@ -1,5 +1,5 @@
 import {
-	recordSchema,
+	readRecord,
 	type ConfigRecord,
 	type Contract,
 	type EndpointRecord,
@@ -44,15 +44,15 @@
 	/** Targets that have been built since their rules and endpoints last changed. */
 	readonly #targets = new Map<string, Target>();
 
-	/** Replaces a record, or removes it when `value` is null. Text that is not a known record counts as removed, since a later operator may write kinds that this version lacks. */
-	set(key: string, value: string | null): void {
+	/** Replaces a record, or removes it when it is null. What is not a known record counts as removed, since a later operator may write kinds that this version lacks. */
+	set(key: string, value: unknown): void {
 		const earlier = this.#records.get(key);
 		if (earlier) {
 			this.#records.delete(key);
 			this.#unindex(earlier);
 		}
 
-		const record = value === null ? undefined : parseRecord(value);
+		const record = parseRecord(value);
 		if (record) {
 			this.#records.set(key, record);
 			this.#index(record);
@@ -60,16 +60,15 @@
 	}
 
 	/** Replaces all records. */
-	replaceAll(rows: ReadonlyArray<{key: string; value: string}>): void {
-		const kept = new Set(rows.map(({key}) => key));
+	replaceAll(records: ReadonlyMap<string, unknown>): void {
 		for (const key of this.#records.keys()) {
-			if (!kept.has(key)) {
+			if (!records.has(key)) {
 				this.set(key, null);
 			}
 		}
 
-		for (const {key, value} of rows) {
-			this.set(key, value);
+		for (const [key, record] of records) {
+			this.set(key, record);
 		}
 	}
 
@@ -88,6 +87,12 @@
 		}
 	}
 
+	removeInstance(id: string): void {
+		if (this.#instances.delete(id)) {
+			this.#touchEndpoint(id);
+		}
+	}
+
 	/** Adds an instance or takes over its new address and state. */
 	setInstance(instance: ListedInstance): void {
 		const earlier = this.#instances.get(instance.id);
@@ -284,12 +289,9 @@
 	};
 }
 
-function parseRecord(value: string): ConfigRecord | undefined {
-	try {
-		return recordSchema.safeParse(JSON.parse(value)).data;
-	} catch {
-		return undefined;
-	}
+function parseRecord(value: unknown): ConfigRecord | undefined {
+	const reading = readRecord(value);
+	return reading.type === 'record' ? reading.record : undefined;
 }
 
 function matches(glob: string, name: string): boolean {
