--- a/src/daemons/entry/entry-daemon.ts
+++ b/src/daemons/entry/entry-daemon.ts
@@ -32,6 +32,8 @@
 	readonly #store = new DisposableStore();
 	readonly #core: DaemonCore;
 	readonly #answers = new Map<string, OpenAnswer>();
+	/** Endpoints whose failure has been logged; one line for each change. */
+	readonly #failingPeers = new Set<string>();
 	/** Responses to callers that ask what became of a request. */
 	readonly #queries = new Map<string, ServerResponse>();
 	readonly #server: CallerServer;
@@ -119,6 +121,10 @@
 
 	#connectLinks(): void {
 		this.#links.onDidOpen(({endpoint, incarnation}) => {
+			if (this.#failingPeers.delete(endpoint)) {
+				this.#core.log.info('peer_back', {endpoint});
+			}
+
 			this.#task.post({type: 'linkUp', endpoint, incarnation});
 		});
 		this.#links.onDidLose(({endpoint}) => {
@@ -130,7 +136,10 @@
 		});
 		this.#links.onDidReject(({endpoint, reason}) => {
 			this.#core.metrics.count('peer_errors', 1);
-			this.#core.log.warn('peer_error', {endpoint, reason});
+			if (!this.#failingPeers.has(endpoint)) {
+				this.#failingPeers.add(endpoint);
+				this.#core.log.warn('peer_failing', {endpoint, reason});
+			}
 		});
 	}
 
--- a/src/lab/fleet/index.ts
+++ b/src/lab/fleet/index.ts
@@ -1,1 +1,2 @@
 export * from './fleet.js';
+export * from './loopback.js';
--- a/src/platform/standins/index.ts
+++ b/src/platform/standins/index.ts
@@ -4,3 +4,4 @@
 export * from './memory-table.js';
 export * from './service-server.js';
 export * from './table-server.js';
+export * from './tcp-forwarder.js';
