--- a/src/daemons/gossip/gossip.ts
+++ b/src/daemons/gossip/gossip.ts
@@ -80,7 +80,7 @@
 		);
 		this.#membership = new Membership({
 			id: process.instance,
-			address: addresses.peer!,
+			address: addresses.advertise ?? addresses.peer!,
 			incarnation: Date.now(),
 			random: this.#random,
 		});
