Hedge late first tokens of the highest tier

Cause: a tight request waited for a straggler until its timeout. Change: an idempotent model request of tier 0 gets one second attempt when its first token is later than twice the promise and half of the target, within the retry budget; the first chunk wins and the loser is cancelled at once. The wake time of a request follows the same order as what is done at that time. Before: no hedge.

--- a/src/services/entry/entry.test.ts
+++ b/src/services/entry/entry.test.ts
@@ -381,6 +381,47 @@
 	expect(bench.end()?.failure?.code).toEqual('answer_cut');
 });
 
+// Guards against a tight request that waits for a straggler, and against a loser that runs on.
+test('entry hedges a late first token and cancels the loser', () => {
+	for (const isHedgeFaster of [true, false]) {
+		const bench = new Bench();
+		const endpoint = bench.begin();
+		bench.update(endpoint, started);
+		bench.passTime(249);
+		expect(bench.count('start')).toEqual(1);
+		bench.passTime(1);
+		const hedge = bench.last('start');
+		expect(hedge.message.attempt).toEqual('r.2');
+		if (isHedgeFaster) {
+			bench.chunk(hedge.endpoint, 1, 'r.2');
+			bench.chunk(endpoint, 1);
+			expect(bench.last('cancel').message.attempt).toEqual('r.1');
+		} else {
+			bench.chunk(endpoint, 1);
+			bench.chunk(hedge.endpoint, 1, 'r.2');
+			expect(bench.last('cancel').message.attempt).toEqual('r.2');
+		}
+
+		expect(bench.text()).toEqual('t1 ');
+	}
+
+	const bench = new Bench();
+	bench.begin(once);
+	bench.passTime(5000);
+	expect(bench.count('start')).toEqual(1);
+});
+
+// Guards against retries and hedges that multiply the load when everything is slow.
+test('entry spends at most its budget on hedges', () => {
+	const bench = new Bench();
+	for (let n = 0; n < 300; n++) {
+		bench.begin({id: `r${n}`});
+	}
+
+	bench.passTime(5000);
+	expect(bench.count('start')).toEqual(400);
+});
+
 // Guards against "not run" for a request of which an earlier attempt was lost.
 test('entry remembers a lost attempt when no endpoint is left', () => {
 	for (const isStarted of [true, false]) {
--- a/src/services/entry/entry.ts
+++ b/src/services/entry/entry.ts
@@ -184,12 +184,10 @@
 			case 'update': {
 				const {update} = message;
 				const progress = this.#requests.get(requestOf(update.attempt));
-				const attempt = progress?.attempt;
-				if (
-					progress &&
-					attempt?.id === update.attempt &&
-					attempt.endpoint.name === endpoint
-				) {
+				const attempt = [progress?.attempt, progress?.hedge].find(
+					(item) => item?.id === update.attempt,
+				);
+				if (progress && attempt?.endpoint.name === endpoint) {
 					this.#flow.update(progress, attempt, update, now);
 					this.#plan(progress);
 				}
@@ -260,16 +258,10 @@
 			return;
 		}
 
-		const {attempt, request} = progress;
-		// A watch at this entry has taken over the attempt.
-		if (attempt && !this.#watches.has(attempt.id)) {
-			this.#send(attempt.endpoint, {
-				type: request.resumable ? 'detach' : 'cancel',
-				attempt: attempt.id,
-			});
-		}
-
-		progress.ended = true;
+		// A watch at this entry may have taken over the attempt.
+		const {attempt} = progress;
+		const isWatched = attempt !== undefined && this.#watches.has(attempt.id);
+		this.#flow.abandon(progress, isWatched);
 		this.#plan(progress);
 	}
 
--- a/src/services/entry/progress.ts
+++ b/src/services/entry/progress.ts
@@ -1,4 +1,4 @@
-import type {Outcome, Refusal} from '../../platform/index.js';
+import type {Outcome, Refusal, Update} from '../../platform/index.js';
 import type {EndpointView} from '../records/index.js';
 import {formatEventId} from './event-id.js';
 import type {CallerRequest, Failure, RequestStatus} from './message.js';
@@ -14,6 +14,8 @@
 	started: boolean;
 	/** Present while the link to the sidecar is lost. */
 	detached: Detachment | undefined;
+	/** Head of a hedge's answer, until the hedge wins. */
+	head: Extract<Update, {type: 'head'}> | undefined;
 	/** A gap in the chunks has been noticed, and the missing ones were asked for. */
 	refetching: boolean;
 };
@@ -28,6 +30,12 @@
 	sent: boolean;
 };
 
+/** An endpoint that has accepted an offer, with the expected time to the first token in milliseconds. */
+export type Accepted = {
+	readonly endpoint: EndpointView;
+	readonly firstTokenMs: number;
+};
+
 /** A request in progress. */
 export type Progress = {
 	readonly request: CallerRequest;
@@ -38,13 +46,17 @@
 	/** Offers without a reply, by endpoint name. */
 	readonly offers: Map<string, EndpointView>;
 	offersExpireAt: number;
-	accepted: Array<{endpoint: EndpointView; firstTokenMs: number}>;
+	accepted: Accepted[];
 	readonly refusals: Refusal[];
 	/** Endpoints asked so far, and rounds of offers since the last attempt. */
 	asked: number;
 	rounds: number;
 	attempts: number;
 	attempt: EntryAttempt | undefined;
+	/** Second attempt beside the first one, while neither has delivered anything. */
+	hedge: EntryAttempt | undefined;
+	/** Time at which the first token is late; undefined when no hedge is wanted. */
+	hedgeAt: number | undefined;
 	/** Names of endpoints at which an attempt failed or was lost. */
 	readonly failedAt: Set<string>;
 	/** Attempts that are proved not to have run. */
@@ -89,6 +101,8 @@
 		rounds: 0,
 		attempts: 0,
 		attempt: undefined,
+		hedge: undefined,
+		hedgeAt: undefined,
 		failedAt: new Set(),
 		superseded: [],
 		revoking: undefined,
@@ -138,19 +152,17 @@
 		return undefined;
 	}
 
-	const times = [progress.closing?.until ?? progress.deadline];
-	const detached = progress.attempt?.detached;
-	if (detached) {
-		times.push(detached.until, detached.retryAt);
+	if (progress.closing) {
+		return progress.closing.until;
 	}
 
-	if (progress.continueAt !== undefined) {
-		times.push(progress.continueAt);
-	}
-
-	if (progress.offers.size > 0) {
-		times.push(progress.offersExpireAt);
-	}
-
-	return Math.min(...times);
+	// The same order as in `RequestFlow.time`: a time that is not acted upon would wake the entry at once for ever.
+	const detached = progress.attempt?.detached;
+	const other =
+		progress.continueAt ??
+		(progress.offers.size > 0 ? progress.offersExpireAt : progress.hedgeAt);
+	const next = detached
+		? Math.min(detached.until, detached.retryAt)
+		: (other ?? Number.POSITIVE_INFINITY);
+	return Math.min(progress.deadline, next);
 }
--- a/src/services/entry/request-flow.ts
+++ b/src/services/entry/request-flow.ts
@@ -13,6 +13,7 @@
 	repeated,
 	timedOut,
 } from './failures.js';
+import {Hedging} from './hedging.js';
 import type {Failure} from './message.js';
 import {
 	outcomeWithoutAnswer,
@@ -55,11 +56,13 @@
 	readonly #parts: RequestFlowParts;
 	readonly #attachments: Attachments;
 	readonly #output: CallerOutput;
+	readonly #hedging: Hedging;
 
 	constructor(parts: RequestFlowParts) {
 		this.#parts = parts;
 		this.#attachments = parts.attachments;
 		this.#output = parts.output;
+		this.#hedging = new Hedging(parts);
 	}
 
 	begin(progress: Progress, now: number): void {
@@ -85,6 +88,13 @@
 		now: number,
 	): void {
 		attempt.started ||= update.type !== 'refused' && update.type !== 'ended';
+		if (
+			attempt === progress.hedge &&
+			!this.#hedging.update(progress, attempt, update)
+		) {
+			return;
+		}
+
 		switch (update.type) {
 			case 'refused': {
 				this.#onRefused(progress, update, now);
@@ -115,6 +125,8 @@
 	linkLost(progress: Progress, endpoint: string, now: number): void {
 		if (progress.offers.delete(endpoint) && progress.offers.size === 0) {
 			this.#select(progress, now);
+		} else if (progress.hedge?.endpoint.name === endpoint) {
+			this.#hedging.drop(progress);
 		} else if (progress.attempt?.endpoint.name !== endpoint) {
 			// The request does not depend on this link.
 		} else if (progress.closing) {
@@ -140,6 +152,20 @@
 		}
 	}
 
+	/** The caller is gone: what is in progress is cancelled, or left to a caller that may come back. */
+	abandon(progress: Progress, isWatched: boolean): void {
+		this.#hedging.drop(progress);
+		const {attempt, request} = progress;
+		if (attempt && !isWatched) {
+			this.#parts.send(attempt.endpoint, {
+				type: request.resumable ? 'detach' : 'cancel',
+				attempt: attempt.id,
+			});
+		}
+
+		progress.ended = true;
+	}
+
 	/** Does what is due at this time. */
 	time(progress: Progress, now: number): void {
 		const {attempt} = progress;
@@ -164,6 +190,8 @@
 		} else if (progress.offers.size > 0 && progress.offersExpireAt <= now) {
 			progress.offers.clear();
 			this.#select(progress, now);
+		} else if (progress.hedgeAt !== undefined && progress.hedgeAt <= now) {
+			this.#hedge(progress, now);
 		}
 	}
 
@@ -189,16 +217,11 @@
 
 	/** Starts an attempt at the best endpoint that has accepted, or asks further ones, or ends the request when none is left. */
 	#select(progress: Progress, now: number): void {
-		for (
-			let endpoint = this.#parts.selection.take(progress);
-			endpoint;
-			endpoint = this.#parts.selection.take(progress)
-		) {
-			const incarnation = this.#parts.incarnations.get(endpoint.name);
-			if (incarnation !== undefined) {
-				this.#start(progress, endpoint, incarnation, now);
-				return;
-			}
+		const started = this.#startNext(progress, now);
+		if (started) {
+			progress.attempt = started.attempt;
+			this.#hedging.plan(progress, started.firstTokenMs, now);
+			return;
 		}
 
 		if (this.#parts.selection.ask(progress, now)) {
@@ -220,12 +243,47 @@
 		this.#output.end(progress, outcome, failure);
 	}
 
+	/** Starts an attempt at the best endpoint that has accepted and is still connected. */
+	#startNext(
+		progress: Progress,
+		now: number,
+	): {attempt: EntryAttempt; firstTokenMs: number} | undefined {
+		for (
+			let next = this.#parts.selection.take(progress);
+			next;
+			next = this.#parts.selection.take(progress)
+		) {
+			const {endpoint, firstTokenMs} = next;
+			const incarnation = this.#parts.incarnations.get(endpoint.name);
+			if (incarnation !== undefined) {
+				const attempt = this.#start(progress, endpoint, incarnation, now);
+				return {attempt, firstTokenMs};
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Starts a second attempt beside one whose first token is late. */
+	#hedge(progress: Progress, now: number): void {
+		progress.hedgeAt = undefined;
+		const {workspace} = progress.request.profile.contract;
+		if (
+			progress.attempt &&
+			progress.sequence === 0 &&
+			progress.accepted.length > 0 &&
+			this.#parts.budget.spend(workspace)
+		) {
+			progress.hedge = this.#startNext(progress, now)?.attempt;
+		}
+	}
+
 	#start(
 		progress: Progress,
 		endpoint: EndpointView,
 		incarnation: string,
 		now: number,
-	): void {
+	): EntryAttempt {
 		const {request, superseded} = progress;
 		progress.attempts++;
 		const attempt: EntryAttempt = {
@@ -235,9 +293,9 @@
 			sentAt: now,
 			started: false,
 			detached: undefined,
+			head: undefined,
 			refetching: false,
 		};
-		progress.attempt = attempt;
 		this.#parts.send(endpoint, {
 			type: 'start',
 			attempt: attempt.id,
@@ -259,6 +317,7 @@
 							tokens: progress.tokens,
 						},
 		});
+		return attempt;
 	}
 
 	/** A refusal by the incarnation to which the attempt was sent proves that it has not run and will not run. */
@@ -270,6 +329,10 @@
 		const {refusal, attempt} = update;
 		progress.superseded.push(attempt);
 		progress.attempt = undefined;
+		if (this.#hedging.takeOver(progress)) {
+			return;
+		}
+
 		if (refusal.recorded) {
 			const {outcome, failure} = repeated(refusal.recorded);
 			this.#output.end(progress, outcome, failure);
@@ -298,6 +361,7 @@
 
 		switch (ended.outcome) {
 			case 'completed': {
+				this.#hedging.drop(progress);
 				this.#parts.budget.succeeded(
 					progress.request.profile.contract.workspace,
 				);
@@ -328,6 +392,10 @@
 			progress.attempt = undefined;
 			progress.ranBefore = true;
 			progress.failedAt.add(attempt.endpoint.name);
+			if (this.#hedging.takeOver(progress)) {
+				return;
+			}
+
 			this.#retry(progress, endpointFailed(ended.reason), now);
 		} else {
 			const failure = progress.closing?.failure ?? endpointFailed(ended.reason);
@@ -351,7 +419,9 @@
 			progress.doubtful = true;
 		}
 
-		this.#retry(progress, outcomeUnknown, now);
+		if (!this.#hedging.takeOver(progress)) {
+			this.#retry(progress, outcomeUnknown, now);
+		}
 	}
 
 	/** Tries another endpoint while time and the retry budget last; otherwise ends the request. */
@@ -371,6 +441,7 @@
 
 	/** Ends a request in time; waits for the sidecar only when its word can prove that the request has not run. */
 	#close(progress: Progress, failure: Failure, now: number): void {
+		this.#hedging.drop(progress);
 		const {attempt} = progress;
 		if (!attempt) {
 			this.#endWithoutAnswer(progress, failure);
@@ -413,6 +484,7 @@
 			this.#attachments.refetch(progress, attempt, now);
 		} else if (chunk.sequence === progress.sequence + 1) {
 			attempt.refetching = false;
+			this.#hedging.drop(progress);
 			progress.tokens += chunk.tokens;
 			this.#output.chunk(progress, attempt, chunk.data);
 		}
--- a/src/services/entry/selection.ts
+++ b/src/services/entry/selection.ts
@@ -7,7 +7,7 @@
 	orderCandidates,
 	type Place,
 } from './candidates.js';
-import type {Progress} from './progress.js';
+import type {Accepted, Progress} from './progress.js';
 import {currentProfile} from './remaining-profile.js';
 
 /** Time after which an offer without a reply counts as refused, in milliseconds. */
@@ -93,8 +93,8 @@
 	}
 
 	/** Removes and returns the endpoint that promises the earliest first token. */
-	take(progress: Progress): EndpointView | undefined {
+	take(progress: Progress): Accepted | undefined {
 		progress.accepted.sort((a, b) => a.firstTokenMs - b.firstTokenMs);
-		return progress.accepted.shift()?.endpoint;
+		return progress.accepted.shift();
 	}
 }
