Eject outliers, start new endpoints slowly, and skip leaving ones

Cause: the entry sent as much to a straggler, to an endpoint that had just appeared and to one that had said it was leaving as to any other. Before: no such state.

--- a/src/services/entry/attachments.ts
+++ b/src/services/entry/attachments.ts
@@ -26,6 +26,7 @@
 
 	linkLost(progress: Progress, attempt: EntryAttempt, now: number): void {
 		attempt.refetching = false;
+		attempt.measures = 'nothing';
 		if (attempt.detached) {
 			attempt.detached.sent = false;
 			attempt.detached.retryAt = now + reopenPauseMs;
--- a/src/services/entry/entry.ts
+++ b/src/services/entry/entry.ts
@@ -8,6 +8,7 @@
 import type {CallerRequest, EntryEffect, EntryMessage} from './message.js';
 import {newProgress, requestStatus, wakeOf, type Progress} from './progress.js';
 import {Queries} from './queries.js';
+import {Outliers} from './outliers.js';
 import {RequestFlow} from './request-flow.js';
 import {RetryBudget} from './retry-budget.js';
 import {Revocations, type RevocationOutput} from './revocations.js';
@@ -32,6 +33,8 @@
 	readonly #revocations: Revocations;
 	readonly #attachments: Attachments;
 	readonly #output: CallerOutput;
+	readonly #outliers = new Outliers();
+	readonly #selection: Selection;
 	readonly #flow: RequestFlow;
 	readonly #watches: Watches;
 	readonly #queries: Queries;
@@ -52,8 +55,11 @@
 		this.#output = new CallerOutput(emit);
 		this.#watches = new Watches({emit, send});
 		this.#queries = new Queries({emit, send});
+		const outliers = this.#outliers;
+		this.#selection = new Selection({...options, outliers, send});
 		this.#flow = new RequestFlow({
-			selection: new Selection({...options, send}),
+			selection: this.#selection,
+			outliers: this.#outliers,
 			attachments: this.#attachments,
 			output: this.#output,
 			budget: new RetryBudget(),
@@ -143,6 +149,7 @@
 		return {
 			leaving: this.#leaving,
 			links: Object.fromEntries(this.#incarnations),
+			ejected: this.#outliers.names(),
 			requests: [...this.#requests.values()].map((progress) => ({
 				id: progress.request.id,
 				workspace: progress.request.profile.contract.workspace,
@@ -205,6 +212,7 @@
 
 	#onLinkUp(endpoint: string, incarnation: string, now: number): void {
 		this.#incarnations.set(endpoint, incarnation);
+		this.#selection.noteIncarnation(endpoint, incarnation, now);
 		for (const progress of this.#requests.values()) {
 			const {attempt} = progress;
 			if (attempt?.detached && attempt.endpoint.name === endpoint) {
--- a/src/services/entry/progress.ts
+++ b/src/services/entry/progress.ts
@@ -10,6 +10,11 @@
 	/** Incarnation of the sidecar that it was sent to. */
 	readonly incarnation: string;
 	readonly sentAt: number;
+	/** Time to the first token that the sidecar promised, in milliseconds. */
+	readonly promisedMs: number;
+	/** What the next chunk measures: nothing once the link was lost. */
+	measures: 'firstToken' | 'gap' | 'nothing';
+	lastChunkAt: number;
 	/** The sidecar has handed the call to its endpoint. */
 	started: boolean;
 	/** Present while the link to the sidecar is lost. */
@@ -34,6 +39,8 @@
 export type Accepted = {
 	readonly endpoint: EndpointView;
 	readonly firstTokenMs: number;
+	/** Expected time with the handicap of a new endpoint; the smallest is chosen. */
+	readonly score: number;
 };
 
 /** A request in progress. */
--- a/src/services/entry/request-flow.ts
+++ b/src/services/entry/request-flow.ts
@@ -15,8 +15,10 @@
 } from './failures.js';
 import {Hedging} from './hedging.js';
 import type {Failure} from './message.js';
+import type {Outliers} from './outliers.js';
 import {
 	outcomeWithoutAnswer,
+	type Accepted,
 	type EntryAttempt,
 	type Progress,
 } from './progress.js';
@@ -39,6 +41,7 @@
 	readonly attachments: Attachments;
 	readonly output: CallerOutput;
 	readonly budget: RetryBudget;
+	readonly outliers: Outliers;
 	/** Incarnations of the sidecars to which there are links, by endpoint name. */
 	readonly incarnations: ReadonlyMap<string, string>;
 	readonly send: (endpoint: EndpointView, message: EntryToSidecar) => void;
@@ -66,7 +69,7 @@
 	}
 
 	begin(progress: Progress, now: number): void {
-		this.#parts.selection.reset(progress);
+		this.#parts.selection.reset(progress, now);
 		this.#select(progress, now);
 	}
 
@@ -76,7 +79,7 @@
 		reply: OfferReply,
 		now: number,
 	): void {
-		if (this.#parts.selection.reply(progress, endpoint, reply)) {
+		if (this.#parts.selection.reply(progress, endpoint, reply, now)) {
 			this.#select(progress, now);
 		}
 	}
@@ -97,7 +100,7 @@
 
 		switch (update.type) {
 			case 'refused': {
-				this.#onRefused(progress, update, now);
+				this.#onRefused(progress, update, attempt.endpoint.name, now);
 				break;
 			}
 
@@ -184,7 +187,7 @@
 		} else if (progress.continueAt !== undefined) {
 			if (progress.continueAt <= now) {
 				progress.continueAt = undefined;
-				this.#parts.selection.reset(progress);
+				this.#parts.selection.reset(progress, now);
 				this.#select(progress, now);
 			}
 		} else if (progress.offers.size > 0 && progress.offersExpireAt <= now) {
@@ -256,7 +259,7 @@
 			const {endpoint, firstTokenMs} = next;
 			const incarnation = this.#parts.incarnations.get(endpoint.name);
 			if (incarnation !== undefined) {
-				const attempt = this.#start(progress, endpoint, incarnation, now);
+				const attempt = this.#start(progress, next, incarnation, now);
 				return {attempt, firstTokenMs};
 			}
 		}
@@ -280,7 +283,7 @@
 
 	#start(
 		progress: Progress,
-		endpoint: EndpointView,
+		{endpoint, firstTokenMs}: Accepted,
 		incarnation: string,
 		now: number,
 	): EntryAttempt {
@@ -291,6 +294,9 @@
 			endpoint,
 			incarnation,
 			sentAt: now,
+			promisedMs: firstTokenMs,
+			measures: 'firstToken',
+			lastChunkAt: now,
 			started: false,
 			detached: undefined,
 			head: undefined,
@@ -324,6 +330,7 @@
 	#onRefused(
 		progress: Progress,
 		update: Extract<Update, {type: 'refused'}>,
+		endpoint: string,
 		now: number,
 	): void {
 		const {refusal, attempt} = update;
@@ -344,6 +351,10 @@
 			this.#endWithoutAnswer(progress, claimUnavailable);
 		} else {
 			progress.refusals.push(refusal);
+			if (refusal.reason === 'leaving') {
+				this.#parts.selection.noteLeaving(endpoint, now);
+			}
+
 			this.#select(progress, now);
 		}
 	}
@@ -392,6 +403,7 @@
 			progress.attempt = undefined;
 			progress.ranBefore = true;
 			progress.failedAt.add(attempt.endpoint.name);
+			this.#parts.outliers.failure(attempt.endpoint.name, now);
 			if (this.#hedging.takeOver(progress)) {
 				return;
 			}
@@ -407,6 +419,7 @@
 	#onAttemptLost(progress: Progress, attempt: EntryAttempt, now: number): void {
 		progress.attempt = undefined;
 		progress.failedAt.add(attempt.endpoint.name);
+		this.#parts.outliers.failure(attempt.endpoint.name, now);
 		if (!progress.request.idempotent) {
 			progress.revoking = attempt;
 			this.#parts.revoke(progress, attempt, now);
@@ -432,7 +445,7 @@
 			this.#endWithoutAnswer(progress, progress.closing?.failure ?? timedOut);
 		} else if (canContinue && this.#parts.budget.spend(contract.workspace)) {
 			progress.continueUntil = now + continueMs;
-			this.#parts.selection.reset(progress);
+			this.#parts.selection.reset(progress, now);
 			this.#select(progress, now);
 		} else {
 			this.#endWithoutAnswer(progress, failure);
@@ -485,11 +498,42 @@
 		} else if (chunk.sequence === progress.sequence + 1) {
 			attempt.refetching = false;
 			this.#hedging.drop(progress);
+			this.#measure(progress, attempt, now);
 			progress.tokens += chunk.tokens;
 			this.#output.chunk(progress, attempt, chunk.data);
 		}
 	}
 
+	/** Tells the outlier detection how fast the endpoint is. */
+	#measure(progress: Progress, attempt: EntryAttempt, now: number): void {
+		const {kind, contract} = progress.request.profile;
+		if (kind !== 'model') {
+			return;
+		}
+
+		const {outliers} = this.#parts;
+		const {name} = attempt.endpoint;
+		switch (attempt.measures) {
+			case 'firstToken': {
+				const {sentAt, promisedMs} = attempt;
+				outliers.firstToken(name, now - sentAt, promisedMs, now);
+				attempt.measures = 'gap';
+				break;
+			}
+
+			case 'gap': {
+				outliers.gap(name, now - attempt.lastChunkAt, contract.gapMs);
+				break;
+			}
+
+			case 'nothing': {
+				break;
+			}
+		}
+
+		attempt.lastChunkAt = now;
+	}
+
 	#endWithoutAnswer(progress: Progress, failure: Failure): void {
 		this.#output.end(progress, outcomeWithoutAnswer(progress), failure);
 	}
--- a/src/services/entry/selection.ts
+++ b/src/services/entry/selection.ts
@@ -7,6 +7,8 @@
 	orderCandidates,
 	type Place,
 } from './candidates.js';
+import {Freshness} from './freshness.js';
+import type {Outliers} from './outliers.js';
 import type {Accepted, Progress} from './progress.js';
 import {currentProfile} from './remaining-profile.js';
 
@@ -16,42 +18,77 @@
 export type SelectionOptions = {
 	readonly place: Place;
 	readonly random: Random;
+	readonly outliers: Outliers;
 	readonly send: (endpoint: EndpointView, message: EntryToSidecar) => void;
 };
 
 /** Finds the endpoint for a request's next attempt, by rounds of offers. */
 export class Selection {
 	readonly #options: SelectionOptions;
+	readonly #freshness = new Freshness();
 
 	constructor(options: SelectionOptions) {
 		this.#options = options;
 	}
 
-	/** Starts anew with all eligible endpoints; those at which the request has failed come last. */
-	reset(progress: Progress): void {
+	/** Starts anew with all eligible endpoints; ejected ones, and those at which the request has failed, come last. */
+	reset(progress: Progress, now: number): void {
 		const {request, failedAt} = progress;
-		const eligible = request.endpoints.filter(({leaving}) => !leaving);
-		const order = (endpoints: EndpointView[]) =>
-			orderCandidates(
-				endpoints,
-				request.profile.prefix,
-				this.#options.place,
-				this.#options.random,
-			);
-		progress.candidates = [
-			...order(eligible.filter(({name}) => !failedAt.has(name))),
-			...order(eligible.filter(({name}) => failedAt.has(name))),
-		].slice(0, maxOffers);
+		const eligible = request.endpoints.filter(
+			({leaving, name}) => !leaving && !this.#freshness.isLeaving(name, now),
+		);
+		const names = eligible.map(({name}) => name);
+		this.#freshness.see(names, now);
+		const {ejected, probe} = this.#options.outliers.judge(
+			request.profile.target,
+			names,
+			now,
+		);
+		const rank = ({name}: EndpointView): number => {
+			if (failedAt.has(name)) {
+				return 3;
+			}
+
+			return ejected.has(name) ? 2 : name === probe ? 0 : 1;
+		};
+
+		progress.candidates = [0, 1, 2, 3]
+			.flatMap((wanted) =>
+				orderCandidates(
+					eligible.filter((endpoint) => rank(endpoint) === wanted),
+					request.profile.prefix,
+					this.#options.place,
+					this.#options.random,
+				),
+			)
+			.slice(0, maxOffers);
 		progress.accepted = [];
 		progress.offers.clear();
 		progress.rounds = 0;
 	}
 
+	/** A sidecar has said that its endpoint is leaving. */
+	noteLeaving(endpoint: string, now: number): void {
+		this.#freshness.noteLeaving(endpoint, now);
+	}
+
+	/** A link to a sidecar is open. */
+	noteIncarnation(endpoint: string, incarnation: string, now: number): void {
+		this.#freshness.noteIncarnation(endpoint, incarnation, now);
+	}
+
 	/** Sends the next round of offers; returns false when every candidate has been asked. */
 	ask(progress: Progress, now: number): boolean {
 		// The first round keeps the message rate low; a request that it cannot place asks the rest quickly.
 		const count = progress.rounds === 0 ? offerCount : maxOffers;
-		const next = progress.candidates.splice(0, count);
+		const next = progress.candidates
+			.filter(({name}) => !this.#freshness.isLeaving(name, now))
+			.slice(0, count);
+		const last = next.at(-1);
+		progress.candidates.splice(
+			0,
+			last ? progress.candidates.indexOf(last) + 1 : maxOffers,
+		);
 		progress.rounds++;
 		progress.asked += next.length;
 		progress.offersExpireAt = now + offerTimeoutMs;
@@ -69,7 +106,12 @@
 	}
 
 	/** Notes a reply; returns true when it was the last one of its round. */
-	reply(progress: Progress, endpointName: string, reply: OfferReply): boolean {
+	reply(
+		progress: Progress,
+		endpointName: string,
+		reply: OfferReply,
+		now: number,
+	): boolean {
 		const endpoint = progress.offers.get(endpointName);
 		if (!endpoint) {
 			return false;
@@ -79,12 +121,19 @@
 		switch (reply.type) {
 			case 'accept': {
 				const {firstTokenMs} = reply;
-				progress.accepted.push({endpoint, firstTokenMs});
+				const score =
+					firstTokenMs +
+					this.#freshness.penaltyMs(endpointName, firstTokenMs, now);
+				progress.accepted.push({endpoint, firstTokenMs, score});
 				break;
 			}
 
 			case 'refuse': {
 				progress.refusals.push(reply.refusal);
+				if (reply.refusal.reason === 'leaving') {
+					this.noteLeaving(endpointName, now);
+				}
+
 				break;
 			}
 		}
@@ -94,7 +143,7 @@
 
 	/** Removes and returns the endpoint that promises the earliest first token. */
 	take(progress: Progress): Accepted | undefined {
-		progress.accepted.sort((a, b) => a.firstTokenMs - b.firstTokenMs);
+		progress.accepted.sort((a, b) => a.score - b.score);
 		return progress.accepted.shift();
 	}
 }
