--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,13 +1,7 @@
 #!/usr/bin/env node
 import {defineCommand, runMain} from 'citty';
-import {capacityCommand} from './capacity.js';
-import {checkCommand} from './check.js';
-import {daemonCommand} from './daemon.js';
-import {demoCommand} from './demo.js';
-import {dumpCommand} from './dump.js';
-import {experimentCommand} from './experiment.js';
-import {spreadBenchCommand} from './spread-bench.js';
 
+/** Commands are loaded when they are run, so that a daemon does not hold the code of the others in memory. */
 const main = defineCommand({
 	meta: {
 		name: 'cicadaswitch',
@@ -15,14 +9,70 @@
 			'Router for language-model traffic with service levels and priorities',
 	},
 	subCommands: {
-		entry: daemonCommand('entry'),
-		sidecar: daemonCommand('sidecar'),
-		capacity: capacityCommand,
-		check: checkCommand,
-		dump: dumpCommand,
-		demo: demoCommand,
-		experiment: experimentCommand,
-		'spread-bench': spreadBenchCommand,
+		async entry() {
+			const commands = await import('./daemon.js');
+			return commands.daemonCommand('entry');
+		},
+		async sidecar() {
+			const commands = await import('./daemon.js');
+			return commands.daemonCommand('sidecar');
+		},
+		async check() {
+			const commands = await import('./check.js');
+			return commands.checkCommand;
+		},
+		async dump() {
+			const commands = await import('./dump.js');
+			return commands.dumpCommand;
+		},
+		async apply() {
+			const commands = await import('./apply.js');
+			return commands.applyCommand;
+		},
+		async get() {
+			const commands = await import('./get.js');
+			return commands.getCommand;
+		},
+		async list() {
+			const commands = await import('./list.js');
+			return commands.listCommand;
+		},
+		async diff() {
+			const commands = await import('./diff.js');
+			return commands.diffCommand;
+		},
+		async history() {
+			const commands = await import('./history.js');
+			return commands.historyCommand;
+		},
+		async delete() {
+			const commands = await import('./delete.js');
+			return commands.deleteCommand;
+		},
+		async validate() {
+			const commands = await import('./validate.js');
+			return commands.validateCommand;
+		},
+		async demo() {
+			const commands = await import('./demo.js');
+			return commands.demoCommand;
+		},
+		async experiment() {
+			const commands = await import('./experiment.js');
+			return commands.experimentCommand;
+		},
+		async fuzz() {
+			const commands = await import('./fuzz.js');
+			return commands.fuzzCommand;
+		},
+		async 'spread-bench'() {
+			const commands = await import('./spread-bench.js');
+			return commands.spreadBenchCommand;
+		},
+		async capacity() {
+			const commands = await import('./capacity.js');
+			return commands.capacityCommand;
+		},
 	},
 });
 
