Hand queued work back on leave, and forget early that an endpoint was leaving

Change: queued and claiming attempts are refused as leaving; the entry's memory lasts 5 s and ends with the link or the incarnation. Conclusion: a leaving endpoint starts nothing, and its successor gets work at once.

--- a/src/services/entry/entry.ts
+++ b/src/services/entry/entry.ts
@@ -224,6 +224,7 @@
 
 	#onLinkLost(endpoint: string, now: number): void {
 		this.#incarnations.delete(endpoint);
+		this.#selection.noteLinkLost(endpoint);
 		for (const progress of this.#requests.values()) {
 			this.#flow.linkLost(progress, endpoint, now);
 			this.#plan(progress);
--- a/src/services/entry/freshness.test.ts
+++ b/src/services/entry/freshness.test.ts
@@ -17,11 +17,15 @@
 });
 
 // Guards against offers to an endpoint that has said that it is leaving, and against one that is shunned after its restart.
-test('a leaving endpoint is known until its next incarnation', () => {
+test('a leaving endpoint is known for 5 s or until its link or incarnation ends', () => {
 	const freshness = new Freshness();
 	freshness.noteIncarnation('a', 'one', 0);
 	freshness.noteLeaving('a', 0);
-	expect(freshness.isLeaving('a', 59_999)).toEqual(true);
+	expect(freshness.isLeaving('a', 4999)).toEqual(true);
+	expect(freshness.isLeaving('a', 5000)).toEqual(false);
 	freshness.noteIncarnation('a', 'two', 1000);
 	expect(freshness.isLeaving('a', 1000)).toEqual(false);
+	freshness.noteLeaving('a', 2000);
+	freshness.noteLinkLost('a');
+	expect(freshness.isLeaving('a', 2000)).toEqual(false);
 });
--- a/src/services/entry/freshness.ts
+++ b/src/services/entry/freshness.ts
@@ -4,8 +4,8 @@
 /** Least handicap of an endpoint that has just appeared, in milliseconds; an idle one promises a first token at once. */
 const leastPenaltyMs = 100;
 
-/** Time for which an endpoint that said so counts as leaving, in milliseconds; the records confirm it in the meantime. */
-const leavingMs = 60_000;
+/** Time for which an endpoint that said so counts as leaving, in milliseconds; longer would shut out a restart that no link shows. */
+const leavingMs = 5000;
 
 /** Remembers which endpoints are new, and which are about to leave. */
 export class Freshness {
@@ -35,6 +35,11 @@
 		this.#leavingUntil.set(endpoint, now + leavingMs);
 	}
 
+	/** A process whose link is lost may be back as another incarnation. */
+	noteLinkLost(endpoint: string): void {
+		this.#leavingUntil.delete(endpoint);
+	}
+
 	isLeaving(endpoint: string, now: number): boolean {
 		return (this.#leavingUntil.get(endpoint) ?? now) > now;
 	}
--- a/src/services/entry/selection.ts
+++ b/src/services/entry/selection.ts
@@ -72,6 +72,11 @@
 		this.#freshness.noteLeaving(endpoint, now);
 	}
 
+	/** The link to a sidecar is lost. */
+	noteLinkLost(endpoint: string): void {
+		this.#freshness.noteLinkLost(endpoint);
+	}
+
 	/** A link to a sidecar is open. */
 	noteIncarnation(endpoint: string, incarnation: string, now: number): void {
 		this.#freshness.noteIncarnation(endpoint, incarnation, now);
--- a/src/services/sidecar/runs.ts
+++ b/src/services/sidecar/runs.ts
@@ -151,6 +151,15 @@
 		}
 	}
 
+	/** The endpoint is leaving: what it has not started goes back to the entries, which place it elsewhere. */
+	leaving(now: number): void {
+		for (const attempt of this.#parts.attempts.all()) {
+			if (attempt.state === 'queued' || attempt.state === 'claiming') {
+				this.#refuse(attempt, {reason: 'leaving', retryAfterMs: 0}, now);
+			}
+		}
+	}
+
 	/** After a pause of this process its entries may have moved queued work to other endpoints. */
 	paused(now: number): void {
 		if (this.#queued === 0) {
--- a/src/services/sidecar/sidecar.test.ts
+++ b/src/services/sidecar/sidecar.test.ts
@@ -156,7 +156,7 @@
 
 // Guards against a run after the caller was told that its time was over, or that it was cancelled.
 test('sidecar never runs a claim that came too late', async () => {
-	for (const end of ['deadline', 'cancel', 'linkLost', 'pause']) {
+	for (const end of ['deadline', 'cancel', 'linkLost', 'leave', 'pause']) {
 		const bench = new Bench();
 		bench.peer(startOf('r.1', {remainingMs: 4000}));
 		switch (end) {
--- a/src/services/sidecar/sidecar.ts
+++ b/src/services/sidecar/sidecar.ts
@@ -93,6 +93,7 @@
 
 			case 'leave': {
 				this.#admission.leave();
+				this.#runs.leaving(now);
 				this.#effects.push({type: 'log', event: 'leaving', fields: {}});
 				break;
 			}
