Split the launch of attempts from the flow of a request

Change: launcher.ts sends attempts, pace.ts measures endpoints; behaviour is unchanged. Conclusion: none of the flow's decisions moved.

--- a/src/services/entry/request-flow.ts
+++ b/src/services/entry/request-flow.ts
@@ -1,6 +1,5 @@
-import type {EntryToSidecar, OfferReply, Update} from '../../platform/index.js';
+import type {OfferReply, Update} from '../../platform/index.js';
 import type {RunResult} from '../ledger/index.js';
-import type {EndpointView} from '../records/index.js';
 import type {Attachments} from './attachments.js';
 import type {CallerOutput} from './caller-output.js';
 import {
@@ -14,17 +13,16 @@
 	timedOut,
 } from './failures.js';
 import {Hedging} from './hedging.js';
+import {Launcher, type LauncherParts} from './launcher.js';
 import type {Failure} from './message.js';
 import type {Outliers} from './outliers.js';
+import {measurePace} from './pace.js';
 import {
 	outcomeWithoutAnswer,
-	type Accepted,
 	type EntryAttempt,
 	type Progress,
 } from './progress.js';
-import {currentProfile} from './remaining-profile.js';
 import type {RetryBudget} from './retry-budget.js';
-import type {Selection} from './selection.js';
 
 /** Longest wait for a sidecar's word on an attempt that was cancelled at its deadline, in milliseconds. */
 const closingMs = 500;
@@ -36,22 +34,17 @@
 type Chunk = Extract<Update, {type: 'chunk'}>;
 type Ended = Extract<Update, {type: 'ended'}>;
 
-export type RequestFlowParts = {
-	readonly selection: Selection;
+export type RequestFlowParts = LauncherParts & {
 	readonly attachments: Attachments;
 	readonly output: CallerOutput;
 	readonly budget: RetryBudget;
 	readonly outliers: Outliers;
-	/** Incarnations of the sidecars to which there are links, by endpoint name. */
-	readonly incarnations: ReadonlyMap<string, string>;
-	readonly send: (endpoint: EndpointView, message: EntryToSidecar) => void;
 	/** Begins to revoke a lost attempt; the result comes back through `verdict`. */
 	readonly revoke: (
 		progress: Progress,
 		attempt: EntryAttempt,
 		now: number,
 	) => void;
-	readonly textOf: (chunks: readonly string[]) => string;
 };
 
 /** Takes one request from its arrival to its outcome. */
@@ -60,12 +53,14 @@
 	readonly #attachments: Attachments;
 	readonly #output: CallerOutput;
 	readonly #hedging: Hedging;
+	readonly #launcher: Launcher;
 
 	constructor(parts: RequestFlowParts) {
 		this.#parts = parts;
 		this.#attachments = parts.attachments;
 		this.#output = parts.output;
 		this.#hedging = new Hedging(parts);
+		this.#launcher = new Launcher(parts);
 	}
 
 	begin(progress: Progress, now: number): void {
@@ -220,7 +215,7 @@
 
 	/** Starts an attempt at the best endpoint that has accepted, or asks further ones, or ends the request when none is left. */
 	#select(progress: Progress, now: number): void {
-		const started = this.#startNext(progress, now);
+		const started = this.#launcher.startNext(progress, now);
 		if (started) {
 			progress.attempt = started.attempt;
 			this.#hedging.plan(progress, started.firstTokenMs, now);
@@ -246,27 +241,6 @@
 		this.#output.end(progress, outcome, failure);
 	}
 
-	/** Starts an attempt at the best endpoint that has accepted and is still connected. */
-	#startNext(
-		progress: Progress,
-		now: number,
-	): {attempt: EntryAttempt; firstTokenMs: number} | undefined {
-		for (
-			let next = this.#parts.selection.take(progress);
-			next;
-			next = this.#parts.selection.take(progress)
-		) {
-			const {endpoint, firstTokenMs} = next;
-			const incarnation = this.#parts.incarnations.get(endpoint.name);
-			if (incarnation !== undefined) {
-				const attempt = this.#start(progress, next, incarnation, now);
-				return {attempt, firstTokenMs};
-			}
-		}
-
-		return undefined;
-	}
-
 	/** Starts a second attempt beside one whose first token is late. */
 	#hedge(progress: Progress, now: number): void {
 		progress.hedgeAt = undefined;
@@ -277,55 +251,10 @@
 			progress.accepted.length > 0 &&
 			this.#parts.budget.spend(workspace)
 		) {
-			progress.hedge = this.#startNext(progress, now)?.attempt;
+			progress.hedge = this.#launcher.startNext(progress, now)?.attempt;
 		}
 	}
 
-	#start(
-		progress: Progress,
-		{endpoint, firstTokenMs}: Accepted,
-		incarnation: string,
-		now: number,
-	): EntryAttempt {
-		const {request, superseded} = progress;
-		progress.attempts++;
-		const attempt: EntryAttempt = {
-			id: `${request.id}.${progress.attempts}`,
-			endpoint,
-			incarnation,
-			sentAt: now,
-			promisedMs: firstTokenMs,
-			measures: 'firstToken',
-			lastChunkAt: now,
-			started: false,
-			detached: undefined,
-			head: undefined,
-			refetching: false,
-		};
-		this.#parts.send(endpoint, {
-			type: 'start',
-			attempt: attempt.id,
-			requestId: request.id,
-			incarnation,
-			profile: currentProfile(progress, now),
-			call: request.call,
-			idempotent: request.idempotent,
-			idempotencyKey: request.idempotencyKey,
-			superseded: superseded.length > 0 ? [...superseded] : undefined,
-			resumable: request.resumable,
-			remainingMs: progress.deadline - now,
-			resume:
-				progress.sequence === 0
-					? undefined
-					: {
-							sequence: progress.sequence,
-							text: this.#parts.textOf(progress.chunks),
-							tokens: progress.tokens,
-						},
-		});
-		return attempt;
-	}
-
 	/** A refusal by the incarnation to which the attempt was sent proves that it has not run and will not run. */
 	#onRefused(
 		progress: Progress,
@@ -498,42 +427,12 @@
 		} else if (chunk.sequence === progress.sequence + 1) {
 			attempt.refetching = false;
 			this.#hedging.drop(progress);
-			this.#measure(progress, attempt, now);
+			measurePace(this.#parts.outliers, progress, attempt, now);
 			progress.tokens += chunk.tokens;
 			this.#output.chunk(progress, attempt, chunk.data);
 		}
 	}
 
-	/** Tells the outlier detection how fast the endpoint is. */
-	#measure(progress: Progress, attempt: EntryAttempt, now: number): void {
-		const {kind, contract} = progress.request.profile;
-		if (kind !== 'model') {
-			return;
-		}
-
-		const {outliers} = this.#parts;
-		const {name} = attempt.endpoint;
-		switch (attempt.measures) {
-			case 'firstToken': {
-				const {sentAt, promisedMs} = attempt;
-				outliers.firstToken(name, now - sentAt, promisedMs, now);
-				attempt.measures = 'gap';
-				break;
-			}
-
-			case 'gap': {
-				outliers.gap(name, now - attempt.lastChunkAt, contract.gapMs);
-				break;
-			}
-
-			case 'nothing': {
-				break;
-			}
-		}
-
-		attempt.lastChunkAt = now;
-	}
-
 	#endWithoutAnswer(progress: Progress, failure: Failure): void {
 		this.#output.end(progress, outcomeWithoutAnswer(progress), failure);
 	}
