Bound the answer that an entry keeps for continuation

Cause: an entry kept all chunks of an answer, and an error body that broke off would have been read as generated text, which throws.

--- a/src/services/entry/caller-output.ts
+++ b/src/services/entry/caller-output.ts
@@ -2,7 +2,7 @@
 import {formatEventId} from './event-id.js';
 import {repeated} from './failures.js';
 import type {EntryEffect, Failure} from './message.js';
-import type {EntryAttempt, Progress} from './progress.js';
+import {isGenerated, type EntryAttempt, type Progress} from './progress.js';
 
 type Head = Pick<
 	Extract<Update, {type: 'head'}>,
@@ -23,6 +23,7 @@
 		}
 
 		progress.headSent = true;
+		progress.status = head.status;
 		this.#emit({
 			type: 'head',
 			requestId: progress.request.id,
@@ -35,8 +36,8 @@
 	/** Hands over the next chunk. */
 	chunk(progress: Progress, attempt: EntryAttempt, data: string): void {
 		progress.sequence++;
-		if (progress.request.idempotent) {
-			progress.chunks.push(data);
+		if (progress.request.idempotent && isGenerated(progress)) {
+			progress.answer.add(data);
 		}
 
 		this.#emit({
--- a/src/services/entry/entry.test.ts
+++ b/src/services/entry/entry.test.ts
@@ -262,6 +262,19 @@
 	}
 });
 
+// Guards against a crash of the entry by an error body, which holds no generated text to continue from.
+test('entry does not continue an error answer', () => {
+	const bench = new Bench();
+	const endpoint = bench.begin();
+	const head = {type: 'head', attempt: 'r.1', status: 400} as const;
+	bench.update(endpoint, {...head, headers: {}, binary: false});
+	bench.chunk(endpoint, 1);
+	bench.send({type: 'linkLost', endpoint});
+	bench.passTime(3000);
+	expect(bench.end()?.outcome).toEqual('failed');
+	expect(bench.count('start')).toEqual(1);
+});
+
 // Guards against a cut in the middle of an answer that nobody notices.
 test('entry asks for chunks that are missing', () => {
 	const bench = new Bench();
--- a/src/services/entry/entry.ts
+++ b/src/services/entry/entry.ts
@@ -33,6 +33,7 @@
 	readonly #revocations: Revocations;
 	readonly #attachments: Attachments;
 	readonly #output: CallerOutput;
+	readonly #textOf: EntryOptions['textOf'];
 	readonly #outliers = new Outliers();
 	readonly #selection: Selection;
 	readonly #flow: RequestFlow;
@@ -55,6 +56,7 @@
 		this.#output = new CallerOutput(emit);
 		this.#watches = new Watches({emit, send});
 		this.#queries = new Queries({emit, send});
+		this.#textOf = options.textOf;
 		const outliers = this.#outliers;
 		this.#selection = new Selection({...options, outliers, send});
 		this.#flow = new RequestFlow({
@@ -69,7 +71,6 @@
 				const output = this.#revocations.begin(progress, attempt, now);
 				this.#onRevocations(output, now);
 			},
-			textOf: options.textOf,
 		});
 	}
 
@@ -165,7 +166,7 @@
 	}
 
 	#onRequest(request: CallerRequest, now: number): void {
-		const progress = newProgress(request, now);
+		const progress = newProgress(request, this.#textOf, now);
 		this.#requests.set(request.id, progress);
 		if (this.#leaving) {
 			this.#output.end(progress, 'not_run', entryLeaving);
--- a/src/services/entry/launcher.ts
+++ b/src/services/entry/launcher.ts
@@ -9,7 +9,6 @@
 	/** Incarnations of the sidecars to which there are links, by endpoint name. */
 	readonly incarnations: ReadonlyMap<string, string>;
 	readonly send: (endpoint: EndpointView, message: EntryToSidecar) => void;
-	readonly textOf: (chunks: readonly string[]) => string;
 };
 
 /** Sends attempts to sidecars that have accepted offers. */
@@ -79,7 +78,7 @@
 					? undefined
 					: {
 							sequence: progress.sequence,
-							text: this.#parts.textOf(progress.chunks),
+							text: progress.answer.text() ?? '',
 							tokens: progress.tokens,
 						},
 		});
--- a/src/services/entry/progress.ts
+++ b/src/services/entry/progress.ts
@@ -1,5 +1,6 @@
 import type {Outcome, Refusal, Update} from '../../platform/index.js';
 import type {EndpointView} from '../records/index.js';
+import {AnswerSoFar} from './answer-so-far.js';
 import {formatEventId} from './event-id.js';
 import type {CallerRequest, Failure, RequestStatus} from './message.js';
 
@@ -85,8 +86,9 @@
 	sequence: number;
 	/** Sequence number of the last chunk that the caller has taken. */
 	taken: number;
-	/** Answer so far, from which another endpoint can continue. */
-	readonly chunks: string[];
+	/** HTTP status that the caller has been given. */
+	status: number | undefined;
+	readonly answer: AnswerSoFar;
 	tokens: number;
 	/** The caller has been told the outcome, or is gone. */
 	ended: boolean;
@@ -95,7 +97,11 @@
 };
 
 /** A request that has just arrived. */
-export function newProgress(request: CallerRequest, now: number): Progress {
+export function newProgress(
+	request: CallerRequest,
+	textOf: (chunks: readonly string[]) => string,
+	now: number,
+): Progress {
 	return {
 		request,
 		deadline: now + request.timeoutMs,
@@ -121,13 +127,19 @@
 		headSent: false,
 		sequence: 0,
 		taken: 0,
-		chunks: [],
+		status: undefined,
+		answer: new AnswerSoFar(textOf),
 		tokens: 0,
 		ended: false,
 		outcome: undefined,
 	};
 }
 
+/** Whether the chunks of the answer hold generated text, which an engine can continue. */
+export function isGenerated({request, status}: Progress): boolean {
+	return request.profile.kind === 'model' && (status ?? 200) === 200;
+}
+
 /** Outcome of a request that has no attempt any more and no whole answer: `not_run` only when every attempt is proved not to have run. */
 export function outcomeWithoutAnswer(progress: Progress): Outcome {
 	if (progress.ranBefore || progress.headSent) {
--- a/src/services/entry/request-flow.ts
+++ b/src/services/entry/request-flow.ts
@@ -18,6 +18,7 @@
 import type {Outliers} from './outliers.js';
 import {measurePace} from './pace.js';
 import {
+	isGenerated,
 	outcomeWithoutAnswer,
 	type EntryAttempt,
 	type Progress,
@@ -368,8 +369,10 @@
 
 	/** Tries another endpoint while time and the retry budget last; otherwise ends the request. */
 	#retry(progress: Progress, failure: Failure, now: number): void {
-		const {contract, kind} = progress.request.profile;
-		const canContinue = progress.sequence === 0 || kind === 'model';
+		const {contract} = progress.request.profile;
+		const canContinue =
+			progress.sequence === 0 ||
+			(isGenerated(progress) && progress.answer.text() !== undefined);
 		if (progress.closing !== undefined || progress.deadline <= now) {
 			this.#endWithoutAnswer(progress, progress.closing?.failure ?? timedOut);
 		} else if (canContinue && this.#parts.budget.spend(contract.workspace)) {
