Narrow the band around the aim of the concurrency limit

Change: the limit holds within 3% of the aim instead of 5%. Preferring endpoints with cached prefixes in the entry changed nothing beyond the spread.

--- a/src/services/sidecar/concurrency-limit.ts
+++ b/src/services/sidecar/concurrency-limit.ts
@@ -7,7 +7,7 @@
 const smallestAim = 0.6;
 const largestAim = 0.95;
 /** The limit stays while the mean gap is within this distance of the aim. */
-const tolerance = 0.05;
+const tolerance = 0.03;
 /** Part of the answers of the highest tier that may exceed their gap target. */
 const allowedSlow = 0.005;
 /** Step of the aim after a slow answer. */
