Expect only what higher tiers leave when admitting a class

Cause: a class was admitted as if it got all places once the queues of higher tiers had drained, so callers waited 8 to 14 s on average for a refusal; prompt tokens were charged three times their engine time, and the pace held back owed classes. Change: the estimate subtracts the part that higher tiers got in the last 10 s; the cost of prompt tokens follows the measured speed; a class that is owed its share ignores the pace.

--- a/src/lab/cluster.ts
+++ b/src/lab/cluster.ts
@@ -216,6 +216,7 @@
 				break;
 			}
 
+			case 'status':
 			case 'head':
 			case 'drained':
 			case 'count':
--- a/src/lab/experiment-report.ts
+++ b/src/lab/experiment-report.ts
@@ -32,6 +32,7 @@
 		'shed by tier': Object.values(row.shed)
 			.map((spread) => whole(spread))
 			.join('/'),
+		'refused after ms': whole(row.refusedAfterMs),
 		'share %': row.share ? percent(row.share) : '-',
 	};
 }
@@ -62,6 +63,7 @@
 			goodputPart: row.goodputPart,
 			goodputTierPart: row.goodputTierPart,
 			wasted: row.wasted,
+			refusedAfterMs: row.refusedAfterMs,
 			fairness: row.fairness,
 			share: row.share,
 		};
--- a/src/lab/experiment.ts
+++ b/src/lab/experiment.ts
@@ -38,6 +38,8 @@
 	readonly goodputPart: Spread;
 	/** As a part of the upper bound that keeps to tiers and guaranteed shares. */
 	readonly goodputTierPart: Spread;
+	/** Mean time until a request that was not run got its answer, in milliseconds. */
+	readonly refusedAfterMs: Spread;
 	/** Requests of each class that missed, by cause; sums over the seeds. */
 	readonly misses: Readonly<Record<string, Misses>>;
 	readonly wasted: Spread;
@@ -144,6 +146,7 @@
 		goodput: spreadOf(runs.map(({goodput}) => goodput)),
 		goodputPart: spreadOf(runs.map(({goodputPart}) => goodputPart)),
 		goodputTierPart: spreadOf(runs.map(({goodputTierPart}) => goodputTierPart)),
+		refusedAfterMs: spreadOf(runs.map(({refusedAfterMs}) => refusedAfterMs)),
 		misses: sumMisses(runs),
 		wasted: spreadOf(runs.map(({wasted}) => wasted)),
 		fairness: spreadOf(runs.map(({fairness}) => fairness)),
--- a/src/lab/measurement.ts
+++ b/src/lab/measurement.ts
@@ -22,6 +22,7 @@
 	tokens: number;
 	firstTokens: number;
 	outcome: Outcome | undefined;
+	endedAt: number;
 	readonly chunks: Array<{readonly at: number; readonly tokens: number}>;
 };
 
@@ -39,6 +40,8 @@
 export type RunResult = {
 	/** Part of the requests of each class that were answered whole and within both targets. */
 	readonly attainment: Readonly<Record<string, number>>;
+	/** Mean time until a request that was not run got its answer, in milliseconds. */
+	readonly refusedAfterMs: number;
 	/** Requests of each class that missed, by cause. */
 	readonly misses: Readonly<Record<string, Misses>>;
 	/** Output tokens a second, of answers that were delivered whole and in time. */
@@ -66,6 +69,7 @@
 			tokens: 0,
 			firstTokens: 0,
 			outcome: undefined,
+			endedAt: Infinity,
 			chunks: [],
 		});
 	}
@@ -85,6 +89,7 @@
 	onEnd(id: string, outcome: Outcome, now: number): void {
 		const seen = this.#observations.get(id)!;
 		seen.outcome = outcome;
+		seen.endedAt = now;
 		if (outcome === 'not_run') {
 			// A class that is refused work is waiting as much as one with a queue.
 			const {requestClass} = seen.arrival.profile.contract;
@@ -132,6 +137,7 @@
 			attainment,
 			shed,
 			misses,
+			refusedAfterMs: refusedAfterMs(all),
 			goodput: this.#goodput(lengthMs),
 			wasted: wasted(all, totals),
 			fairness: Math.min(...fairness),
@@ -231,6 +237,13 @@
 	};
 }
 
+function refusedAfterMs(all: readonly Observation[]): number {
+	const times = all
+		.filter((seen) => seen.outcome === 'not_run')
+		.map((seen) => seen.endedAt - seen.arrival.at);
+	return sum(times) / Math.max(1, times.length);
+}
+
 function wasted(all: readonly Observation[], totals: EngineTotals): number {
 	const delivered = sum(
 		all.filter((seen) => isWhole(seen)).map((seen) => seen.tokens),
--- a/src/services/sidecar/backlog.ts
+++ b/src/services/sidecar/backlog.ts
@@ -65,7 +65,7 @@
 		this.#size--;
 	}
 
-	/** The ticket that goes next among those that `mayStart` accepts: of the class furthest below its share, else of the highest tier and least slack. */
+	/** The ticket that goes next: of the class furthest below its share, else, among those that `mayStart` accepts, of the highest tier and least slack. */
 	next(
 		places: number,
 		mayStart: (item: QueuedTicket) => boolean,
@@ -75,7 +75,7 @@
 		let owedPart = 1;
 		let best: ClassQueue | undefined;
 		for (const queue of this.#queues.values()) {
-			if (queue.size === 0 || !mayStart(queue.first!)) {
+			if (queue.size === 0) {
 				continue;
 			}
 
@@ -85,11 +85,7 @@
 				owedPart = part;
 			}
 
-			if (
-				!best ||
-				queue.tier < best.tier ||
-				(queue.tier === best.tier && queue.urgency < best.urgency)
-			) {
+			if (mayStart(queue.first!) && (!best || precedes(queue, best))) {
 				best = queue;
 			}
 		}
@@ -110,6 +106,17 @@
 		return lowest?.leastUrgent;
 	}
 
+	/** Part of the served cost of the last 10 s that went to higher tiers than this one, 0 to 1. */
+	servedAbove(tier: number, now: number): number {
+		let part = 0;
+		for (const queue of this.#queues.values()) {
+			part +=
+				queue.tier < tier ? this.#account.share(queue.requestClass, now) : 0;
+		}
+
+		return part;
+	}
+
 	/** Non-empty queues, highest tier first. */
 	waiting(): ClassQueue[] {
 		return [...this.#queues.values()]
@@ -138,3 +145,7 @@
 			: this.#account.share(queue.requestClass, now) / queue.share;
 	}
 }
+
+function precedes(a: ClassQueue, b: ClassQueue): boolean {
+	return a.tier < b.tier || (a.tier === b.tier && a.urgency < b.urgency);
+}
--- a/src/services/sidecar/scheduler.ts
+++ b/src/services/sidecar/scheduler.ts
@@ -28,8 +28,8 @@
 import {expectedWait, unreachable, type Places} from './wait-estimate.js';
 
 const maxQueued = 1024;
-/** Cost of an uncached prompt token relative to an output token, which occupies a whole step. */
-const promptTokenCost = 0.1;
+/** Least and largest cost of an uncached prompt token relative to an output token. */
+const promptTokenCosts = {least: 0.005, most: 1} as const;
 /** Part of the KV cache that is filled on purpose; the rest absorbs answers longer than expected. */
 const kvFill = 0.95;
 /** Least time between two searches for displaced tickets, which walk the whole queue, in milliseconds. */
@@ -163,7 +163,7 @@
 		);
 		this.#account.add(
 			profile.contract.requestClass,
-			item.demand.uncachedTokens * promptTokenCost,
+			item.demand.uncachedTokens * this.#promptTokenCost(),
 			now,
 		);
 		return item.ticket;
@@ -367,10 +367,18 @@
 			outputTokens,
 			prefillMs,
 			occupancyMs: prefillMs + outputTokens * this.#speed.gapMs,
-			cost: uncachedTokens * promptTokenCost + outputTokens,
+			cost: uncachedTokens * this.#promptTokenCost() + outputTokens,
 		};
 	}
 
+	/** Engine time of an uncached prompt token relative to an output token, which takes its part of a step of the whole batch. */
+	#promptTokenCost(): number {
+		const {promptTokenMs, gapMs} = this.#speed;
+		const cost = (promptTokenMs * Math.max(1, this.#running.size)) / gapMs;
+		const {least, most} = promptTokenCosts;
+		return Math.min(most, Math.max(least, cost));
+	}
+
 	#outputTokens(profile: Profile, resumedTokens: number): number {
 		const expected = this.#policy.lengths
 			? this.#lengths.predict(profile).mean
@@ -398,6 +406,7 @@
 			this.#backlog,
 			{...places, limit: Math.max(1, limit)},
 			reservedMs,
+			now,
 		);
 	}
 
--- a/src/services/sidecar/wait-estimate.ts
+++ b/src/services/sidecar/wait-estimate.ts
@@ -10,8 +10,8 @@
 	readonly occupancyMs: number;
 };
 
-/** A high tier always gets at least this part of the places in an estimate. */
-const smallestPart = 0.05;
+/** A class is expected to get at least this part of the places. */
+const smallestPart = 0.02;
 
 /** Time until a request starts that has `aheadMs` of occupancy before it and is served by a part of the places. */
 function waitMs(
@@ -24,10 +24,10 @@
 	return Math.max(0, beyondFree) / limit;
 }
 
-/** Part of the places that the guarantees of other waiting classes of lower tiers leave. */
-function partLeft(own: ClassQueue, waiting: readonly ClassQueue[]): number {
-	let part = 1;
-	for (const queue of waiting) {
+/** Part of the places that is left by the arrivals of higher tiers, taken as what they got lately, and by the guarantees of waiting lower tiers. */
+function partLeft(own: ClassQueue, backlog: Backlog, now: number): number {
+	let part = 1 - backlog.servedAbove(own.tier, now);
+	for (const queue of backlog.waiting()) {
 		part -= queue.tier > own.tier ? queue.share : 0;
 	}
 
@@ -63,6 +63,7 @@
 	backlog: Backlog,
 	places: Places,
 	reservedMs: number,
+	now: number,
 ): number {
 	const own = backlog.queueOf(item);
 	const waiting = backlog.waiting();
@@ -79,7 +80,7 @@
 		}
 	}
 
-	return sooner(own, places, partLeft(own, waiting), {allMs, classMs});
+	return sooner(own, places, partLeft(own, backlog, now), {allMs, classMs});
 }
 
 /** Queued tickets that cannot start in time behind the work ahead of them, in the order of service. */
@@ -93,7 +94,7 @@
 	const waiting = backlog.waiting();
 	let allMs = 0;
 	for (const queue of waiting) {
-		const part = partLeft(queue, waiting);
+		const part = partLeft(queue, backlog, now);
 		let classMs = 0;
 		for (const item of queue.ordered()) {
 			const wait = sooner(queue, places, part, {
