Bound the places by the memory that running work needs

Cause: with little memory the tight class found free places but no memory, and the places kept free for it did not help. Change: the places are at most what the KV cache holds at the mean need of the running work; a workload with a quarter of the memory and two classes of one tier.

--- a/src/lab/experiment.ts
+++ b/src/lab/experiment.ts
@@ -95,7 +95,11 @@
 	variant: Variant,
 	{seed, seconds}: {readonly seed: number; readonly seconds: number},
 ): Run {
-	const capacity = engineCapacity(workload, engineModel);
+	const model = {
+		...engineModel,
+		kvCapacity: workload.kvCapacity ?? engineModel.kvCapacity,
+	};
+	const capacity = engineCapacity(workload, model);
 	const perSecond = capacity.perSecond * workload.engines * load;
 	const list = arrivals(workload, perSecond, seconds, seed);
 	const lengthMs = seconds * 1000;
@@ -103,7 +107,7 @@
 	const cluster = new Cluster(
 		{
 			engines: workload.engines,
-			model: engineModel,
+			model,
 			variant: {
 				...variant,
 				policy: {fixedLimit: Math.floor(capacity.batch), ...variant.policy},
@@ -120,7 +124,7 @@
 		lengthMs,
 		cluster.totals(),
 	);
-	const bound = goodputBound(workload, engineModel, list, lengthMs);
+	const bound = goodputBound(workload, model, list, lengthMs);
 	return {
 		...result,
 		goodputPart: result.goodput / bound.anyOrder,
--- a/src/lab/workload.ts
+++ b/src/lab/workload.ts
@@ -33,6 +33,8 @@
 	readonly skew: number;
 	readonly engines: number;
 	readonly fault: Fault;
+	/** Tokens that fit an engine's KV cache, when it differs from the model's. */
+	readonly kvCapacity?: number;
 };
 
 /** One request with the length that the router must not know. */
--- a/src/lab/workloads.ts
+++ b/src/lab/workloads.ts
@@ -125,10 +125,23 @@
 	classes: harlechClasses,
 };
 
+/** Little memory, and two classes of one tier with different targets. */
+const pressure: Workload = {
+	...harlech,
+	name: 'memory-pressure',
+	kvCapacity: 10_000,
+	classes: harlechClasses.map((item) =>
+		item.contract.requestClass === 'compliance'
+			? {...item, contract: {...item.contract, tier: 1}}
+			: item,
+	),
+};
+
 /** Workloads shaped like the two deployments, and their faults. */
 export const workloads: readonly Workload[] = [
 	gebeya,
 	harlech,
 	{...gebeya, name: 'straggler', fault: 'straggler'},
 	{...harlech, name: 'crash', fault: 'crash'},
+	pressure,
 ];
--- a/src/services/sidecar/scheduler.ts
+++ b/src/services/sidecar/scheduler.ts
@@ -38,6 +38,8 @@
 const displacementTolerance = 1.25;
 /** A plain service's concurrency limit aims at this part of the target for the first byte; the rest is left for queueing. */
 const serviceTargetPart = 0.5;
+/** Running tickets from which their mean need of memory is trusted. */
+const smallestMemorySample = 4;
 const smallestRetryMs = 100;
 
 /** Admission control and order of one endpoint's work. */
@@ -392,12 +394,23 @@
 			? this.#limit.value
 			: this.#policy.fixedLimit;
 		return {
-			limit,
+			limit: Math.max(1, Math.min(limit, this.#memoryPlaces())),
 			running: this.#running.size + this.#load.otherRunning,
 			occupancyMs: this.#speed.occupancyMs,
 		};
 	}
 
+	/** Places for which the memory suffices when all need as much as the running ones do. */
+	#memoryPlaces(): number {
+		const {size, kvTokens} = this.#running;
+		if (!this.#policy.memoryBound || size < smallestMemorySample) {
+			return Infinity;
+		}
+
+		const capacity = this.#load.kvCapacity * kvFill - this.#load.otherKvTokens;
+		return Math.floor((capacity * size) / kvTokens);
+	}
+
 	#wait(item: QueuedTicket, reservedMs: number, now: number): number {
 		const places = this.#places();
 		const limit = places.limit - this.#reserve(item, now);
