--- a/src/lab/cluster.ts
+++ b/src/lab/cluster.ts
@@ -218,6 +218,7 @@
 
 			case 'status':
 			case 'head':
+			case 'status':
 			case 'drained':
 			case 'count':
 			case 'timing':
