--- a/src/lab/experiment.test.ts
+++ b/src/lab/experiment.test.ts
@@ -36,7 +36,7 @@
 // Guards against a call that runs twice, or model traffic that suffers, when the table is down.
 test('table outage only stops calls that must not be repeated', () => {
 	const [row] = run('table-outage', 0.7, ['cicadaswitch'], 30);
-	expect(row!.attainment.counter!.mean >= 0.98).toEqual(true);
-	expect(row!.attainment.drafts!.mean >= 0.5).toEqual(true);
+	expect(row!.attainment.counter!.mean >= 0.99).toEqual(true);
+	expect(row!.attainment.drafts!.mean >= 0.6).toEqual(true);
 	expect(row!.attainment.drafts!.mean < 0.9).toEqual(true);
 });
