Measure callers that send many requests at once

Cause: single arrivals could not show what reservations of offered work are for. Change: a workload in which a workspace sends 6 questions or 30 letters at an instant.

--- a/src/lab/workload.ts
+++ b/src/lab/workload.ts
@@ -20,6 +20,8 @@
 	readonly sharedTokens: number;
 	/** Factor on the rate during the middle third of a run. */
 	readonly burst: number;
+	/** Requests that a workspace sends at the same instant. */
+	readonly batch?: number;
 };
 
 export type Fault = 'none' | 'straggler' | 'crash' | 'tableOutage';
@@ -138,6 +140,11 @@
 	return count - 1;
 }
 
+function answerLength(demand: ClassDemand, random: Random): number {
+	const length = lognormal(random, demand.outputTokens, demand.spread);
+	return Math.min(longestAnswer, Math.max(shortestAnswer, length));
+}
+
 function profileOf(
 	demand: ClassDemand,
 	workspace: string,
@@ -220,29 +227,26 @@
 		const rate = (perSecond * demand.part) / parts / 1000;
 		// Outside the burst the rate is lower, so that the mean stays.
 		const quiet = rate * ((3 - demand.burst) / 2);
+		const batch = demand.batch ?? 1;
 		let at = 0;
 		for (;;) {
 			const inBurst = at >= length / 3 && at < (2 * length) / 3;
 			const current = inBurst ? rate * demand.burst : quiet;
-			at += random.exponential(1 / Math.max(current, rate / 1000));
+			at += random.exponential(batch / Math.max(current, rate / 1000));
 			if (at >= length) {
 				break;
 			}
 
-			const id = `r${index}-${list.length}`;
-			const rank = zipf(random, workload.workspaces, workload.skew);
-			list.push({
-				id,
-				at,
-				...profileOf(demand, `w${rank}`, id, random),
-				outputTokens: Math.min(
-					longestAnswer,
-					Math.max(
-						shortestAnswer,
-						lognormal(random, demand.outputTokens, demand.spread),
-					),
-				),
-			});
+			const workspace = `w${zipf(random, workload.workspaces, workload.skew)}`;
+			for (let count = 0; count < batch; count++) {
+				const id = `r${index}-${list.length}`;
+				list.push({
+					id,
+					at,
+					...profileOf(demand, workspace, id, random),
+					outputTokens: answerLength(demand, random),
+				});
+			}
 		}
 	}
 
--- a/src/lab/workloads.ts
+++ b/src/lab/workloads.ts
@@ -144,6 +144,14 @@
 	{...gebeya, name: 'straggler', fault: 'straggler'},
 	{...harlech, name: 'crash', fault: 'crash'},
 	pressure,
+	{
+		...gebeya,
+		name: 'batches',
+		classes: gebeyaClasses.map((item) => ({
+			...item,
+			batch: item.contract.tier === 0 ? 6 : 30,
+		})),
+	},
 	{
 		...harlech,
 		name: 'table-outage',
