--- a/src/lab/measurement.ts
+++ b/src/lab/measurement.ts
@@ -14,6 +14,8 @@
 /** Length of a window in which a class must get its guaranteed share, in buckets. */
 const shareWindow = 30;
 
+type ContractOnly = Pick<ClassDemand, 'contract'>;
+
 /** What a caller saw of one request. */
 type Observation = {
 	readonly arrival: Arrival;
@@ -22,6 +24,7 @@
 	tokens: number;
 	firstTokens: number;
 	outcome: Outcome | undefined;
+	endedAt: number;
 	readonly chunks: Array<{readonly at: number; readonly tokens: number}>;
 };
 
@@ -39,6 +42,8 @@
 export type RunResult = {
 	/** Part of the requests of each class that were answered whole and within both targets. */
 	readonly attainment: Readonly<Record<string, number>>;
+	/** Mean time until a request that was not run got its answer, in milliseconds. */
+	readonly refusedAfterMs: number;
 	/** Requests of each class that missed, by cause. */
 	readonly misses: Readonly<Record<string, Misses>>;
 	/** Output tokens a second, of answers that were delivered whole and in time. */
@@ -66,6 +71,7 @@
 			tokens: 0,
 			firstTokens: 0,
 			outcome: undefined,
+			endedAt: Infinity,
 			chunks: [],
 		});
 	}
@@ -85,6 +91,7 @@
 	onEnd(id: string, outcome: Outcome, now: number): void {
 		const seen = this.#observations.get(id)!;
 		seen.outcome = outcome;
+		seen.endedAt = now;
 		if (outcome === 'not_run') {
 			// A class that is refused work is waiting as much as one with a queue.
 			const {requestClass} = seen.arrival.profile.contract;
@@ -107,7 +114,7 @@
 
 	/** Evaluates a run whose arrivals came from `demands` over `lengthMs`. */
 	result(
-		demands: readonly ClassDemand[],
+		demands: readonly ContractOnly[],
 		lengthMs: number,
 		totals: EngineTotals,
 	): RunResult {
@@ -123,7 +130,9 @@
 			);
 			const inTime = own.filter((seen) => isInTime(seen));
 			attainment[contract.requestClass] = inTime.length / own.length;
-			shed[contract.tier] = own.filter((seen) => !isWhole(seen)).length;
+			shed[contract.tier] =
+				(shed[contract.tier] ?? 0) +
+				own.filter((seen) => !isWhole(seen)).length;
 			misses[contract.requestClass] = missesOf(own);
 			fairness.push(fairnessOf(own));
 		}
@@ -132,6 +141,7 @@
 			attainment,
 			shed,
 			misses,
+			refusedAfterMs: refusedAfterMs(all),
 			goodput: this.#goodput(lengthMs),
 			wasted: wasted(all, totals),
 			fairness: Math.min(...fairness),
@@ -165,7 +175,7 @@
 	}
 
 	#leastShare(
-		demands: readonly ClassDemand[],
+		demands: readonly ContractOnly[],
 		lengthMs: number,
 	): number | undefined {
 		const buckets = Math.floor(lengthMs / bucketMs);
@@ -231,6 +241,13 @@
 	};
 }
 
+function refusedAfterMs(all: readonly Observation[]): number {
+	const times = all
+		.filter((seen) => seen.outcome === 'not_run')
+		.map((seen) => seen.endedAt - seen.arrival.at);
+	return sum(times) / Math.max(1, times.length);
+}
+
 function wasted(all: readonly Observation[], totals: EngineTotals): number {
 	const delivered = sum(
 		all.filter((seen) => isWhole(seen)).map((seen) => seen.tokens),
