--- a/src/daemons/sidecar/sidecar-daemon.ts
+++ b/src/daemons/sidecar/sidecar-daemon.ts
@@ -83,6 +83,7 @@
 					epochMs: Date.now() - monotonicNow(),
 					incarnation: this.#incarnation,
 					scheduler: new Scheduler(new Random(hash32(this.#incarnation))),
+					random: new Random(hash32(`${this.#incarnation} sweep`)),
 				}),
 				(effect) => {
 					this.#carryOut(effect);
