--- a/src/lab/fuzz/arbitraries.ts
+++ b/src/lab/fuzz/arbitraries.ts
@@ -30,6 +30,12 @@
 		nil: undefined,
 		freq: 1,
 	}),
+	returnAfterMs: fc.option(fc.integer({min: 1, max: 9000}), {
+		nil: undefined,
+		freq: 5,
+	}),
+	returnEntry: index,
+	returnCancels: fc.boolean(),
 	takeMs: fc.oneof(
 		{weight: 4, arbitrary: fc.constant(0)},
 		{weight: 1, arbitrary: fc.nat({max: 300})},
--- a/src/lab/fuzz/callers.ts
+++ b/src/lab/fuzz/callers.ts
@@ -6,7 +6,7 @@
 import type {Plan, RequestStep} from './plan.js';
 
 /** Latency between callers and entries, one way, in milliseconds. */
-const callerLatencyMs = 3;
+export const callerLatencyMs = 3;
 
 const tiers = {tight: 0, loose: 1} as const;
 
@@ -15,9 +15,17 @@
 	readonly #clock: VirtualClock;
 	readonly #history: History;
 	readonly #plan: Plan;
-	readonly #takeMs = new Map<string, number>();
-
-	constructor(clock: VirtualClock, history: History, plan: Plan) {
+	readonly #steps = new Map<string, RequestStep>();
+	/** A caller was cut off from a resumable request. */
+	readonly #onCutOff: (sent: Sent, step: RequestStep) => void;
+
+	constructor(
+		clock: VirtualClock,
+		history: History,
+		plan: Plan,
+		onCutOff: (sent: Sent, step: RequestStep) => void,
+	) {
+		this.#onCutOff = onCutOff;
 		this.#clock = clock;
 		this.#history = history;
 		this.#plan = plan;
@@ -52,6 +60,8 @@
 			requestClass: step.requestClass,
 			tier: tiers[step.requestClass],
 			target: step.target,
+			workspace,
+			resumable: step.resumable,
 			length,
 			keyed,
 			probe,
@@ -61,11 +71,12 @@
 			heads: 0,
 			text: '',
 			sequences: [],
+			lastEventId: undefined,
 			ends: [],
 			afterEnd: 0,
 		};
 		this.#history.sent.set(id, sent);
-		this.#takeMs.set(id, step.takeMs);
+		this.#steps.set(id, step);
 		this.#note(`${id} sent to ${incarnation}`, {identity, length});
 		const order: Order = {
 			identity,
@@ -130,6 +141,7 @@
 				sent.ends.length === 0
 			) {
 				sent.lostAt ??= this.#clock.now;
+				this.#cutOff(sent);
 			}
 		}
 	}
@@ -165,8 +177,9 @@
 
 		sent.sequences.push(effect.sequence);
 		sent.text += effect.data;
+		sent.lastEventId = effect.eventId;
 		this.#clock.after(
-			callerLatencyMs + (this.#takeMs.get(sent.id) ?? 0),
+			callerLatencyMs + this.#steps.get(sent.id)!.takeMs,
 			() => {
 				entry.deliver(incarnation, {
 					type: 'taken',
@@ -194,6 +207,7 @@
 		}
 
 		sent.goneAt = this.#clock.now;
+		this.#cutOff(sent);
 		this.#note(`${sent.id} caller gone`, {});
 		this.#clock.after(callerLatencyMs, () => {
 			entry.deliver(sent.entryIncarnation, {
@@ -203,6 +217,15 @@
 		});
 	}
 
+	#cutOff(sent: Sent): void {
+		const step = this.#steps.get(sent.id)!;
+		if (sent.resumable && step.returnAfterMs !== undefined) {
+			this.#clock.after(step.returnAfterMs, () => {
+				this.#onCutOff(sent, step);
+			});
+		}
+	}
+
 	/** The request, unless its caller can no longer be told anything. */
 	#open(id: string): Sent | undefined {
 		const sent = this.#history.sent.get(id);
--- a/src/lab/fuzz/fuzzer.ts
+++ b/src/lab/fuzz/fuzzer.ts
@@ -11,8 +11,10 @@
 	notRun,
 	plannedStop,
 	recovery,
+	returnedAnswer,
 	starvation,
 	tierOrder,
+	trueStatus,
 	undisturbed,
 	wholeAnswer,
 	type Property,
@@ -35,6 +37,8 @@
 	finalAnswer,
 	recovery,
 	drained,
+	returnedAnswer,
+	trueStatus,
 ];
 
 export const campaigns: readonly Campaign[] = [
--- a/src/lab/fuzz/history.ts
+++ b/src/lab/fuzz/history.ts
@@ -1,4 +1,5 @@
 import type {Outcome} from '../../platform/index.js';
+import type {RequestStatus} from '../../services/index.js';
 import type {Plan} from './plan.js';
 
 /** A request as its caller sent it and what the caller was told. Times are virtual milliseconds. */
@@ -13,6 +14,8 @@
 	readonly requestClass: 'tight' | 'loose';
 	readonly tier: number;
 	readonly target: string;
+	readonly workspace: string;
+	readonly resumable: boolean;
 	readonly length: number;
 	readonly keyed: boolean;
 	/** Sent after all faults had ended. */
@@ -26,6 +29,7 @@
 	heads: number;
 	text: string;
 	readonly sequences: number[];
+	lastEventId: string | undefined;
 	readonly ends: Array<{
 		at: number;
 		outcome: Outcome;
@@ -35,6 +39,36 @@
 	afterEnd: number;
 };
 
+/** A caller of a resumable request that came back for the rest of the answer. */
+export type Returned = {
+	readonly id: string;
+	readonly sent: Sent;
+	readonly entry: string;
+	readonly entryIncarnation: string;
+	readonly at: number;
+	/** Sequence number of the last chunk that the caller had. */
+	readonly after: number;
+	lostAt: number | undefined;
+	heads: number;
+	/** Text that the caller had, and what it received after its return. */
+	text: string;
+	readonly sequences: number[];
+	readonly ends: Sent['ends'];
+	afterEnd: number;
+};
+
+/** A caller that asked what became of its request. */
+export type Asked = {
+	readonly id: string;
+	readonly sent: Sent;
+	readonly entry: string;
+	readonly entryIncarnation: string;
+	readonly at: number;
+	readonly cancels: boolean;
+	lostAt: number | undefined;
+	readonly answers: Array<{at: number; status: RequestStatus}>;
+};
+
 /** One call that an endpoint received. */
 export type Executed = {
 	readonly number: number;
@@ -68,6 +102,8 @@
 	/** Guaranteed shares by class. */
 	readonly shares: Plan['shares'];
 	readonly sent = new Map<string, Sent>();
+	readonly returned = new Map<string, Returned>();
+	readonly asked = new Map<string, Asked>();
 	readonly executed: Executed[] = [];
 	readonly leaves: Leave[] = [];
 	/** Paused times by process name. */
--- a/src/lab/fuzz/plan.ts
+++ b/src/lab/fuzz/plan.ts
@@ -22,6 +22,10 @@
 	copies: z.int().min(1).max(400),
 	/** Time after which the caller goes away. */
 	goneAfterMs: ms.optional(),
+	/** Time after which the caller of a resumable request that was cut off comes back, to which entry, and whether it cancels. */
+	returnAfterMs: ms.optional(),
+	returnEntry: index.optional(),
+	returnCancels: z.boolean().optional(),
 	/** Time that the caller needs to take one chunk. */
 	takeMs: ms,
 });
--- a/src/lab/fuzz/properties/not-run.ts
+++ b/src/lab/fuzz/properties/not-run.ts
@@ -4,8 +4,11 @@
 export const notRun: Property = {
 	name: 'not run',
 	violations: (history) =>
-		[...history.sent.values()].flatMap((sent) => {
-			const told = sent.ends.find(({outcome}) => outcome === 'not_run');
+		[
+			...[...history.sent.values()].map((sent) => ({sent, ends: sent.ends})),
+			...history.returned.values(),
+		].flatMap(({sent, ends}) => {
+			const told = ends.find(({outcome}) => outcome === 'not_run');
 			const executed = history.executed.find(
 				({request}) => request === sent.id,
 			);
--- a/src/lab/fuzz/world.ts
+++ b/src/lab/fuzz/world.ts
@@ -15,6 +15,7 @@
 import {Network, type EntryHost, type SidecarHost} from './network.js';
 import type {Plan, RequestStep, Step} from './plan.js';
 import {residueOf} from './residue.js';
+import {Returns} from './returns.js';
 import {Streams} from './streams.js';
 
 /** Time after the last fault until probes are sent, in milliseconds; longer than any timeout of a plan and any retention. */
@@ -46,6 +47,7 @@
 	readonly #network: Network;
 	readonly #table: FakeTable;
 	readonly #callers: Callers;
+	readonly #returns: Returns;
 	readonly #entries: EntryHost[] = [];
 	readonly #stations: Station[] = [];
 	/** Time at which all faults and all timeouts are over. */
@@ -64,7 +66,17 @@
 			plan.lossy ? this.#quietAt : 0,
 		);
 		this.#table = new FakeTable(this.#clock, this.#streams.get('table'));
-		this.#callers = new Callers(this.#clock, this.history, plan);
+		this.#callers = new Callers(
+			this.#clock,
+			this.history,
+			plan,
+			(sent, step) => {
+				this.#returns.come(sent, step, this.#entryAt(step.returnEntry ?? 0));
+			},
+		);
+		this.#returns = new Returns(this.#clock, this.history, (target) =>
+			this.#endpointsOf(target),
+		);
 		for (let n = 0; n < plan.entries; n++) {
 			this.#entries.push(this.#createEntry(`entry-${n}`));
 		}
@@ -210,17 +222,17 @@
 			}
 
 			case 'head': {
-				this.#callers.onHead(effect);
+				this.#tellerOf(effect.requestId).onHead(effect);
 				break;
 			}
 
 			case 'chunk': {
-				this.#callers.onChunk(effect, host, incarnation);
+				this.#tellerOf(effect.requestId).onChunk(effect, host, incarnation);
 				break;
 			}
 
 			case 'end': {
-				this.#callers.onEnd(effect);
+				this.#tellerOf(effect.requestId).onEnd(effect);
 				break;
 			}
 
@@ -243,7 +255,11 @@
 				break;
 			}
 
-			case 'status':
+			case 'status': {
+				this.#returns.onStatus(effect.id, effect.status);
+				break;
+			}
+
 			case 'count':
 			case 'timing':
 			case 'log': {
@@ -343,6 +359,7 @@
 		this.#markKilled(incarnation);
 		this.#network.onEnd(host, how);
 		this.#callers.onEntryEnd(incarnation);
+		this.#returns.onEntryEnd(incarnation);
 		host.kill();
 		this.#clock.after(downMs, () => {
 			host.start();
@@ -470,13 +487,22 @@
 	}
 
 	#send(step: RequestStep, entry: EntryHost, probe: boolean): void {
-		const kind = step.target === 'model' ? 'engine' : 'service';
-		const endpoints = this.#stations
-			.filter((station) => station.kind === kind)
-			.map((station): EndpointView => this.#viewOf(station));
+		const endpoints = this.#endpointsOf(step.target);
 		this.#callers.send(`r${this.#requests++}`, step, entry, endpoints, probe);
 	}
 
+	#endpointsOf(target: string): EndpointView[] {
+		const kind = target === 'model' ? 'engine' : 'service';
+		return this.#stations
+			.filter((station) => station.kind === kind)
+			.map((station) => this.#viewOf(station));
+	}
+
+	/** Requests are told by the callers, watches by those that have come back. */
+	#tellerOf(requestId: string): Callers | Returns {
+		return this.history.returned.has(requestId) ? this.#returns : this.#callers;
+	}
+
 	#viewOf(station: Station): EndpointView {
 		return {
 			name: station.host.name,
@@ -607,7 +633,7 @@
 function endOf(step: Step): number {
 	switch (step.type) {
 		case 'request': {
-			return step.at + step.timeoutMs;
+			return step.at + step.timeoutMs + (step.returnAfterMs ?? 0);
 		}
 
 		case 'cut':
