Catch an entry that tells not_run at each timeout

Change: the faulty entry tells not_run for every timeout instead. Conclusion: the property not run still fails on a lying entry.

--- a/src/lab/fuzz/sabotage.test.ts
+++ b/src/lab/fuzz/sabotage.test.ts
@@ -106,9 +106,9 @@
 });
 
 // Guards against an oracle that misses a request that ran after its caller was told otherwise.
-test('fuzz catches an entry that tells not_run at each failure', () => {
+test('fuzz catches an entry that tells not_run at each timeout', () => {
 	const sabotage = entryEffects((effect) =>
-		effect.type === 'end' && effect.failure?.code === 'outcome_unknown'
+		effect.type === 'end' && effect.failure?.code === 'timeout'
 			? [{...effect, outcome: 'not_run'}]
 			: [effect],
 	);
