Add campaigns for repeated keys and for a queue at its bound

Cause: few plans repeated a key under table faults, and no queue reached its bound. Change: campaigns keyed and flood; undisturbed also in backlog, burst and flood; faulty machines that preempt and that shed without regard to tiers.

--- a/src/lab/fuzz/arbitraries.ts
+++ b/src/lab/fuzz/arbitraries.ts
@@ -4,6 +4,9 @@
 /** Time in which the steps of a plan happen, in milliseconds. */
 const planMs = 12_000;
 
+/** The same for plans that concentrate on a few keys. */
+const keyedMs = 6000;
+
 const index = fc.nat({max: 5});
 const at = fc.nat({max: planMs});
 const process = fc.record({
@@ -216,3 +219,72 @@
 			})),
 		],
 	}));
+
+/** Few keys that many callers repeat at several entries and services, while processes, links and the table fail. */
+export const keyedPlan: fc.Arbitrary<Plan> = fc.record({
+	seed: fc.nat(),
+	entries: fc.integer({min: 1, max: 3}),
+	engines: fc.constant(1),
+	services: fc.integer({min: 1, max: 3}),
+	lossy: fc.boolean(),
+	engineGapMs: fc.constant(20),
+	gapTargetMs: fc.constant(1000),
+	shares: fc.constant({tight: 0.5, loose: 0.2}),
+	steps: fc.array(
+		fc.oneof(
+			{
+				weight: 4,
+				arbitrary: request.map((step): RequestStep => ({
+					...step,
+					at: step.at % keyedMs,
+					workspace: 0,
+					target: 'service',
+					key: (step.key ?? 0) % 4,
+					copies: 1,
+				})),
+			},
+			{
+				weight: 3,
+				arbitrary: fault.map((step): Step => ({
+					...step,
+					at: step.at % keyedMs,
+				})),
+			},
+			{
+				weight: 1,
+				arbitrary: leave.map((step): Step => ({
+					...step,
+					at: step.at % keyedMs,
+				})),
+			},
+		),
+		{minLength: 2, maxLength: 30, size: 'max'},
+	),
+});
+
+/** One endpoint whose queue is at its bound with the lower tier when the higher one arrives. */
+export const floodPlan: fc.Arbitrary<Plan> = fc
+	.record({
+		seed: fc.nat(),
+		tight: fc.integer({min: 100, max: 300}),
+		loose: fc.integer({min: 360, max: 400}),
+	})
+	.map(({seed, tight, loose}) => ({
+		seed,
+		entries: 1,
+		engines: 1,
+		services: 0,
+		lossy: false,
+		engineGapMs: 50,
+		gapTargetMs: 80,
+		shares: {tight: 0, loose: 0},
+		steps: [
+			...[0, 1, 2].map((index): RequestStep => ({
+				...backlogged,
+				requestClass: 'loose',
+				at: index * 10,
+				copies: loose,
+			})),
+			{...backlogged, requestClass: 'tight', at: 4000, copies: tight},
+		],
+	}));
--- a/src/lab/fuzz/campaigns.test.ts
+++ b/src/lab/fuzz/campaigns.test.ts
@@ -6,8 +6,10 @@
 /** Seed and runs of each campaign in continuous integration; `cicadaswitch fuzz` tries others. */
 const budgets = new Map([
 	['faulty', {seed: 1, runs: 300}],
+	['keyed', {seed: 1, runs: 600}],
 	['calm', {seed: 1, runs: 200}],
 	['backlog', {seed: 1, runs: 50}],
+	['flood', {seed: 1, runs: 2}],
 	['burst', {seed: 1, runs: 4}],
 ]);
 
--- a/src/lab/fuzz/fuzzer.ts
+++ b/src/lab/fuzz/fuzzer.ts
@@ -1,6 +1,13 @@
 import * as fc from 'fast-check';
 import {z} from 'zod';
-import {backlogPlan, burstPlan, calmPlan, faultyPlan} from './arbitraries.js';
+import {
+	backlogPlan,
+	burstPlan,
+	calmPlan,
+	faultyPlan,
+	floodPlan,
+	keyedPlan,
+} from './arbitraries.js';
 import type {Sabotage} from './machines.js';
 import {planSchema, type Plan} from './plan.js';
 import {
@@ -43,9 +50,19 @@
 
 export const campaigns: readonly Campaign[] = [
 	{name: 'faulty', plans: faultyPlan, properties: always},
+	{name: 'keyed', plans: keyedPlan, properties: always},
 	{name: 'calm', plans: calmPlan, properties: [...always, undisturbed]},
-	{name: 'backlog', plans: backlogPlan, properties: [...always, tierOrder]},
-	{name: 'burst', plans: burstPlan, properties: [...always, starvation]},
+	{
+		name: 'backlog',
+		plans: backlogPlan,
+		properties: [...always, undisturbed, tierOrder],
+	},
+	{name: 'flood', plans: floodPlan, properties: [undisturbed, tierOrder]},
+	{
+		name: 'burst',
+		plans: burstPlan,
+		properties: [...always, undisturbed, starvation],
+	},
 ];
 
 /** What a finding needs in order to be run again. */
--- a/src/lab/fuzz/sabotage.test.ts
+++ b/src/lab/fuzz/sabotage.test.ts
@@ -198,7 +198,7 @@
 				]
 			: [message],
 	);
-	expect(isCaught('faulty', 'at most once', sabotage, 1000)).toEqual(true);
+	expect(isCaught('keyed', 'at most once', sabotage, 300)).toEqual(true);
 });
 
 // Guards against an oracle that misses work started long after the endpoint was told to leave.
@@ -374,6 +374,56 @@
 	expect(isCaught('backlog', 'tier order', sabotage, 50)).toEqual(true);
 });
 
+// Guards against an oracle that misses an execution cut off for another request's sake.
+test('fuzz catches a sidecar that preempts running work', () => {
+	const sabotage: Sabotage = {
+		sidecar: (machine) => preempting(machine),
+	};
+	expect(isCaught('backlog', 'undisturbed', sabotage, 50)).toEqual(true);
+});
+
+/** Stops the latest run of the higher tier when a lower one is started. */
+function preempting(machine: SidecarMachine): SidecarMachine {
+	const high: string[] = [];
+	return {
+		handle: (message, now) =>
+			machine.handle(message, now).flatMap((effect) => {
+				if (effect.type !== 'run') {
+					return [effect];
+				}
+
+				if (effect.priority === 0) {
+					high.push(effect.attempt);
+					return [effect];
+				}
+
+				const victim = high.pop();
+				return victim === undefined
+					? [effect]
+					: [
+							effect,
+							{type: 'stopRun', attempt: victim},
+							...machine.handle(
+								{
+									type: 'endpoint',
+									attempt: victim,
+									event: {type: 'error', sent: true, reason: 'preempted'},
+								},
+								now,
+							),
+						];
+			}),
+		nextWake: () => machine.nextWake(),
+		dump: () => machine.dump(),
+	};
+}
+
+// Guards against an oracle that misses a higher tier that is shed while a lower one stays queued.
+test('fuzz catches a sidecar that sheds without regard to tiers', () => {
+	const sabotage = contractOf((contract) => ({...contract, tier: 0}));
+	expect(isCaught('flood', 'tier order', sabotage, 1)).toEqual(true);
+});
+
 // Guards against an oracle that misses a class that a higher one starves.
 test('fuzz catches a sidecar that ignores guaranteed shares', () => {
 	const sabotage = contractOf((contract) => ({...contract, share: 0}));
