--- a/src/lab/experiment.ts
+++ b/src/lab/experiment.ts
@@ -1,3 +1,4 @@
+import VError from 'verror';
 import {Cluster, type Variant} from './cluster.js';
 import {engineModel} from './fake-engine.js';
 import {goodputBound} from './goodput-bound.js';
@@ -38,6 +39,8 @@
 	readonly goodputPart: Spread;
 	/** As a part of the upper bound that keeps to tiers and guaranteed shares. */
 	readonly goodputTierPart: Spread;
+	/** Mean time until a request that was not run got its answer, in milliseconds. */
+	readonly refusedAfterMs: Spread;
 	/** Requests of each class that missed, by cause; sums over the seeds. */
 	readonly misses: Readonly<Record<string, Misses>>;
 	readonly wasted: Spread;
@@ -93,7 +96,11 @@
 	variant: Variant,
 	{seed, seconds}: {readonly seed: number; readonly seconds: number},
 ): Run {
-	const capacity = engineCapacity(workload, engineModel);
+	const model = {
+		...engineModel,
+		kvCapacity: workload.kvCapacity ?? engineModel.kvCapacity,
+	};
+	const capacity = engineCapacity(workload, model);
 	const perSecond = capacity.perSecond * workload.engines * load;
 	const list = arrivals(workload, perSecond, seconds, seed);
 	const lengthMs = seconds * 1000;
@@ -101,7 +108,8 @@
 	const cluster = new Cluster(
 		{
 			engines: workload.engines,
-			model: engineModel,
+			services: workload.service?.instances ?? 0,
+			model,
 			variant: {
 				...variant,
 				policy: {fixedLimit: Math.floor(capacity.batch), ...variant.policy},
@@ -114,11 +122,20 @@
 	);
 	cluster.run(list, lengthMs + drainMs);
 	const result = measurement.result(
-		workload.classes,
+		workload.service
+			? [...workload.classes, workload.service]
+			: workload.classes,
 		lengthMs,
 		cluster.totals(),
 	);
-	const bound = goodputBound(workload, engineModel, list, lengthMs);
+	if (cluster.repeatedCalls() > 0) {
+		throw new VError(
+			'%d non-idempotent calls ran twice',
+			cluster.repeatedCalls(),
+		);
+	}
+
+	const bound = goodputBound(workload, model, list, lengthMs);
 	return {
 		...result,
 		goodputPart: result.goodput / bound.anyOrder,
@@ -144,6 +161,7 @@
 		goodput: spreadOf(runs.map(({goodput}) => goodput)),
 		goodputPart: spreadOf(runs.map(({goodputPart}) => goodputPart)),
 		goodputTierPart: spreadOf(runs.map(({goodputTierPart}) => goodputTierPart)),
+		refusedAfterMs: spreadOf(runs.map(({refusedAfterMs}) => refusedAfterMs)),
 		misses: sumMisses(runs),
 		wasted: spreadOf(runs.map(({wasted}) => wasted)),
 		fairness: spreadOf(runs.map(({fairness}) => fairness)),
--- a/src/lab/fleet/fleet.ts
+++ b/src/lab/fleet/fleet.ts
@@ -1,6 +1,5 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {mkdtemp, readFile, rm, writeFile} from 'node:fs/promises';
-import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
@@ -8,8 +7,8 @@
 import {request} from 'undici';
 import {z} from 'zod';
 import {DisposableStore} from '../../base/index.js';
+import {writeRecords} from '../../daemons/index.js';
 import {
-	recordKey,
 	recordSchema,
 	type ConfigRecord,
 	type EndpointRecord,
@@ -21,10 +20,10 @@
 	ServiceServer,
 	TableServer,
 	type EngineServerOptions,
+	TcpForwarder,
 } from '../../platform/standins/index.js';
+import {freePort, isReady, until} from './loopback.js';
 
-const startTimeoutMs = 20_000;
-const pollMs = 25;
 const peerKey = 'loopback-fleet-key';
 const root = fileURLToPath(new URL('../../..', import.meta.url));
 
@@ -36,6 +35,10 @@
 	readonly engines: number;
 	readonly services: number;
 	readonly engine?: EngineServerOptions;
+	/** Puts a TCP forwarder between the entries and each sidecar. */
+	readonly forwarders?: boolean;
+	/** Further lines of every settings file. */
+	readonly settings?: readonly string[];
 };
 
 /** One process of the fleet. */
@@ -44,6 +47,8 @@
 	readonly child: ChildProcess;
 	/** Caller address of an entry or peer address of a sidecar. */
 	readonly address: string;
+	/** Where other processes connect. */
+	readonly peer: string;
 	readonly admin: string;
 };
 
@@ -56,6 +61,8 @@
 	readonly services = new Map<string, ServiceServer>();
 	readonly entries: FleetProcess[] = [];
 	readonly sidecars = new Map<string, FleetProcess>();
+	/** Forwarder in front of each sidecar, by endpoint name. */
+	readonly forwarders = new Map<string, TcpForwarder>();
 	readonly #store = new DisposableStore();
 	readonly #options: FleetOptions;
 	#directory = '';
@@ -102,11 +109,6 @@
 			`url = ${url}`,
 		]);
 		this.sidecars.set(endpoint.name, sidecar);
-		this.instanceList.instances.push({
-			id: endpoint.name,
-			address: peer,
-			state: 'live',
-		});
 	}
 
 	async startEntry(
@@ -148,13 +150,20 @@
 		const records = z
 			.array(recordSchema)
 			.parse(JSON.parse(await readFile(file, 'utf8')));
-		this.table.commitNow({
-			checks: [],
-			writes: records.map((record) => ({
-				key: recordKey(record),
-				value: JSON.stringify(record),
+		const {result} = await writeRecords(this.table, {
+			operator: this.#options.deployment,
+			edits: records.map((record) => ({
+				kind: record.kind,
+				name: record.name,
+				record,
 			})),
 		});
+		if (result.type !== 'accepted') {
+			throw new Error(
+				`the records of ${file} were not accepted: ${result.type}`,
+			);
+		}
+
 		return records;
 	}
 
@@ -170,6 +179,14 @@
 		return service.listen();
 	}
 
+	async #forward(endpoint: string, peer: string): Promise<string> {
+		const forwarder = this.#store.add(
+			new TcpForwarder({host: '127.0.0.1', port: Number(peer.split(':')[1])}),
+		);
+		this.forwarders.set(endpoint, forwarder);
+		return forwarder.listen();
+	}
+
 	#processLines(
 		role: string,
 		instance: string,
@@ -198,12 +215,20 @@
 		const admin = `127.0.0.1:${await freePort()}`;
 		const file = path.join(this.#directory, `${name}.ini`);
 		const own = role === 'entry' ? 'caller' : 'peer';
+		const peer = role === 'entry' ? `127.0.0.1:${await freePort()}` : address;
+		const advertised =
+			role === 'sidecar' && this.#options.forwarders
+				? await this.#forward(name, peer)
+				: peer;
 		const addresses = [
 			'[addresses]',
 			`${own} = ${address}`,
+			...(peer === address ? [] : [`peer = ${peer}`]),
+			...(advertised === peer ? [] : [`advertise = ${advertised}`]),
 			`admin = ${admin}`,
 		];
-		await writeFile(file, [...lines, ...addresses, ''].join('\n'));
+		const more = this.#options.settings ?? [];
+		await writeFile(file, [...lines, ...addresses, ...more, ''].join('\n'));
 		const isSource = import.meta.url.endsWith('.ts');
 		const main = isSource ? 'src/cli/main.ts' : 'dist/cli/main.js';
 		const child = spawn(
@@ -216,42 +241,19 @@
 			],
 			{cwd: root, stdio: ['ignore', 'ignore', 'inherit']},
 		);
-		const fleetProcess = {name, child, address, admin};
-		await waitUntilReady(fleetProcess);
-		return fleetProcess;
-	}
-}
-
-/** A loopback port that is free at present. */
-async function freePort(): Promise<number> {
-	return new Promise((resolve, reject) => {
-		const server = createServer();
-		server.once('error', reject);
-		server.listen(0, '127.0.0.1', () => {
-			const bound = server.address();
-			server.close(() => {
-				resolve(typeof bound === 'object' && bound ? bound.port : 0);
-			});
-		});
-	});
-}
-
-async function waitUntilReady(fleetProcess: FleetProcess): Promise<void> {
-	for (let waited = 0; waited < startTimeoutMs; waited += pollMs) {
-		try {
-			const answer = await request(`http://${fleetProcess.admin}/readyz`);
-			await answer.body.dump();
-			if (answer.statusCode === 200) {
-				return;
+		const fleetProcess = {name, child, address, peer: advertised, admin};
+		await until(`${name} is ready`, async () => {
+			if (child.exitCode !== null) {
+				throw new Error(`${name} ended with status ${child.exitCode}`);
 			}
-		} catch {
-			// The process has not opened its admin address yet.
-		}
 
-		await new Promise((resolve) => {
-			setTimeout(resolve, pollMs);
+			return isReady(admin);
 		});
+		this.instanceList.instances.push({
+			id: name,
+			address: advertised,
+			state: 'live',
+		});
+		return fleetProcess;
 	}
-
-	throw new Error(`process ${fleetProcess.name} did not become ready`);
 }
--- a/src/lab/workload.ts
+++ b/src/lab/workload.ts
@@ -20,9 +20,21 @@
 	readonly sharedTokens: number;
 	/** Factor on the rate during the middle third of a run. */
 	readonly burst: number;
+	/** Requests that a workspace sends at the same instant. */
+	readonly batch?: number;
 };
 
-export type Fault = 'none' | 'straggler' | 'crash';
+export type Fault = 'none' | 'straggler' | 'crash' | 'tableOutage';
+
+/** Non-idempotent calls of a plain service beside the model requests. */
+export type ServiceDemand = {
+	readonly contract: Omit<Contract, 'workspace' | 'weight'>;
+	/** Calls for each model request. */
+	readonly part: number;
+	/** Median duration of a call, in milliseconds; lognormal. */
+	readonly durationMs: number;
+	readonly instances: number;
+};
 
 /** Requests and faults of an experiment. */
 export type Workload = {
@@ -33,6 +45,9 @@
 	readonly skew: number;
 	readonly engines: number;
 	readonly fault: Fault;
+	readonly service?: ServiceDemand;
+	/** Tokens that fit an engine's KV cache, when it differs from the model's. */
+	readonly kvCapacity?: number;
 };
 
 /** One request with the length that the router must not know. */
@@ -43,10 +58,14 @@
 	/** Hashes of all of the prompt's blocks, as the engine has them. */
 	readonly prefixChain: readonly string[];
 	readonly outputTokens: number;
+	/** Duration of a plain service's call, in milliseconds. */
+	readonly durationMs?: number;
 };
 
 /** Standard deviation of the logarithm of the prompt's length. */
 const promptSpread = 0.5;
+/** Standard deviation of the logarithm of a service call's duration. */
+const serviceSpread = 0.4;
 const shortestAnswer = 8;
 const longestAnswer = 2000;
 
@@ -121,6 +140,11 @@
 	return count - 1;
 }
 
+function answerLength(demand: ClassDemand, random: Random): number {
+	const length = lognormal(random, demand.outputTokens, demand.spread);
+	return Math.min(longestAnswer, Math.max(shortestAnswer, length));
+}
+
 function profileOf(
 	demand: ClassDemand,
 	workspace: string,
@@ -149,6 +173,40 @@
 	return {profile, prefixChain};
 }
 
+function serviceArrivals(
+	{workspaces, skew}: Workload,
+	{contract, part, durationMs}: ServiceDemand,
+	perSecond: number,
+	seconds: number,
+	seed: number,
+): Arrival[] {
+	const random = new Random(seed + 1_000_000);
+	const list: Arrival[] = [];
+	for (
+		let at = random.exponential(1000 / (perSecond * part));
+		at < seconds * 1000;
+		at += random.exponential(1000 / (perSecond * part))
+	) {
+		const workspace = `w${zipf(random, workspaces, skew)}`;
+		list.push({
+			id: `s${list.length}`,
+			at,
+			profile: {
+				contract: {...contract, workspace, weight: 1},
+				target: 'service',
+				kind: 'service',
+				promptTokens: 0,
+				prefix: [],
+			},
+			prefixChain: [],
+			outputTokens: 0,
+			durationMs: lognormal(random, durationMs, serviceSpread),
+		});
+	}
+
+	return list;
+}
+
 /** Poisson arrivals at `load` times the capacity over `seconds`, in order of time. */
 export function arrivals(
 	workload: Workload,
@@ -158,35 +216,37 @@
 ): Arrival[] {
 	const random = new Random(seed);
 	const list: Arrival[] = [];
+	const {service} = workload;
+	if (service) {
+		list.push(...serviceArrivals(workload, service, perSecond, seconds, seed));
+	}
+
 	const parts = workload.classes.reduce((sum, {part}) => sum + part, 0);
 	const length = seconds * 1000;
 	for (const [index, demand] of workload.classes.entries()) {
 		const rate = (perSecond * demand.part) / parts / 1000;
 		// Outside the burst the rate is lower, so that the mean stays.
 		const quiet = rate * ((3 - demand.burst) / 2);
+		const batch = demand.batch ?? 1;
 		let at = 0;
 		for (;;) {
 			const inBurst = at >= length / 3 && at < (2 * length) / 3;
 			const current = inBurst ? rate * demand.burst : quiet;
-			at += random.exponential(1 / Math.max(current, rate / 1000));
+			at += random.exponential(batch / Math.max(current, rate / 1000));
 			if (at >= length) {
 				break;
 			}
 
-			const id = `r${index}-${list.length}`;
-			const rank = zipf(random, workload.workspaces, workload.skew);
-			list.push({
-				id,
-				at,
-				...profileOf(demand, `w${rank}`, id, random),
-				outputTokens: Math.min(
-					longestAnswer,
-					Math.max(
-						shortestAnswer,
-						lognormal(random, demand.outputTokens, demand.spread),
-					),
-				),
-			});
+			const workspace = `w${zipf(random, workload.workspaces, workload.skew)}`;
+			for (let count = 0; count < batch; count++) {
+				const id = `r${index}-${list.length}`;
+				list.push({
+					id,
+					at,
+					...profileOf(demand, workspace, id, random),
+					outputTokens: answerLength(demand, random),
+				});
+			}
 		}
 	}
 
--- a/src/platform/settings/settings.ts
+++ b/src/platform/settings/settings.ts
@@ -15,8 +15,10 @@
 const addressesSection = z.strictObject({
 	/** Where callers connect; entries only. */
 	caller: address.optional(),
-	/** Where entries connect to a sidecar; sidecars only. */
+	/** Where other processes of the system connect. */
 	peer: address.optional(),
+	/** Address that peers are told to use, when it is not the one listened on. */
+	advertise: address.optional(),
 	/** State dump and health. */
 	admin: address,
 	/** Allows an admin address that is not on loopback. */
@@ -137,7 +139,10 @@
 	const role = valueAt(raw, ['process', 'role']);
 	const required =
 		role === 'entry'
-			? [['addresses', 'caller']]
+			? [
+					['addresses', 'caller'],
+					['addresses', 'peer'],
+				]
 			: role === 'sidecar'
 				? [
 						['addresses', 'peer'],
