Add the bench command and the exit codes of the command line

Cause: nothing measured what the router adds, and a wrong command line ended with the status of a failed command.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,5 +1,7 @@
 #!/usr/bin/env node
-import {defineCommand, runMain} from 'citty';
+import process from 'node:process';
+import {defineCommand} from 'citty';
+import {run} from './run.js';
 
 /** Commands are loaded when they are run, so that a daemon does not hold the code of the others in memory. */
 const main = defineCommand({
@@ -61,6 +63,10 @@
 			const commands = await import('./experiment.js');
 			return commands.experimentCommand;
 		},
+		async bench() {
+			const commands = await import('./bench.js');
+			return commands.benchCommand;
+		},
 		async fuzz() {
 			const commands = await import('./fuzz.js');
 			return commands.fuzzCommand;
@@ -76,4 +82,4 @@
 	},
 });
 
-await runMain(main);
+await run(main, process.argv.slice(2));
--- /dev/null
+++ b/src/cli/run.ts
@@ -0,0 +1,25 @@
+import process from 'node:process';
+import {runCommand, runMain, type CommandDef} from 'citty';
+
+const helpFlags = new Set(['--help', '-h']);
+
+/** Runs the command that the arguments name. Exit status 2 says that the arguments are wrong, 1 that the command failed; record commands set further ones. */
+export async function run(
+	main: CommandDef,
+	rawArgs: readonly string[],
+): Promise<void> {
+	if (rawArgs.length === 0 || rawArgs.some((arg) => helpFlags.has(arg))) {
+		const args = rawArgs.length === 0 ? ['--help'] : [...rawArgs];
+		await runMain(main, {rawArgs: args});
+		return;
+	}
+
+	try {
+		await runCommand(main, {rawArgs: [...rawArgs]});
+	} catch (error) {
+		const isUsage = error instanceof Error && error.name === 'CLIError';
+		const text = error instanceof Error ? error.message : String(error);
+		console.error(isUsage ? `${text}; see cicadaswitch --help` : text);
+		process.exitCode = isUsage ? 2 : 1;
+	}
+}
--- /dev/null
+++ b/src/lab/bench/index.ts
@@ -0,0 +1,2 @@
+export * from './bench.js';
+export * from './report.js';
--- /dev/null
+++ b/src/lab/bench/load.ts
@@ -0,0 +1,102 @@
+import {performance} from 'node:perf_hooks';
+import {createParser} from 'eventsource-parser';
+import {build, type Histogram} from 'hdr-histogram-js';
+import {Agent, request} from 'undici';
+
+/** Load of one phase: `streams` callers, each with one streamed answer after the other. */
+export type Load = {
+	readonly streams: number;
+	/** Tokens of each answer. */
+	readonly tokens: number;
+	readonly seconds: number;
+	readonly headers: Readonly<Record<string, string>>;
+	readonly model: string;
+};
+
+/** What the callers saw; histograms in microseconds. */
+export type LoadResult = {
+	readonly firstToken: Histogram;
+	readonly gap: Histogram;
+	readonly seconds: number;
+	answers: number;
+	tokens: number;
+	failures: number;
+	lastError?: string;
+};
+
+/** Drives `/v1/chat/completions` at a URL; answers that are not whole count as failures. */
+export async function drive(url: string, load: Load): Promise<LoadResult> {
+	const pool = new Agent({connections: load.streams});
+	const startedAt = performance.now();
+	const endAt = startedAt + load.seconds * 1000;
+	const result = {
+		firstToken: build(),
+		gap: build(),
+		answers: 0,
+		tokens: 0,
+		failures: 0,
+		lastError: undefined,
+	};
+	await Promise.all(
+		Array.from({length: load.streams}, async (_, index) => {
+			// Spreads the starts over one token time, so that the streams do not run in step.
+			await new Promise((resolve) => {
+				setTimeout(resolve, index % 10);
+			});
+			while (performance.now() < endAt) {
+				await streamOnce(url, load, pool, result);
+			}
+		}),
+	);
+	const seconds = (performance.now() - startedAt) / 1000;
+	await pool.close();
+	return {...result, seconds};
+}
+
+async function streamOnce(
+	url: string,
+	load: Load,
+	dispatcher: Agent,
+	result: Omit<LoadResult, 'seconds'>,
+): Promise<void> {
+	let last = performance.now();
+	let now = last;
+	let tokens = 0;
+	try {
+		const answer = await request(`${url}/v1/chat/completions`, {
+			method: 'POST',
+			headers: {'content-type': 'application/json', ...load.headers},
+			body: JSON.stringify({
+				model: load.model,
+				stream: true,
+				max_tokens: load.tokens,
+				messages: [{role: 'user', content: `question ${Math.random()}`}],
+			}),
+			dispatcher,
+		});
+		const decoder = new TextDecoder();
+		const parser = createParser({
+			onEvent({data}) {
+				if (data.startsWith('{')) {
+					const histogram = tokens === 0 ? result.firstToken : result.gap;
+					histogram.recordValue(Math.max(0, Math.round((now - last) * 1000)));
+					last = now;
+					tokens++;
+				}
+			},
+		});
+		for await (const part of answer.body as AsyncIterable<Uint8Array>) {
+			now = performance.now();
+			parser.feed(decoder.decode(part, {stream: true}));
+		}
+	} catch (error) {
+		result.lastError = String(error);
+	}
+
+	result.tokens += tokens;
+	if (tokens === load.tokens) {
+		result.answers++;
+	} else {
+		result.failures++;
+	}
+}
--- a/src/lab/fleet/fleet.ts
+++ b/src/lab/fleet/fleet.ts
@@ -35,6 +35,8 @@
 	readonly engines: number;
 	readonly services: number;
 	readonly engine?: EngineServerOptions;
+	/** URL of an engine in another process, used in place of the stand-ins in this one. */
+	readonly engineUrl?: string;
 	/** Puts a TCP forwarder between the entries and each sidecar. */
 	readonly forwarders?: boolean;
 	/** Further lines of every settings file. */
@@ -166,6 +168,10 @@
 	}
 
 	async #startBackEnd(endpoint: EndpointRecord): Promise<string> {
+		if (endpoint.type === 'engine' && this.#options.engineUrl) {
+			return this.#options.engineUrl;
+		}
+
 		if (endpoint.type === 'engine') {
 			const engine = new EngineServer(this.#options.engine);
 			this.engines.set(endpoint.name, this.#store.add(engine));
