--- a/src/lab/fleet/fleet.ts
+++ b/src/lab/fleet/fleet.ts
@@ -39,6 +39,8 @@
 	readonly engineUrl?: string;
 	/** Puts a TCP forwarder between the entries and each sidecar. */
 	readonly forwarders?: boolean;
+	/** Options of Node.js for every process, such as `--cpu-prof`. */
+	readonly nodeOptions?: readonly string[];
 	/** Further lines of every settings file. */
 	readonly settings?: readonly string[];
 };
@@ -231,6 +233,7 @@
 		const child = spawn(
 			process.execPath,
 			[
+				...(this.#options.nodeOptions ?? []),
 				...(isSource ? ['--import', 'tsx'] : []),
 				path.join(root, main),
 				role,
