--- a/src/lab/fleet/fleet.ts
+++ b/src/lab/fleet/fleet.ts
@@ -35,8 +35,12 @@
 	readonly engines: number;
 	readonly services: number;
 	readonly engine?: EngineServerOptions;
+	/** URL of an engine in another process, used in place of the stand-ins in this one. */
+	readonly engineUrl?: string;
 	/** Puts a TCP forwarder between the entries and each sidecar. */
 	readonly forwarders?: boolean;
+	/** Options of Node.js for every process, such as `--cpu-prof`. */
+	readonly nodeOptions?: readonly string[];
 	/** Further lines of every settings file. */
 	readonly settings?: readonly string[];
 };
@@ -168,6 +172,10 @@
 	}
 
 	async #startBackEnd(endpoint: EndpointRecord): Promise<string> {
+		if (endpoint.type === 'engine' && this.#options.engineUrl) {
+			return this.#options.engineUrl;
+		}
+
 		if (endpoint.type === 'engine') {
 			const engine = new EngineServer(this.#options.engine);
 			this.engines.set(endpoint.name, this.#store.add(engine));
@@ -234,6 +242,7 @@
 		const child = spawn(
 			process.execPath,
 			[
+				...(this.#options.nodeOptions ?? []),
 				...(isSource ? ['--import', 'tsx'] : []),
 				path.join(root, main),
 				role,
