Test resumption and repeated calls over separate processes

Cause: resumption, status and run records were tested only inside one process. Change: two fleet tests with two entries: a cut stream goes on at the other entry, word for word; a repeated booking gets the stored answer. Before: none.

--- /dev/null
+++ b/src/lab/fleet/resume.test.ts
@@ -0,0 +1,108 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {request} from 'undici';
+import {Fleet} from './fleet.js';
+
+const authorization = 'Bearer sk-demo-reminders';
+
+// Guards against an answer that is lost or repeated in part when its caller comes back at another entry, and against a stranger who reads it.
+test('a cut stream goes on from another entry', async (t) => {
+	const fleet = new Fleet({
+		deployment: 'gebeya',
+		entries: 2,
+		engines: 2,
+		services: 0,
+	});
+	t.after(async () => fleet.dispose());
+	await fleet.start();
+	const [one, two] = fleet.entries.map(({address}) => `http://${address}`);
+	const first = await request(`${one}/v1/chat/completions`, {
+		method: 'POST',
+		headers: {
+			authorization,
+			'content-type': 'application/json',
+			'x-cicadaswitch-class': 'letter',
+			'x-cicadaswitch-resumable': 'true',
+		},
+		body: JSON.stringify({
+			model: 'kettle-llm',
+			stream: true,
+			max_tokens: 60,
+			messages: [{role: 'user', content: 'hello'}],
+		}),
+	});
+	const path = `${two}/v1/requests/${String(first.headers['x-request-id'])}`;
+	let text = '';
+	for await (const part of first.body) {
+		text += String(part);
+		if (text.split('\n\n').length > 5) {
+			break;
+		}
+	}
+
+	const events = text.slice(0, text.lastIndexOf('\n\n')).split('\n\n');
+	const lastId = /^id: (?<id>.*)$/mv.exec(events.at(-1)!)?.groups?.id;
+	const stranger = await request(path, {
+		headers: {authorization: 'Bearer sk-demo-technicians'},
+	});
+	expect(stranger.statusCode).toEqual(404);
+	await stranger.body.dump();
+	const second = await request(`${path}/events`, {
+		headers: {authorization, 'last-event-id': lastId},
+	});
+	const whole = events.join('\n') + (await second.body.text());
+	expect([...(whole.match(/word\d+/gv) ?? [])]).toEqual(
+		Array.from({length: 60}, (_, n) => `word${n + 1}`),
+	);
+	const status = await request(path, {headers: {authorization}});
+	const eventId = lastId!.replace(/\d+$/v, '60');
+	expect(await status.body.text()).toEqual(
+		JSON.stringify({state: 'ended', outcome: 'completed', event_id: eventId}),
+	);
+});
+
+// Guards against a booking that is made twice when its caller repeats the call at another entry.
+test('a repeated call gets the answer of the first one', async (t) => {
+	const fleet = new Fleet({
+		deployment: 'gebeya',
+		entries: 2,
+		engines: 0,
+		services: 2,
+	});
+	t.after(async () => fleet.dispose());
+	await fleet.start();
+	const book = async (index: number, key: string, body: string) => {
+		const {address} = fleet.entries[index]!;
+		const answer = await request(
+			`http://${address}/services/booking-app/bookings`,
+			{
+				method: 'POST',
+				headers: {
+					authorization: 'Bearer sk-demo-technicians',
+					'idempotency-key': key,
+				},
+				body,
+			},
+		);
+		return {
+			status: answer.statusCode,
+			replayed: answer.headers['idempotent-replayed'],
+			text: await answer.body.text(),
+		};
+	};
+
+	const first = await book(0, 'k1', '{"visit":1}');
+	expect(first.status).toEqual(201);
+	for (const index of [0, 1, 1]) {
+		// The completion is written after the answer; until then the call counts as running.
+		let again = await book(index, 'k1', '{"visit":1}');
+		for (let n = 0; n < 50 && again.status === 409; n++) {
+			again = await book(index, 'k1', '{"visit":1}');
+		}
+
+		expect(again).toEqual({...first, replayed: 'true'});
+	}
+
+	const other = await book(1, 'k1', '{"visit":2}');
+	expect(other.status).toEqual(422);
+});
