--- a/src/platform/standins/engine-server.ts
+++ b/src/platform/standins/engine-server.ts
@@ -19,6 +19,8 @@
 	readonly batchCost: number;
 	/** Tokens of an answer that states no limit. */
 	readonly defaultTokens: number;
+	/** Size of a field that is added to each chunk, in bytes. */
+	readonly paddingBytes?: number;
 };
 
 export const defaultEngineOptions: EngineServerOptions = {
@@ -109,9 +111,14 @@
 			}
 
 			produced++;
-			const data = JSON.stringify(
-				chunkOf(call.model, id, produced, {isChat, last: produced === total}),
-			);
+			const {paddingBytes = 0} = this.#options;
+			const data = JSON.stringify({
+				...chunkOf(call.model, id, produced, {
+					isChat,
+					last: produced === total,
+				}),
+				...(paddingBytes > 0 && {padding: 'x'.repeat(paddingBytes)}),
+			});
 			response.write(`data: ${data}\n\n`);
 			timer = setTimeout(step, this.#gapMs());
 		};
