--- a/src/lab/fleet/faults.test.ts
+++ b/src/lab/fleet/faults.test.ts
@@ -95,8 +95,12 @@
 test('an answer continues whole when its link falls silent', async (t) => {
 	const fleet = await startFleet(t, {engines: 1, forwarders: true});
 	const {text, endpoint} = await startStream(fleet);
-	expect(fleet.forwarders.get(endpoint)!.silence() > 0).toEqual(true);
+	// The link of the request, and one for gossip when it is open.
+	expect(fleet.forwarders.get(endpoint)!.silence()).toBeGreaterThan(0);
 	expectWhole(await text);
+	const dump = JSON.stringify(await fleet.dump(fleet.entries[0]!));
+	expect(dump.includes('"links_closed":')).toEqual(true);
+	expect(fleet.engines.get(endpoint)!.executed.length).toEqual(1);
 });
 
 // Guards against engines that go on computing for callers of a dead entry.
--- a/src/lab/fleet/fleet.ts
+++ b/src/lab/fleet/fleet.ts
@@ -224,10 +224,15 @@
 		const file = path.join(this.#directory, `${name}.ini`);
 		const own = role === 'entry' ? 'caller' : 'peer';
 		const peer = role === 'entry' ? `127.0.0.1:${await freePort()}` : address;
+		const advertised =
+			role === 'sidecar' && this.#options.forwarders
+				? await this.#forward(name, peer)
+				: peer;
 		const addresses = [
 			'[addresses]',
 			`${own} = ${address}`,
 			...(peer === address ? [] : [`peer = ${peer}`]),
+			...(advertised === peer ? [] : [`advertise = ${advertised}`]),
 			`admin = ${admin}`,
 		];
 		const more = this.#options.settings ?? [];
@@ -245,7 +250,7 @@
 			],
 			{cwd: root, stdio: ['ignore', 'ignore', 'inherit']},
 		);
-		const fleetProcess = {name, child, address, peer, admin};
+		const fleetProcess = {name, child, address, peer: advertised, admin};
 		await until(`${name} is ready`, async () => {
 			if (child.exitCode !== null) {
 				throw new Error(`${name} ended with status ${child.exitCode}`);
@@ -255,10 +260,7 @@
 		});
 		this.instanceList.instances.push({
 			id: name,
-			address:
-				role === 'sidecar' && this.#options.forwarders
-					? await this.#forward(name, peer)
-					: peer,
+			address: advertised,
 			state: 'live',
 		});
 		return fleetProcess;
--- a/src/lab/workloads.ts
+++ b/src/lab/workloads.ts
@@ -125,10 +125,49 @@
 	classes: harlechClasses,
 };
 
+/** Little memory, and two classes of one tier with different targets. */
+const pressure: Workload = {
+	...harlech,
+	name: 'memory-pressure',
+	kvCapacity: 10_000,
+	classes: harlechClasses.map((item) =>
+		item.contract.requestClass === 'compliance'
+			? {...item, contract: {...item.contract, tier: 1}}
+			: item,
+	),
+};
+
 /** Workloads shaped like the two deployments, and their faults. */
 export const workloads: readonly Workload[] = [
 	gebeya,
 	harlech,
 	{...gebeya, name: 'straggler', fault: 'straggler'},
 	{...harlech, name: 'crash', fault: 'crash'},
+	pressure,
+	{
+		...gebeya,
+		name: 'batches',
+		classes: gebeyaClasses.map((item) => ({
+			...item,
+			batch: item.contract.tier === 0 ? 6 : 30,
+		})),
+	},
+	{
+		...harlech,
+		name: 'table-outage',
+		fault: 'tableOutage',
+		service: {
+			contract: {
+				requestClass: 'drafts',
+				tier: 0,
+				firstTokenMs: 2000,
+				gapMs: 1000,
+				share: 0,
+				patience: 1,
+			},
+			part: 0.3,
+			durationMs: 200,
+			instances: 2,
+		},
+	},
 ];
--- a/src/platform/settings/settings.ts
+++ b/src/platform/settings/settings.ts
@@ -17,6 +17,8 @@
 	caller: address.optional(),
 	/** Where other processes of the system connect. */
 	peer: address.optional(),
+	/** Address that peers are told to use, when it is not the one listened on. */
+	advertise: address.optional(),
 	/** State dump and health. */
 	admin: address,
 	/** Allows an admin address that is not on loopback. */
--- a/src/services/entry/progress.ts
+++ b/src/services/entry/progress.ts
@@ -1,5 +1,6 @@
-import type {Outcome, Refusal} from '../../platform/index.js';
+import type {Outcome, Refusal, Update} from '../../platform/index.js';
 import type {EndpointView} from '../records/index.js';
+import {AnswerSoFar} from './answer-so-far.js';
 import {formatEventId} from './event-id.js';
 import type {CallerRequest, Failure, RequestStatus} from './message.js';
 
@@ -10,10 +11,17 @@
 	/** Incarnation of the sidecar that it was sent to. */
 	readonly incarnation: string;
 	readonly sentAt: number;
+	/** Time to the first token that the sidecar promised, in milliseconds. */
+	readonly promisedMs: number;
+	/** What the next chunk measures: nothing once the link was lost. */
+	measures: 'firstToken' | 'gap' | 'nothing';
+	lastChunkAt: number;
 	/** The sidecar has handed the call to its endpoint. */
 	started: boolean;
 	/** Present while the link to the sidecar is lost. */
 	detached: Detachment | undefined;
+	/** Head of a hedge's answer, until the hedge wins. */
+	head: Extract<Update, {type: 'head'}> | undefined;
 	/** A gap in the chunks has been noticed, and the missing ones were asked for. */
 	refetching: boolean;
 };
@@ -28,6 +36,14 @@
 	sent: boolean;
 };
 
+/** An endpoint that has accepted an offer, with the expected time to the first token in milliseconds. */
+export type Accepted = {
+	readonly endpoint: EndpointView;
+	readonly firstTokenMs: number;
+	/** Expected time with the handicap of a new endpoint; the smallest is chosen. */
+	readonly score: number;
+};
+
 /** A request in progress. */
 export type Progress = {
 	readonly request: CallerRequest;
@@ -38,13 +54,17 @@
 	/** Offers without a reply, by endpoint name. */
 	readonly offers: Map<string, EndpointView>;
 	offersExpireAt: number;
-	accepted: Array<{endpoint: EndpointView; firstTokenMs: number}>;
+	accepted: Accepted[];
 	readonly refusals: Refusal[];
 	/** Endpoints asked so far, and rounds of offers since the last attempt. */
 	asked: number;
 	rounds: number;
 	attempts: number;
 	attempt: EntryAttempt | undefined;
+	/** Second attempt beside the first one, while neither has delivered anything. */
+	hedge: EntryAttempt | undefined;
+	/** Time at which the first token is late; undefined when no hedge is wanted. */
+	hedgeAt: number | undefined;
 	/** Names of endpoints at which an attempt failed or was lost. */
 	readonly failedAt: Set<string>;
 	/** Attempts that are proved not to have run. */
@@ -66,8 +86,9 @@
 	sequence: number;
 	/** Sequence number of the last chunk that the caller has taken. */
 	taken: number;
-	/** Answer so far, from which another endpoint can continue. */
-	readonly chunks: string[];
+	/** HTTP status that the caller has been given. */
+	status: number | undefined;
+	readonly answer: AnswerSoFar;
 	tokens: number;
 	/** The caller has been told the outcome, or is gone. */
 	ended: boolean;
@@ -76,7 +97,11 @@
 };
 
 /** A request that has just arrived. */
-export function newProgress(request: CallerRequest, now: number): Progress {
+export function newProgress(
+	request: CallerRequest,
+	textOf: (chunks: readonly string[]) => string,
+	now: number,
+): Progress {
 	return {
 		request,
 		deadline: now + request.timeoutMs,
@@ -89,6 +114,8 @@
 		rounds: 0,
 		attempts: 0,
 		attempt: undefined,
+		hedge: undefined,
+		hedgeAt: undefined,
 		failedAt: new Set(),
 		superseded: [],
 		revoking: undefined,
@@ -100,13 +127,19 @@
 		headSent: false,
 		sequence: 0,
 		taken: 0,
-		chunks: [],
+		status: undefined,
+		answer: new AnswerSoFar(textOf),
 		tokens: 0,
 		ended: false,
 		outcome: undefined,
 	};
 }
 
+/** Whether the chunks of the answer hold generated text, which an engine can continue. */
+export function isGenerated({request, status}: Progress): boolean {
+	return request.profile.kind === 'model' && (status ?? 200) === 200;
+}
+
 /** Outcome of a request that has no attempt any more and no whole answer: `not_run` only when every attempt is proved not to have run. */
 export function outcomeWithoutAnswer(progress: Progress): Outcome {
 	if (progress.ranBefore || progress.headSent) {
@@ -138,19 +171,17 @@
 		return undefined;
 	}
 
-	const times = [progress.closing?.until ?? progress.deadline];
-	const detached = progress.attempt?.detached;
-	if (detached) {
-		times.push(detached.until, detached.retryAt);
+	if (progress.closing) {
+		return progress.closing.until;
 	}
 
-	if (progress.continueAt !== undefined) {
-		times.push(progress.continueAt);
-	}
-
-	if (progress.offers.size > 0) {
-		times.push(progress.offersExpireAt);
-	}
-
-	return Math.min(...times);
+	// The same order as in `RequestFlow.time`: a time that is not acted upon would wake the entry at once for ever.
+	const detached = progress.attempt?.detached;
+	const other =
+		progress.continueAt ??
+		(progress.offers.size > 0 ? progress.offersExpireAt : progress.hedgeAt);
+	const next = detached
+		? Math.min(detached.until, detached.retryAt)
+		: (other ?? Number.POSITIVE_INFINITY);
+	return Math.min(progress.deadline, next);
 }
--- a/src/services/entry/request-flow.ts
+++ b/src/services/entry/request-flow.ts
@@ -1,6 +1,5 @@
-import type {EntryToSidecar, OfferReply, Update} from '../../platform/index.js';
+import type {OfferReply, Update} from '../../platform/index.js';
 import type {RunResult} from '../ledger/index.js';
-import type {EndpointView} from '../records/index.js';
 import type {Attachments} from './attachments.js';
 import type {CallerOutput} from './caller-output.js';
 import {
@@ -13,15 +12,18 @@
 	repeated,
 	timedOut,
 } from './failures.js';
+import {Hedging} from './hedging.js';
+import {Launcher, type LauncherParts} from './launcher.js';
 import type {Failure} from './message.js';
+import type {Outliers} from './outliers.js';
+import {measurePace} from './pace.js';
 import {
+	isGenerated,
 	outcomeWithoutAnswer,
 	type EntryAttempt,
 	type Progress,
 } from './progress.js';
-import {currentProfile} from './remaining-profile.js';
 import type {RetryBudget} from './retry-budget.js';
-import type {Selection} from './selection.js';
 
 /** Longest wait for a sidecar's word on an attempt that was cancelled at its deadline, in milliseconds. */
 const closingMs = 500;
@@ -33,21 +35,17 @@
 type Chunk = Extract<Update, {type: 'chunk'}>;
 type Ended = Extract<Update, {type: 'ended'}>;
 
-export type RequestFlowParts = {
-	readonly selection: Selection;
+export type RequestFlowParts = LauncherParts & {
 	readonly attachments: Attachments;
 	readonly output: CallerOutput;
 	readonly budget: RetryBudget;
-	/** Incarnations of the sidecars to which there are links, by endpoint name. */
-	readonly incarnations: ReadonlyMap<string, string>;
-	readonly send: (endpoint: EndpointView, message: EntryToSidecar) => void;
+	readonly outliers: Outliers;
 	/** Begins to revoke a lost attempt; the result comes back through `verdict`. */
 	readonly revoke: (
 		progress: Progress,
 		attempt: EntryAttempt,
 		now: number,
 	) => void;
-	readonly textOf: (chunks: readonly string[]) => string;
 };
 
 /** Takes one request from its arrival to its outcome. */
@@ -55,15 +53,19 @@
 	readonly #parts: RequestFlowParts;
 	readonly #attachments: Attachments;
 	readonly #output: CallerOutput;
+	readonly #hedging: Hedging;
+	readonly #launcher: Launcher;
 
 	constructor(parts: RequestFlowParts) {
 		this.#parts = parts;
 		this.#attachments = parts.attachments;
 		this.#output = parts.output;
+		this.#hedging = new Hedging(parts);
+		this.#launcher = new Launcher(parts);
 	}
 
 	begin(progress: Progress, now: number): void {
-		this.#parts.selection.reset(progress);
+		this.#parts.selection.reset(progress, now);
 		this.#select(progress, now);
 	}
 
@@ -73,7 +75,7 @@
 		reply: OfferReply,
 		now: number,
 	): void {
-		if (this.#parts.selection.reply(progress, endpoint, reply)) {
+		if (this.#parts.selection.reply(progress, endpoint, reply, now)) {
 			this.#select(progress, now);
 		}
 	}
@@ -85,9 +87,16 @@
 		now: number,
 	): void {
 		attempt.started ||= update.type !== 'refused' && update.type !== 'ended';
+		if (
+			attempt === progress.hedge &&
+			!this.#hedging.update(progress, attempt, update)
+		) {
+			return;
+		}
+
 		switch (update.type) {
 			case 'refused': {
-				this.#onRefused(progress, update, now);
+				this.#onRefused(progress, update, attempt.endpoint.name, now);
 				break;
 			}
 
@@ -115,6 +124,8 @@
 	linkLost(progress: Progress, endpoint: string, now: number): void {
 		if (progress.offers.delete(endpoint) && progress.offers.size === 0) {
 			this.#select(progress, now);
+		} else if (progress.hedge?.endpoint.name === endpoint) {
+			this.#hedging.drop(progress);
 		} else if (progress.attempt?.endpoint.name !== endpoint) {
 			// The request does not depend on this link.
 		} else if (progress.closing) {
@@ -140,6 +151,20 @@
 		}
 	}
 
+	/** The caller is gone: what is in progress is cancelled, or left to a caller that may come back. */
+	abandon(progress: Progress, isWatched: boolean): void {
+		this.#hedging.drop(progress);
+		const {attempt, request} = progress;
+		if (attempt && !isWatched) {
+			this.#parts.send(attempt.endpoint, {
+				type: request.resumable ? 'detach' : 'cancel',
+				attempt: attempt.id,
+			});
+		}
+
+		progress.ended = true;
+	}
+
 	/** Does what is due at this time. */
 	time(progress: Progress, now: number): void {
 		const {attempt} = progress;
@@ -158,12 +183,14 @@
 		} else if (progress.continueAt !== undefined) {
 			if (progress.continueAt <= now) {
 				progress.continueAt = undefined;
-				this.#parts.selection.reset(progress);
+				this.#parts.selection.reset(progress, now);
 				this.#select(progress, now);
 			}
 		} else if (progress.offers.size > 0 && progress.offersExpireAt <= now) {
 			progress.offers.clear();
 			this.#select(progress, now);
+		} else if (progress.hedgeAt !== undefined && progress.hedgeAt <= now) {
+			this.#hedge(progress, now);
 		}
 	}
 
@@ -189,16 +216,11 @@
 
 	/** Starts an attempt at the best endpoint that has accepted, or asks further ones, or ends the request when none is left. */
 	#select(progress: Progress, now: number): void {
-		for (
-			let endpoint = this.#parts.selection.take(progress);
-			endpoint;
-			endpoint = this.#parts.selection.take(progress)
-		) {
-			const incarnation = this.#parts.incarnations.get(endpoint.name);
-			if (incarnation !== undefined) {
-				this.#start(progress, endpoint, incarnation, now);
-				return;
-			}
+		const started = this.#launcher.startNext(progress, now);
+		if (started) {
+			progress.attempt = started.attempt;
+			this.#hedging.plan(progress, started.firstTokenMs, now);
+			return;
 		}
 
 		if (this.#parts.selection.ask(progress, now)) {
@@ -220,56 +242,34 @@
 		this.#output.end(progress, outcome, failure);
 	}
 
-	#start(
-		progress: Progress,
-		endpoint: EndpointView,
-		incarnation: string,
-		now: number,
-	): void {
-		const {request, superseded} = progress;
-		progress.attempts++;
-		const attempt: EntryAttempt = {
-			id: `${request.id}.${progress.attempts}`,
-			endpoint,
-			incarnation,
-			sentAt: now,
-			started: false,
-			detached: undefined,
-			refetching: false,
-		};
-		progress.attempt = attempt;
-		this.#parts.send(endpoint, {
-			type: 'start',
-			attempt: attempt.id,
-			requestId: request.id,
-			incarnation,
-			profile: currentProfile(progress, now),
-			call: request.call,
-			idempotent: request.idempotent,
-			idempotencyKey: request.idempotencyKey,
-			superseded: superseded.length > 0 ? [...superseded] : undefined,
-			resumable: request.resumable,
-			remainingMs: progress.deadline - now,
-			resume:
-				progress.sequence === 0
-					? undefined
-					: {
-							sequence: progress.sequence,
-							text: this.#parts.textOf(progress.chunks),
-							tokens: progress.tokens,
-						},
-		});
+	/** Starts a second attempt beside one whose first token is late. */
+	#hedge(progress: Progress, now: number): void {
+		progress.hedgeAt = undefined;
+		const {workspace} = progress.request.profile.contract;
+		if (
+			progress.attempt &&
+			progress.sequence === 0 &&
+			progress.accepted.length > 0 &&
+			this.#parts.budget.spend(workspace)
+		) {
+			progress.hedge = this.#launcher.startNext(progress, now)?.attempt;
+		}
 	}
 
 	/** A refusal by the incarnation to which the attempt was sent proves that it has not run and will not run. */
 	#onRefused(
 		progress: Progress,
 		update: Extract<Update, {type: 'refused'}>,
+		endpoint: string,
 		now: number,
 	): void {
 		const {refusal, attempt} = update;
 		progress.superseded.push(attempt);
 		progress.attempt = undefined;
+		if (this.#hedging.takeOver(progress)) {
+			return;
+		}
+
 		if (refusal.recorded) {
 			const {outcome, failure} = repeated(refusal.recorded);
 			this.#output.end(progress, outcome, failure);
@@ -281,6 +281,10 @@
 			this.#endWithoutAnswer(progress, claimUnavailable);
 		} else {
 			progress.refusals.push(refusal);
+			if (refusal.reason === 'leaving') {
+				this.#parts.selection.noteLeaving(endpoint, now);
+			}
+
 			this.#select(progress, now);
 		}
 	}
@@ -298,6 +302,7 @@
 
 		switch (ended.outcome) {
 			case 'completed': {
+				this.#hedging.drop(progress);
 				this.#parts.budget.succeeded(
 					progress.request.profile.contract.workspace,
 				);
@@ -328,6 +333,11 @@
 			progress.attempt = undefined;
 			progress.ranBefore = true;
 			progress.failedAt.add(attempt.endpoint.name);
+			this.#parts.outliers.failure(attempt.endpoint.name, now);
+			if (this.#hedging.takeOver(progress)) {
+				return;
+			}
+
 			this.#retry(progress, endpointFailed(ended.reason), now);
 		} else {
 			const failure = progress.closing?.failure ?? endpointFailed(ended.reason);
@@ -339,6 +349,7 @@
 	#onAttemptLost(progress: Progress, attempt: EntryAttempt, now: number): void {
 		progress.attempt = undefined;
 		progress.failedAt.add(attempt.endpoint.name);
+		this.#parts.outliers.failure(attempt.endpoint.name, now);
 		if (!progress.request.idempotent) {
 			progress.revoking = attempt;
 			this.#parts.revoke(progress, attempt, now);
@@ -351,18 +362,22 @@
 			progress.doubtful = true;
 		}
 
-		this.#retry(progress, outcomeUnknown, now);
+		if (!this.#hedging.takeOver(progress)) {
+			this.#retry(progress, outcomeUnknown, now);
+		}
 	}
 
 	/** Tries another endpoint while time and the retry budget last; otherwise ends the request. */
 	#retry(progress: Progress, failure: Failure, now: number): void {
-		const {contract, kind} = progress.request.profile;
-		const canContinue = progress.sequence === 0 || kind === 'model';
+		const {contract} = progress.request.profile;
+		const canContinue =
+			progress.sequence === 0 ||
+			(isGenerated(progress) && progress.answer.text() !== undefined);
 		if (progress.closing !== undefined || progress.deadline <= now) {
 			this.#endWithoutAnswer(progress, progress.closing?.failure ?? timedOut);
 		} else if (canContinue && this.#parts.budget.spend(contract.workspace)) {
 			progress.continueUntil = now + continueMs;
-			this.#parts.selection.reset(progress);
+			this.#parts.selection.reset(progress, now);
 			this.#select(progress, now);
 		} else {
 			this.#endWithoutAnswer(progress, failure);
@@ -371,6 +386,7 @@
 
 	/** Ends a request in time; waits for the sidecar only when its word can prove that the request has not run. */
 	#close(progress: Progress, failure: Failure, now: number): void {
+		this.#hedging.drop(progress);
 		const {attempt} = progress;
 		if (!attempt) {
 			this.#endWithoutAnswer(progress, failure);
@@ -413,6 +429,8 @@
 			this.#attachments.refetch(progress, attempt, now);
 		} else if (chunk.sequence === progress.sequence + 1) {
 			attempt.refetching = false;
+			this.#hedging.drop(progress);
+			measurePace(this.#parts.outliers, progress, attempt, now);
 			progress.tokens += chunk.tokens;
 			this.#output.chunk(progress, attempt, chunk.data);
 		}
--- a/src/services/spread/spread.ts
+++ b/src/services/spread/spread.ts
@@ -43,8 +43,8 @@
 const staleMargin = 64;
 /** Rows read from the table at once. */
 const scanLimit = 500;
-/** Most snapshot pieces that a process sends per second, of up to 64 KB each, so that a restart of its peers does not crowd out other work. */
-const piecesPerSecond = 32;
+/** Most snapshot pieces that a process sends per second, of up to 256 KB each, so that a restart of its peers does not crowd out other work. */
+const piecesPerSecond = 16;
 
 type TablePurpose = 'head' | 'log' | 'records';
 
@@ -195,7 +195,7 @@
 	#onTick(now: number): void {
 		if (this.#call && this.#call.until <= now) {
 			this.#call = undefined;
-			this.#tableFailures++;
+			this.#onTableFailure();
 		}
 
 		if (this.#pull && this.#pull.until <= now) {
@@ -244,6 +244,13 @@
 			return;
 		}
 
+		if (this.#staging?.after !== undefined && !this.#staging.isFromTable) {
+			// Goes on with another peer where the last one stopped.
+			this.#staging.source = peer;
+			this.#request(peer, now);
+			return;
+		}
+
 		const message: SpreadDigest = {type: 'digest', revision: this.#current};
 		if (!this.#store) {
 			message.ask = true;
@@ -284,7 +291,7 @@
 		this.#learn(push.entries, push.origin ?? peer);
 		if (!push.snapshot && this.#collectsFrom(peer)) {
 			// The peer is busy or empty; the next digest asks another one.
-			this.#staging = undefined;
+			this.#staging!.source = undefined;
 			return;
 		}
 
@@ -375,7 +382,7 @@
 			message.snapshotAfter = this.#staging?.after;
 		}
 
-		const timeoutMs = jitter(answerTimeoutMs * 2 ** (tries - 1), this.#random);
+		const timeoutMs = jitter(answerTimeoutMs, this.#random);
 		this.#pull = {peer, tries, until: now + timeoutMs};
 		this.#send(peer, message);
 	}
@@ -383,11 +390,8 @@
 	#onPullTimeout(now: number): void {
 		const tries = (this.#pull?.tries ?? 0) + 1;
 		this.#pull = undefined;
-		if (
-			this.#staging?.source !== undefined &&
-			this.#staging.after !== undefined
-		) {
-			this.#staging = undefined;
+		if (this.#staging?.after !== undefined) {
+			this.#staging.source = undefined;
 		}
 
 		const peer = this.#random.pick(this.#peers);
@@ -465,11 +469,7 @@
 
 	#onTable(purpose: TablePurpose, answer: TableAnswer, now: number): void {
 		if (answer.type === 'unavailable' || answer.type === 'uncertain') {
-			this.#tableFailures++;
-			if (this.#staging?.source === undefined) {
-				this.#staging = undefined;
-			}
-
+			this.#onTableFailure();
 			return;
 		}
 
@@ -483,6 +483,13 @@
 		}
 	}
 
+	#onTableFailure(): void {
+		this.#tableFailures++;
+		if (this.#staging?.isFromTable) {
+			this.#staging = undefined;
+		}
+	}
+
 	#onHead(row: Row | undefined, now: number): void {
 		const head = row ? headSchema.parse(JSON.parse(row.value)).revision : 0;
 		this.#known = Math.max(this.#known, head);
@@ -531,12 +538,14 @@
 		this.#learn(entries, this.#id);
 		if (rows.length === scanLimit) {
 			this.#scanLog(now);
+		} else if (this.#staging?.isFromTable) {
+			this.#staging.confirm();
 		}
 	}
 
 	#loadFromTable(head: number, now: number): void {
 		this.#headBeforeLoad = head;
-		this.#staging = new Staging(undefined);
+		this.#staging = new Staging();
 		this.#scanRecords(now);
 	}
 
@@ -552,7 +561,7 @@
 
 	#onRecordRows(rows: readonly Row[], now: number): void {
 		const staging = this.#staging;
-		if (staging?.source !== undefined || staging?.after === undefined) {
+		if (!staging?.isFromTable || staging.after === undefined) {
 			return;
 		}
 
@@ -564,8 +573,8 @@
 		const base = Math.max(0, this.#headBeforeLoad - staleMargin);
 		staging.add(base, {after: staging.after, records, next});
 		if (next === undefined) {
-			// The head after the scan tells which entries the scan may have seen in part.
-			this.#callTable('head', {type: 'read', key: headKey}, now);
+			// The log read after the scan holds every entry that the scan may have seen in part.
+			this.#scanLog(now);
 		} else {
 			this.#scanRecords(now);
 		}
