--- a/src/services/spread/staging.ts
+++ b/src/services/spread/staging.ts
@@ -5,12 +5,14 @@
  * Records that are being collected from a peer or the table.
  *
  * Pieces read one after the other may be of different revisions. The result is
- * consistent once the log entries from the first piece's revision up to the
- * last one's are applied over it, since an entry holds whole records.
+ * consistent once the log entries from the lowest revision of a piece up to
+ * the highest are applied over it, since an entry holds whole records.
  */
 export class Staging {
-	/** Peer that sends the pieces; undefined for the table. */
-	readonly source: string | undefined;
+	/** Peer that sends the pieces at present; undefined while there is none. */
+	source: string | undefined;
+	/** The pieces come from the table. */
+	readonly isFromTable: boolean;
 	readonly #records = new Map<
 		string,
 		SnapshotPiece['records'][number]['record']
@@ -18,11 +20,16 @@
 
 	#base: number | undefined;
 	#consistentAt = 0;
+	/** Pieces of a peer name its revision; the table's do not, so its log has to be read after them. */
+	#isConfirmed: boolean;
 	#after = '';
 	#store: RecordStore | undefined;
 
-	constructor(source: string | undefined) {
+	/** Starts with a peer, or with the table. */
+	constructor(source?: string) {
 		this.source = source;
+		this.isFromTable = source === undefined;
+		this.#isConfirmed = source !== undefined;
 	}
 
 	/** Key after which the next piece starts; undefined when all have come. */
@@ -38,7 +45,9 @@
 	/** The records, once they are consistent. */
 	get result(): RecordStore | undefined {
 		const revision = this.#store?.revision ?? -1;
-		return revision >= this.#consistentAt ? this.#store : undefined;
+		return this.#isConfirmed && revision >= this.#consistentAt
+			? this.#store
+			: undefined;
 	}
 
 	/** Adds a piece that the source sent while it was at `revision`. One that is out of order is ignored. */
@@ -47,7 +56,8 @@
 			return;
 		}
 
-		this.#base ??= revision;
+		// A later piece may come from a peer that is behind the first one.
+		this.#base = Math.min(this.#base ?? revision, revision);
 		this.#consistentAt = Math.max(this.#consistentAt, revision);
 		for (const {key, record} of piece.records) {
 			this.#records.set(key, record);
@@ -65,6 +75,11 @@
 		this.#consistentAt = Math.max(this.#consistentAt, revision);
 	}
 
+	/** States that the log has been read to its end after the last piece. */
+	confirm(): void {
+		this.#isConfirmed = true;
+	}
+
 	apply(entries: readonly LogEntry[]): void {
 		for (const entry of entries) {
 			this.#store?.apply(entry);
