Count refused requests as demand in the starvation property

Cause: with the new admission a class without its share was refused at once instead of waiting, so it did not count as starved and the faulty machine was not caught. Change: refusals count as demand for 2 s; the lower class has demand all the time.

--- a/src/lab/fuzz/arbitraries.ts
+++ b/src/lab/fuzz/arbitraries.ts
@@ -190,17 +190,20 @@
 	takeMs: 0,
 } as const;
 
-/** One endpoint, a burst of the higher tier above its capacity and a backlog of the lower one. */
+/** One endpoint, a burst of the higher tier above its capacity, and more demand of the lower tier than its share. */
 export const burstPlan: fc.Arbitrary<Plan> = fc
 	.record({
 		seed: fc.nat(),
-		loose: fc.integer({min: 120, max: 160}),
-		bursts: fc.array(fc.integer({min: 9, max: 25}), {
-			minLength: burstSeconds,
-			maxLength: burstSeconds,
-		}),
+		backlog: fc.integer({min: 20, max: 160}),
+		seconds: fc.array(
+			fc.record({
+				tight: fc.integer({min: 9, max: 25}),
+				loose: fc.integer({min: 2, max: 6}),
+			}),
+			{minLength: burstSeconds, maxLength: burstSeconds},
+		),
 	})
-	.map(({seed, loose, bursts}) => ({
+	.map(({seed, backlog, seconds}) => ({
 		seed,
 		entries: 1,
 		engines: 1,
@@ -210,13 +213,21 @@
 		gapTargetMs: 80,
 		shares: {tight: 0.5, loose: 0.2},
 		steps: [
-			{...backlogged, requestClass: 'loose', at: 0, copies: loose},
-			...bursts.map((copies, second): RequestStep => ({
-				...backlogged,
-				requestClass: 'tight',
-				at: second * 1000,
-				copies,
-			})),
+			{...backlogged, requestClass: 'loose', at: 0, copies: backlog},
+			...seconds.flatMap(({tight, loose}, second): RequestStep[] => [
+				{
+					...backlogged,
+					requestClass: 'tight',
+					at: second * 1000,
+					copies: tight,
+				},
+				{
+					...backlogged,
+					requestClass: 'loose',
+					at: second * 1000 + 500,
+					copies: loose,
+				},
+			]),
 		],
 	}));
 
--- a/src/lab/fuzz/properties/starvation.ts
+++ b/src/lab/fuzz/properties/starvation.ts
@@ -9,7 +9,11 @@
 const warmUpMs = 10_000;
 const strideMs = 2000;
 
-/** Invariant 2, for plans with one endpoint: a class that has work waiting gets at least 90% of its guaranteed share of the tokens in every 30 s. */
+/** Time for which a refused request counts as demand of its class, and between two looks at the demand, in milliseconds. */
+const refusedMs = 2000;
+const checkMs = 500;
+
+/** Invariant 2, for plans with one endpoint: a class that has demand all the time gets at least 90% of its guaranteed share of the tokens in every 30 s. */
 export const starvation: Property = {
 	name: 'starvation',
 	violations(history) {
@@ -53,7 +57,7 @@
 		: [];
 }
 
-/** Whether a request of the class waits during the whole interval. */
+/** Whether the class has demand all the time: a request that waits, or one that was refused shortly before. */
 function isBacklogged(
 	history: History,
 	requestClass: Sent['requestClass'],
@@ -63,10 +67,19 @@
 	const startOf = new Map(
 		history.executed.map(({request, at}) => [request, at]),
 	);
-	return [...history.sent.values()].some(
-		(sent) =>
-			sent.requestClass === requestClass &&
-			sent.at < from &&
-			(startOf.get(sent.id) ?? 0) > to,
-	);
+	const waits = [...history.sent.values()]
+		.filter((sent) => sent.requestClass === requestClass)
+		.map((sent) => ({
+			from: sent.at,
+			to:
+				startOf.get(sent.id) ??
+				(sent.ends[0]?.at ?? Number.POSITIVE_INFINITY) + refusedMs,
+		}));
+	for (let at = from; at <= to; at += checkMs) {
+		if (!waits.some((wait) => wait.from < at && at < wait.to)) {
+			return false;
+		}
+	}
+
+	return true;
 }
