--- a/src/services/spread/spread.test.ts
+++ b/src/services/spread/spread.test.ts
@@ -115,7 +115,7 @@
 	staging.add(5, {after: 'k1', records: [{key: 'k2', record}]});
 	expect(staging.revision).toEqual(5);
 	staging.apply([entry(6, 'k2'), entry(7, 'k1')]);
-	const note = staging.result?.records.get('k2')?.['note'];
+	const note = staging.result?.records.get('k2')?.note;
 	expect([staging.result?.revision, note]).toEqual([7, 6]);
 });
 
