--- a/src/lab/fleet/faults.test.ts
+++ b/src/lab/fleet/faults.test.ts
@@ -98,6 +98,8 @@
 	// The link of the request, and one for gossip when it is open.
 	expect(fleet.forwarders.get(endpoint)!.silence()).toBeGreaterThan(0);
 	expectWhole(await text);
+	const dump = JSON.stringify(await fleet.dump(fleet.entries[0]!));
+	expect(dump.includes('"links_closed":')).toEqual(true);
 	expect(fleet.engines.get(endpoint)!.executed.length).toEqual(1);
 });
 
