Tell callers of a stopping entry to close, and take ports that nobody else takes

Cause: an answer that had begun before the stop but had no head yet was sent with a kept-alive connection; and the fleet took listening ports from the range of outgoing connections, so that another connection could take one before the process had started: in one of two runs of the fleet tests on a busy machine a sidecar ended with 'EADDRINUSE 127.0.0.1:36313'.

Change: a stop sets 'connection: close' on every answer without a head; ports come from 10240 to 32767 and are given out once.

Before: that run failed in configuration.test.ts.

Conclusion: a collision stays possible between two fleets, but only when both draw the same port of 22528 within the start of a process.

--- a/src/daemons/entry/caller-server.ts
+++ b/src/daemons/entry/caller-server.ts
@@ -88,6 +88,11 @@
 		this.#leaving = true;
 		this.#server.close();
 		this.#server.closeIdleConnections();
+		for (const response of this.#responses) {
+			if (!response.headersSent) {
+				response.setHeader('connection', 'close');
+			}
+		}
 	}
 
 	/** Resolves when every answer has been handed to its caller's connection. */
--- a/src/lab/fleet/faults.test.ts
+++ b/src/lab/fleet/faults.test.ts
@@ -8,6 +8,16 @@
 const tokens = 80;
 const whole = Array.from({length: tokens}, (_, index) => `word${index + 1} `);
 
+const letterHeaders = {
+	'content-type': 'application/json',
+	authorization: 'Bearer sk-demo-reminders',
+	'x-cicadaswitch-class': 'letter',
+};
+const call = {
+	model: 'kettle-llm',
+	messages: [{role: 'user', content: 'hello'}],
+};
+
 async function startFleet(
 	t: TestContext,
 	options: Partial<FleetOptions> = {},
@@ -31,17 +41,8 @@
 		`http://${fleet.entries[0]!.address}/v1/chat/completions`,
 		{
 			method: 'POST',
-			headers: {
-				'content-type': 'application/json',
-				authorization: 'Bearer sk-demo-reminders',
-				'x-cicadaswitch-class': 'letter',
-			},
-			body: JSON.stringify({
-				model: 'kettle-llm',
-				stream: true,
-				max_tokens: maxTokens,
-				messages: [{role: 'user', content: 'hello'}],
-			}),
+			headers: letterHeaders,
+			body: JSON.stringify({...call, stream: true, max_tokens: maxTokens}),
 		},
 	);
 	expect(answer.statusCode).toEqual(200);
@@ -57,6 +58,13 @@
 	return [...fleet.engines].find(([, engine]) => engine.running > 0)?.[0];
 }
 
+function runningCount(fleet: Fleet): number {
+	return [...fleet.engines.values()].reduce(
+		(sum, {running}) => sum + running,
+		0,
+	);
+}
+
 function expectWhole(text: string): void {
 	expect([...(text.match(/word\d+ /gv) ?? [])]).toEqual(whole);
 	expect(text.endsWith('event: completed\ndata: [DONE]\n\n')).toEqual(true);
@@ -117,6 +125,12 @@
 	const fleet = await startFleet(t);
 	const {child, address} = fleet.entries[0]!;
 	const {text} = await startStream(fleet);
+	const plain = request(`http://${address}/v1/chat/completions`, {
+		method: 'POST',
+		headers: letterHeaders,
+		body: JSON.stringify({...call, max_tokens: tokens}),
+	});
+	await until('both run', () => runningCount(fleet) === 2);
 	child.kill('SIGTERM');
 	await until('new connections are refused', async () => {
 		try {
@@ -129,8 +143,10 @@
 	});
 	expect(child.exitCode).toEqual(null);
 	const exit = once(child, 'exit') as Promise<[number]>;
-	const [body, [status]] = await Promise.all([text, exit]);
+	const [body, kept, [status]] = await Promise.all([text, plain, exit]);
 	expectWhole(body);
+	expect(kept.headers.connection).toEqual('close');
+	expect(kept.headers['x-cicadaswitch-outcome']).toEqual('completed');
 	expect(status).toEqual(0);
 });
 
--- a/src/lab/fleet/loopback.ts
+++ b/src/lab/fleet/loopback.ts
@@ -1,18 +1,36 @@
+import {randomInt} from 'node:crypto';
 import {createServer} from 'node:net';
 import {request} from 'undici';
 
 const waitTimeoutMs = 30_000;
 const pollMs = 25;
 
-/** A loopback port that is free at present. */
+/** Below the range from which systems take ports for outgoing connections, which could take a free port before the process that is to listen on it has started. */
+const [firstPort, lastPort] = [10_240, 32_767] as const;
+
+/** Ports that have been given out. */
+const usedPorts = new Set<number>();
+
+/** A loopback port that is free at present and has not been given out by this process. */
 export async function freePort(): Promise<number> {
-	return new Promise((resolve, reject) => {
+	for (;;) {
+		const port = randomInt(firstPort, lastPort + 1);
+		if (!usedPorts.has(port) && (await canListen(port))) {
+			usedPorts.add(port);
+			return port;
+		}
+	}
+}
+
+async function canListen(port: number): Promise<boolean> {
+	return new Promise((resolve) => {
 		const server = createServer();
-		server.once('error', reject);
-		server.listen(0, '127.0.0.1', () => {
-			const bound = server.address();
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, '127.0.0.1', () => {
 			server.close(() => {
-				resolve(typeof bound === 'object' && bound ? bound.port : 0);
+				resolve(true);
 			});
 		});
 	});
