Do not take the refusal of one attempt for the fate of a request

Change: refusals are left out of the replies to a query; a watch of a refused attempt ends as unknown. Conclusion: only the entry that placed a request may call it not run.

--- a/src/services/entry/queries.ts
+++ b/src/services/entry/queries.ts
@@ -93,7 +93,9 @@
 			return;
 		}
 
-		if (status && isBetter(status, query.best?.status)) {
+		// The refusal of one attempt does not say that the request has not run: another attempt may have.
+		const isRefused = status?.outcome === 'not_run';
+		if (status && !isRefused && isBetter(status, query.best?.status)) {
 			query.best = {endpoint, status};
 		}
 
--- a/src/services/entry/watches.ts
+++ b/src/services/entry/watches.ts
@@ -81,7 +81,8 @@
 			}
 
 			case 'refused': {
-				this.#end(watch, 'not_run', answerNotKept);
+				// Another attempt of the request may have run.
+				this.#end(watch, 'unknown', answerNotKept);
 				break;
 			}
 
