Decrease the concurrency limit from the limit, not from a small batch

Cause: after one slow gap the limit was set to 0.9 times the batch, so one call alone on an engine lowered the limit from 4 to 1. Change: a batch below half of the limit no longer replaces the limit before the decrease.

--- a/src/services/sidecar/concurrency-limit.test.ts
+++ b/src/services/sidecar/concurrency-limit.test.ts
@@ -19,3 +19,10 @@
 	settle(limit, 40, 200_000);
 	expect(limit.value >= 32 && limit.value <= 40).toEqual(true);
 });
+
+// Guards against an endpoint that was slow for one call and then refuses several at once.
+test('a slow gap in a small batch does not lower the limit to that batch', () => {
+	const limit = new ConcurrencyLimit(true);
+	limit.observe(10, 1, 0, 1000);
+	expect(limit.value).toEqual(3);
+});
--- a/src/services/sidecar/concurrency-limit.ts
+++ b/src/services/sidecar/concurrency-limit.ts
@@ -14,6 +14,8 @@
 const aimStep = 0.01;
 const slowStartFactor = 1.5;
 const decreaseFactor = 0.9;
+/** A batch below this part of the limit is too small to measure how many places the endpoint can serve. */
+const smallestBatch = 0.5;
 
 /**
  * Additive increase and multiplicative decrease of the number of places in the
@@ -73,7 +75,10 @@
 			this.#slowStart = false;
 			// A batch that is still above the limit says nothing about the limit.
 			if (used <= this.#limit + 1) {
-				this.#limit = Math.max(1, Math.min(this.#limit, used) * decreaseFactor);
+				const measured =
+					used < this.#limit * smallestBatch ? this.#limit : used;
+				const from = Math.min(this.#limit, measured);
+				this.#limit = Math.max(1, from * decreaseFactor);
 			}
 		} else if (ratio < this.#aim - tolerance && used >= this.value) {
 			this.#limit = Math.min(
