End a low concurrency limit 10 s after the last measured gap

Change: 10 s after the last gap, a limit below the initial 4 counts as 4, as a congestion window restarts after an idle time (RFC 5681, section 4.1).

--- a/src/services/sidecar/concurrency-limit.ts
+++ b/src/services/sidecar/concurrency-limit.ts
@@ -16,6 +16,8 @@
 const decreaseFactor = 0.9;
 /** A batch below this part of the limit is too small to measure how many places the endpoint can serve. */
 const smallestBatch = 0.5;
+/** Time after the last gap from which a limit below the initial one is out of date, in milliseconds. */
+const expiryMs = 10_000;
 
 /**
  * Additive increase and multiplicative decrease of the number of places in the
@@ -27,6 +29,7 @@
 	#ratioSum = 0;
 	#samples = 0;
 	#adjustedAt = 0;
+	#observedAt = 0;
 	#aim = initialAim;
 
 	constructor(slowStart: boolean) {
@@ -34,9 +37,13 @@
 		this.#limit = slowStart ? initialLimit : 8 * initialLimit;
 	}
 
-	/** Places in the batch; at least 1. */
-	get value(): number {
-		return Math.floor(this.#limit);
+	/**
+	 * Places in the batch; at least 1. Like a congestion window after an idle
+	 * time (RFC 5681, section 4.1), a limit that was not measured lately restarts
+	 * at its initial value, but only upwards.
+	 */
+	at(now: number): number {
+		return Math.floor(this.#current(now));
 	}
 
 	/**
@@ -44,6 +51,8 @@
 	 * which it was seen and the places that were left free on purpose.
 	 */
 	observe(ratio: number, running: number, reserve: number, now: number): void {
+		this.#limit = this.#current(now);
+		this.#observedAt = now;
 		this.#ratioSum += ratio;
 		this.#samples++;
 		if (now - this.#adjustedAt < intervalMs) {
@@ -70,6 +79,12 @@
 		return {aim: this.#aim, limit: this.#limit, slowStart: this.#slowStart};
 	}
 
+	#current(now: number): number {
+		return now - this.#observedAt > expiryMs
+			? Math.max(initialLimit, this.#limit)
+			: this.#limit;
+	}
+
 	#adjust(ratio: number, used: number): void {
 		if (ratio > this.#aim + tolerance) {
 			this.#slowStart = false;
@@ -80,7 +95,10 @@
 				const from = Math.min(this.#limit, measured);
 				this.#limit = Math.max(1, from * decreaseFactor);
 			}
-		} else if (ratio < this.#aim - tolerance && used >= this.value) {
+		} else if (
+			ratio < this.#aim - tolerance &&
+			used >= Math.floor(this.#limit)
+		) {
 			this.#limit = Math.min(
 				largestLimit,
 				this.#slowStart ? this.#limit * slowStartFactor : this.#limit + 1,
--- a/src/services/sidecar/scheduler.ts
+++ b/src/services/sidecar/scheduler.ts
@@ -132,7 +132,7 @@
 	/** Removes and returns the next ticket to start, if there is a place for one; it then counts as running. */
 	takeNext(now: number): Ticket | undefined {
 		this.#pacedUntil = Infinity;
-		const {limit, running} = this.#places();
+		const {limit, running} = this.#places(now);
 		if (running >= limit) {
 			return undefined;
 		}
@@ -389,9 +389,9 @@
 		return Math.max(1, whole - resumedTokens);
 	}
 
-	#places(): Places {
+	#places(now: number): Places {
 		const limit = this.#policy.adaptiveLimit
-			? this.#limit.value
+			? this.#limit.at(now)
 			: this.#policy.fixedLimit;
 		return {
 			limit: Math.max(1, Math.min(limit, this.#memoryPlaces())),
@@ -412,7 +412,7 @@
 	}
 
 	#wait(item: QueuedTicket, reservedMs: number, now: number): number {
-		const places = this.#places();
+		const places = this.#places(now);
 		const limit = places.limit - this.#reserve(item, now);
 		return expectedWait(
 			item,
@@ -429,7 +429,7 @@
 			return 0;
 		}
 
-		const {limit, occupancyMs} = this.#places();
+		const {limit, occupancyMs} = this.#places(now);
 		const tier = item ? this.#backlog.tierOf(item) : Infinity;
 		return this.#headroom.places(tier, limit, occupancyMs / limit, now);
 	}
@@ -478,7 +478,7 @@
 		this.#displacedAt = now;
 		const late = unreachable(
 			this.#backlog,
-			this.#places(),
+			this.#places(now),
 			now,
 			displacementTolerance,
 		);
