Ignore times that span a pause of the sidecar itself

Change: while work is unfinished the sidecar wakes at least every 100 ms; an interval above 150 ms counts as its own pause, and gaps, first tokens and answers that span it are not measured. A tick that is due for nothing else changes no decision.

--- a/src/services/sidecar/sidecar.ts
+++ b/src/services/sidecar/sidecar.ts
@@ -10,9 +10,15 @@
 /** An interval between messages that only a pause of the process explains, in milliseconds; entries give a link up after as long. */
 const pauseMs = 3000;
 
-/** Longest interval between messages while work is queued, so that a pause shows, in milliseconds. */
+/** Longest interval between decisions while work is queued, in milliseconds. */
 const checkMs = 1000;
 
+/** Longest interval between messages while work is unfinished, so that a pause shows, in milliseconds. */
+const watchMs = 100;
+
+/** Lateness of that message from which the process counts as paused, in milliseconds; below, a timer may just be late. */
+const latenessMs = 50;
+
 /** Time for which a leaving sidecar waits for the table after its last attempt, in milliseconds. */
 const drainMs = 5000;
 
@@ -36,6 +42,7 @@
 	readonly #admission: Admission;
 	readonly #runs: Runs;
 	#handledAt: number | undefined;
+	#advancedAt = 0;
 	#drainBy: number | undefined;
 	#drained = false;
 	#effects: SidecarEffect[] = [];
@@ -65,10 +72,16 @@
 
 	handle(message: SidecarMessage, now: number): SidecarEffect[] {
 		this.#effects = [];
-		if (now - (this.#handledAt ?? now) > pauseMs) {
+		const silenceMs = now - (this.#handledAt ?? now);
+		const wasPaused = silenceMs > pauseMs;
+		if (wasPaused) {
 			this.#runs.paused(now);
 		}
 
+		if (this.#runs.unfinished > 0 && silenceMs > watchMs + latenessMs) {
+			this.#options.scheduler.onPause(now);
+		}
+
 		this.#handledAt = now;
 		switch (message.type) {
 			case 'peer': {
@@ -118,20 +131,22 @@
 			}
 		}
 
-		this.#runs.advance(now);
-		this.#drain(now);
+		// A tick that only shows that the process runs changes no decision.
+		const isDue = (this.#nextDecision() ?? Infinity) <= now;
+		if (message.type !== 'tick' || wasPaused || isDue) {
+			this.#advancedAt = now;
+			this.#runs.advance(now);
+			this.#drain(now);
+		}
+
 		return this.#effects;
 	}
 
 	nextWake(): number | undefined {
-		const times = [
-			this.#attempts.nextWake(),
-			this.#claims.nextWake(),
-			this.#options.scheduler.nextWake(),
-			this.#runs.queued > 0 ? this.#handledAt! + checkMs : undefined,
-			this.#drained ? undefined : this.#drainBy,
-		].filter((time) => time !== undefined);
-		return times.length === 0 ? undefined : Math.min(...times);
+		const decision = this.#nextDecision();
+		return this.#runs.unfinished > 0
+			? Math.min(decision ?? Infinity, this.#handledAt! + watchMs)
+			: decision;
 	}
 
 	dump(): unknown {
@@ -152,6 +167,18 @@
 		};
 	}
 
+	/** Next time at which the passage of time alone changes something. */
+	#nextDecision(): number | undefined {
+		const times = [
+			this.#attempts.nextWake(),
+			this.#claims.nextWake(),
+			this.#options.scheduler.nextWake(),
+			this.#runs.queued > 0 ? this.#advancedAt + checkMs : undefined,
+			this.#drained ? undefined : this.#drainBy,
+		].filter((time) => time !== undefined);
+		return times.length === 0 ? undefined : Math.min(...times);
+	}
+
 	#onPeer(link: string, message: EntryToSidecar, now: number): void {
 		switch (message.type) {
 			case 'offer': {
