--- a/src/cli/capacity.ts
+++ b/src/cli/capacity.ts
@@ -33,7 +33,7 @@
 			process.exit(2);
 		}
 
-		const report = measureCapacity(Number(args.seed));
+		const report = await measureCapacity(Number(args.seed));
 		const sections = reportSections(report);
 		if (args.json) {
 			const {figures, spread} = report;
--- a/src/lab/capacity/fleet-size.ts
+++ b/src/lab/capacity/fleet-size.ts
@@ -49,5 +49,10 @@
 	streamsPerEntry:
 		(fleetSize.requestsPerSecond / fleetSize.entries) *
 		(fleetSize.firstTokenSeconds + tokensPerRequest * fleetSize.gapSeconds),
+	streamsPerSidecar:
+		(fleetSize.requestsPerSecond / fleetSize.endpoints) *
+		(fleetSize.firstTokenSeconds + tokensPerRequest * fleetSize.gapSeconds),
+	/** Reads of the instance list: 100/s by the whole fleet. */
+	listReadsPerSecond: 100 / (fleetSize.entries + fleetSize.endpoints),
 	endpointsPerModel: fleetSize.endpoints / fleetSize.models,
 } as const;
--- /dev/null
+++ b/src/lab/capacity/link-opening.ts
@@ -0,0 +1,111 @@
+import {randomUUID} from 'node:crypto';
+import {createServer, connect as connectSocket, type Socket} from 'node:net';
+import process from 'node:process';
+import {connect, LinkServer, PeerKeys} from '../../daemons/index.js';
+import {listen} from '../../daemons/listen.js';
+import {limitsSection, type Hello} from '../../platform/index.js';
+
+const key = 'capacity-measurement-key';
+const warmUps = 20;
+const openings = 200;
+
+/** Cost of opening one link between two processes and closing it again. */
+export type LinkOpening = {
+	/** Bytes in both directions, without TCP and IP headers. */
+	readonly bytes: number;
+	/** Processor time of both ends together, in microseconds. */
+	readonly microseconds: number;
+};
+
+/** Opens links on loopback through a counter of bytes. */
+export async function measureLinkOpening(): Promise<LinkOpening> {
+	const keys = new PeerKeys([key]);
+	const server = new LinkServer({
+		keys,
+		own: hello,
+		limits: limitsSection.parse({}),
+	});
+	const port = await server.listen('127.0.0.1:0');
+	const counter = new ByteCounter(port);
+	const address = await counter.listen();
+	const open = async (target: string) => {
+		const {link} = await connect(target, {keys, own: hello()});
+		await link.end();
+	};
+
+	await open(address);
+	const bytes = await counter.settled();
+	for (let n = 0; n < warmUps; n++) {
+		await open(`127.0.0.1:${port}`);
+	}
+
+	const start = process.cpuUsage();
+	for (let n = 0; n < openings; n++) {
+		await open(`127.0.0.1:${port}`);
+	}
+
+	const used = process.cpuUsage(start);
+	counter.dispose();
+	server.dispose();
+	return {bytes, microseconds: (used.user + used.system) / openings};
+}
+
+function hello(): Hello {
+	return {
+		instance: 'endpoint-00001',
+		role: 'sidecar',
+		incarnation: randomUUID(),
+		dataCentre: 'dc-1',
+		revision: 1000,
+	};
+}
+
+/** Forwards connections to a loopback port and counts the bytes of both directions. */
+class ByteCounter {
+	#bytes = 0;
+	readonly #sockets = new Set<Socket>();
+	readonly #server;
+
+	constructor(port: number) {
+		this.#server = createServer((near) => {
+			const far = connectSocket({host: '127.0.0.1', port});
+			this.#join(near, far);
+			this.#join(far, near);
+		});
+	}
+
+	async listen(): Promise<string> {
+		return `127.0.0.1:${await listen(this.#server, '127.0.0.1:0')}`;
+	}
+
+	/** Bytes counted, once every connection has closed. */
+	async settled(): Promise<number> {
+		await Promise.all(
+			[...this.#sockets].map(
+				async (socket) =>
+					new Promise((resolve) => {
+						socket.once('close', resolve);
+					}),
+			),
+		);
+		return this.#bytes;
+	}
+
+	dispose(): void {
+		this.#server.close();
+	}
+
+	#join(from: Socket, to: Socket): void {
+		this.#sockets.add(from);
+		from.on('data', (data) => {
+			this.#bytes += data.length;
+			to.write(data);
+		});
+		from.on('end', () => {
+			to.end();
+		});
+		from.on('close', () => {
+			this.#sockets.delete(from);
+		});
+	}
+}
--- a/src/lab/capacity/projection.ts
+++ b/src/lab/capacity/projection.ts
@@ -1,3 +1,4 @@
+import type {LeaveRow} from '../membership-bench.js';
 import type {SpreadRow} from '../spread-bench.js';
 import {
 	controlLimits,
@@ -5,6 +6,7 @@
 	perProcess,
 	tableLimits,
 } from './fleet-size.js';
+import type {LinkOpening} from './link-opening.js';
 import {valueAt} from './measure.js';
 import type {MeasuredSlope, SlopeId} from './slopes.js';
 import type {RequestTraffic} from './traffic.js';
@@ -26,93 +28,33 @@
 	readonly traffic: RequestTraffic;
 	/** The chosen way to spread changes, measured at the size of the fleet. */
 	readonly spread: SpreadRow;
+	/** Membership at rest. */
+	readonly membership: LeaveRow;
+	readonly opening: LinkOpening;
 };
 
 /** Heartbeat on a link with work that carries nothing else, once a second: a masked WebSocket ping of 6 bytes and its answer of 2. */
 const heartbeatBytes = 8;
 
-/** Reads of the instance list, per second and process. */
-const instanceListReads = 1;
+/** Links that a process opens for gossip, per second: one digest, one membership exchange, and pushes of each change to 4 peers. At this size the peers of two seconds hardly ever coincide. */
+const gossipOpenings = 2 + 4 * perProcess.changesPerSecond;
+
+/** Queue length for which a sidecar's figures are given. */
+const queued = 50;
 
 /** Works out every figure at the size of the fleet. */
 export function projectFigures(measurements: Measurements): Figure[] {
-	return [
-		...entryFigures(measurements),
-		...sidecarFigures(measurements),
-		...tableFigures(measurements),
-		{
-			role: 'table',
-			resource: 'time in force everywhere, worst',
-			unit: 's',
-			value: measurements.spread.worstMs / 1000,
-			limit: fleetSize.inForceSeconds,
-			mechanism: 'push to random peers, digest exchange each second',
-		},
-	];
-}
-
-function entryFigures({slopes, traffic, spread}: Measurements): Figure[] {
+	const {slopes, traffic, spread} = measurements;
 	const at = (id: SlopeId, size: number) => valueAt(slopes.get(id)!.fit, size);
-	const offersTime =
-		perProcess.requestsPerEntry *
-		at('requestTime', perProcess.endpointsPerModel);
-	const changesTime =
-		perProcess.changesPerSecond * at('changeTime', fleetSize.workspaces) +
-		instanceListReads * at('instanceListTime', fleetSize.endpoints);
+	const offersPerSecond = perProcess.requestsPerSidecar * traffic.offers;
 	return [
-		{
-			role: 'entry',
-			resource: 'control memory: records and instance list',
-			unit: 'bytes',
-			value:
-				at('workspaceMemory', fleetSize.workspaces) +
-				slopes.get('endpointMemory')!.fit.slope * fleetSize.endpoints,
-			limit: controlLimits.memoryBytes,
-			mechanism: 'incremental index of the records in force',
-		},
-		{
-			role: 'entry',
-			resource: 'control processor time',
-			unit: 'µs/s',
-			value: offersTime + changesTime,
-			limit: controlLimits.microseconds,
-			mechanism: `${traffic.offers} offers a request; changes indexed one by one`,
-		},
-		{
-			role: 'entry',
-			resource: 'control traffic: offers',
-			unit: 'bytes/s',
-			value: perProcess.requestsPerEntry * traffic.offerBytes,
-			limit: controlLimits.bytesPerSecond,
-			mechanism: 'fresh offers to a few candidates in place of pushed load',
-		},
-		{
-			role: 'entry',
-			resource: 'control traffic: heartbeats, all links silent',
-			unit: 'bytes/s',
-			value: perProcess.streamsPerEntry * heartbeatBytes,
-			limit: controlLimits.bytesPerSecond,
-			mechanism: 'only links with work are open',
-		},
-		{
-			role: 'entry',
-			resource: 'control traffic: spread of changes',
-			unit: 'bytes/s',
-			value: spread.bytesPerSecond,
-			limit: controlLimits.bytesPerSecond,
-			mechanism: 'push to random peers, digest exchange each second',
-		},
-		{
-			role: 'entry',
-			resource: 'control traffic, sum',
-			unit: 'bytes/s',
-			value:
-				perProcess.requestsPerEntry * traffic.offerBytes +
-				perProcess.streamsPerEntry * heartbeatBytes +
-				spread.bytesPerSecond,
-			limit: controlLimits.bytesPerSecond,
-			mechanism: 'all of the above',
-		},
+		...controlFigures('entry', measurements, {
+			microseconds:
+				perProcess.requestsPerEntry *
+				at('requestTime', perProcess.endpointsPerModel),
+			offerBytes: perProcess.requestsPerEntry * traffic.offerBytes,
+			heartbeatLinks: perProcess.streamsPerEntry,
+		}),
 		{
 			role: 'entry',
 			resource: 'answers in progress: memory',
@@ -130,66 +72,111 @@
 			limit: undefined,
 			mechanism: 'one map look-up a token',
 		},
+		...controlFigures('sidecar', measurements, {
+			microseconds: offersPerSecond * at('offerTime', queued),
+			offerBytes: perProcess.requestsPerSidecar * traffic.offerBytes,
+			heartbeatLinks: perProcess.streamsPerSidecar,
+		}),
+		{
+			role: 'sidecar',
+			resource: `${queued} attempts waiting: memory`,
+			unit: 'bytes',
+			value: at('attemptMemory', queued),
+			limit: undefined,
+			mechanism: 'bounded queue; the body is most of it',
+		},
+		{
+			role: 'sidecar',
+			resource: 'tokens: decision time',
+			unit: 'µs/s',
+			value: perProcess.tokensPerSidecar * at('sidecarTokenTime', queued),
+			limit: undefined,
+			mechanism: 'batched updates for each link',
+		},
+		...tableFigures(measurements),
+		{
+			role: 'table',
+			resource: 'time in force everywhere, worst',
+			unit: 's',
+			value: spread.worstMs / 1000,
+			limit: fleetSize.inForceSeconds,
+			mechanism: 'push to random peers, digest exchange each second',
+		},
 	];
 }
 
-function sidecarFigures({slopes, traffic, spread}: Measurements): Figure[] {
+/** Control load of one process, beside what all roles share. */
+type RoleLoad = {
+	/** Processor time for offers, in microseconds a second. */
+	readonly microseconds: number;
+	readonly offerBytes: number;
+	/** Links with work, all taken as silent. */
+	readonly heartbeatLinks: number;
+};
+
+function controlFigures(
+	role: 'entry' | 'sidecar',
+	{slopes, spread, membership, opening}: Measurements,
+	load: RoleLoad,
+): Figure[] {
 	const at = (id: SlopeId, size: number) => valueAt(slopes.get(id)!.fit, size);
-	const offersPerSecond = perProcess.requestsPerSidecar * traffic.offers;
-	const queued = 50;
+	// Each process opens and accepts as many; the measured time is that of both ends.
+	const openingTime = gossipOpenings * opening.microseconds;
+	const openingBytes = 2 * gossipOpenings * opening.bytes;
+	const gossipBytes =
+		2 * (spread.bytesPerSecond + membership.restBytesPerSecond);
+	const heartbeats = load.heartbeatLinks * heartbeatBytes;
+	const indexTime =
+		perProcess.changesPerSecond * at('changeTime', fleetSize.workspaces) +
+		perProcess.listReadsPerSecond * at('instanceListTime', fleetSize.endpoints);
+	const traffic = [
+		['offers', load.offerBytes, 'offers to a few candidates, not pushed load'],
+		['heartbeats, all links silent', heartbeats, 'only links with work beat'],
+		[
+			'changes and membership',
+			gossipBytes,
+			'pushes and digests to random peers',
+		],
+		[
+			'opening links for gossip',
+			openingBytes,
+			'a new link for each random peer',
+		],
+	] as const;
 	return [
 		{
-			role: 'sidecar',
+			role,
 			resource: 'control memory: records and instance list',
 			unit: 'bytes',
 			value:
 				at('workspaceMemory', fleetSize.workspaces) +
 				slopes.get('endpointMemory')!.fit.slope * fleetSize.endpoints,
 			limit: controlLimits.memoryBytes,
-			mechanism: 'the same index as in an entry',
+			mechanism: 'incremental index of the records in force',
 		},
 		{
-			role: 'sidecar',
+			role,
 			resource: 'control processor time',
 			unit: 'µs/s',
-			value:
-				offersPerSecond * at('offerTime', queued) +
-				perProcess.changesPerSecond * at('changeTime', fleetSize.workspaces) +
-				instanceListReads * at('instanceListTime', fleetSize.endpoints),
+			value: load.microseconds + indexTime + openingTime,
 			limit: controlLimits.microseconds,
-			mechanism: 'offers answered from own state',
+			mechanism: `${Math.round(openingTime)} µs of it for opening links`,
 		},
-		{
-			role: 'sidecar',
-			resource: 'control traffic: offers',
+		...traffic.map(([name, value, mechanism]) => ({
+			role,
+			resource: `control traffic: ${name}`,
 			unit: 'bytes/s',
-			value: perProcess.requestsPerSidecar * traffic.offerBytes,
+			value,
 			limit: controlLimits.bytesPerSecond,
-			mechanism: 'asked only by entries with a request',
-		},
+			mechanism,
+		})),
 		{
-			role: 'sidecar',
-			resource: 'control traffic: spread of changes',
+			role,
+			resource: 'control traffic, sum',
 			unit: 'bytes/s',
-			value: spread.bytesPerSecond,
+			value: traffic.reduce((sum, [, value]) => sum + value, 0),
 			limit: controlLimits.bytesPerSecond,
-			mechanism: 'push to random peers, digest exchange each second',
-		},
-		{
-			role: 'sidecar',
-			resource: `${queued} attempts waiting: memory`,
-			unit: 'bytes',
-			value: at('attemptMemory', queued),
-			limit: undefined,
-			mechanism: 'bounded queue; the body is most of it',
-		},
-		{
-			role: 'sidecar',
-			resource: 'tokens: decision time',
-			unit: 'µs/s',
-			value: perProcess.tokensPerSidecar * at('sidecarTokenTime', queued),
-			limit: undefined,
-			mechanism: 'batched updates for each link',
+			mechanism: 'all of the above, sent and received',
 		},
 	];
 }
--- a/src/lab/capacity/report.ts
+++ b/src/lab/capacity/report.ts
@@ -1,5 +1,7 @@
+import {measureLeave} from '../membership-bench.js';
 import {measureSpread, type SpreadRow} from '../spread-bench.js';
 import {controlLimits, fleetSize, perProcess} from './fleet-size.js';
+import {measureLinkOpening} from './link-opening.js';
 import {figureTable, slopeTable} from './page.js';
 import type {Plot} from './plot.js';
 import {projectFigures, type Figure} from './projection.js';
@@ -8,6 +10,9 @@
 
 const spreadSizes = [60, 600, fleetSize.entries + fleetSize.endpoints];
 
+/** Members whose tables of one another fit into the default heap; the traffic at rest does not depend on the number. */
+const membershipSize = 600;
+
 /** Everything that the capacity page shows. */
 export type CapacityReport = {
 	readonly figures: readonly Figure[];
@@ -17,7 +22,7 @@
 };
 
 /** Measures all slopes and works out the figures at the size of the fleet. Takes about a minute. */
-export function measureCapacity(seed: number): CapacityReport {
+export async function measureCapacity(seed: number): Promise<CapacityReport> {
 	const slopes = measureSlopes();
 	const spread = spreadSizes.map((members) =>
 		measureSpread({
@@ -28,7 +33,13 @@
 		}),
 	);
 	const traffic = requestTraffic(perProcess.endpointsPerModel);
-	const figures = projectFigures({slopes, traffic, spread: spread.at(-1)!});
+	const figures = projectFigures({
+		slopes,
+		traffic,
+		spread: spread.at(-1)!,
+		membership: measureLeave({members: membershipSize, seed, loss: 0}),
+		opening: await measureLinkOpening(),
+	});
 	return {figures, slopes, spread, plots: plotsOf(slopes, spread, figures)};
 }
 
--- a/src/services/sidecar/scheduler.ts
+++ b/src/services/sidecar/scheduler.ts
@@ -66,6 +66,8 @@
 	#displacedAt = 0;
 	/** Time until which the next ticket waits because of the pace of starts. */
 	#pacedUntil = Infinity;
+	/** End of the last pause of this process; times that span it say nothing about the endpoint. */
+	#resumedAt = 0;
 
 	/** `random` spreads the retry times; `policy` switches single mechanisms off for experiments. */
 	constructor(random: Random, policy: Partial<SchedulerPolicy> = {}) {
@@ -132,7 +134,7 @@
 	/** Removes and returns the next ticket to start, if there is a place for one; it then counts as running. */
 	takeNext(now: number): Ticket | undefined {
 		this.#pacedUntil = Infinity;
-		const {limit, running} = this.#places();
+		const {limit, running} = this.#places(now);
 		if (running >= limit) {
 			return undefined;
 		}
@@ -181,7 +183,11 @@
 		const {profile} = running.item.ticket;
 		if (running.lastTokenAt === undefined) {
 			this.#onFirstToken(running, now);
-		} else if (tokens > 0 && profile.kind === 'model') {
+		} else if (
+			tokens > 0 &&
+			profile.kind === 'model' &&
+			running.lastTokenAt >= this.#resumedAt
+		) {
 			this.#onGap((now - running.lastTokenAt) / tokens, now);
 		}
 
@@ -245,6 +251,11 @@
 		return shed;
 	}
 
+	/** Notes that this process itself was paused until now. */
+	onPause(now: number): void {
+		this.#resumedAt = now;
+	}
+
 	onLoadReport(report: LoadReport, now: number): void {
 		this.#load.onReport(report, this.#running.size);
 	}
@@ -285,9 +296,13 @@
 	}
 
 	#onFirstToken({item, startedAt}: RunningTicket, now: number): void {
-		this.#speed.observeFirstToken(now - startedAt, item.demand.uncachedTokens);
 		const {prefix, kind, contract} = item.ticket.profile;
 		this.#prefixCache.onPrompt(prefix, now);
+		if (startedAt < this.#resumedAt) {
+			return;
+		}
+
+		this.#speed.observeFirstToken(now - startedAt, item.demand.uncachedTokens);
 		if (kind === 'service') {
 			const target = contract.firstTokenMs * serviceTargetPart;
 			this.#limit.observe(
@@ -313,7 +328,8 @@
 	/** Slow answers count for the limit only in the classes that cannot wait, which are the ones with tight targets. */
 	#onAnswer(running: RunningTicket): void {
 		const gapMs = meanGapMs(running);
-		if (gapMs !== undefined && this.#isUrgent(running.item)) {
+		const isMeasured = running.startedAt >= this.#resumedAt;
+		if (gapMs !== undefined && isMeasured && this.#isUrgent(running.item)) {
 			const {contract} = running.item.ticket.profile;
 			this.#limit.onAnswer(gapMs > contract.gapMs);
 		}
@@ -389,9 +405,9 @@
 		return Math.max(1, whole - resumedTokens);
 	}
 
-	#places(): Places {
+	#places(now: number): Places {
 		const limit = this.#policy.adaptiveLimit
-			? this.#limit.value
+			? this.#limit.at(now)
 			: this.#policy.fixedLimit;
 		return {
 			limit: Math.max(1, Math.min(limit, this.#memoryPlaces())),
@@ -412,7 +428,7 @@
 	}
 
 	#wait(item: QueuedTicket, reservedMs: number, now: number): number {
-		const places = this.#places();
+		const places = this.#places(now);
 		const limit = places.limit - this.#reserve(item, now);
 		return expectedWait(
 			item,
@@ -429,7 +445,7 @@
 			return 0;
 		}
 
-		const {limit, occupancyMs} = this.#places();
+		const {limit, occupancyMs} = this.#places(now);
 		const tier = item ? this.#backlog.tierOf(item) : Infinity;
 		return this.#headroom.places(tier, limit, occupancyMs / limit, now);
 	}
@@ -478,7 +494,7 @@
 		this.#displacedAt = now;
 		const late = unreachable(
 			this.#backlog,
-			this.#places(),
+			this.#places(now),
 			now,
 			displacementTolerance,
 		);
