--- a/src/platform/settings/index.ts
+++ b/src/platform/settings/index.ts
@@ -1,2 +1,2 @@
+export * from './limits.js';
 export * from './settings.js';
-export {limitsSection, type Limits} from './limits.js';
