Take back the detection of short pauses of the sidecar

Cause: wakes the sidecar every 100 ms while work is unfinished; the test 'a resumable answer ends 10 s after its caller left' expects the next wake at 10 s and failed (100 instead of 10000). Conclusion: the test was not changed; the lead decides whether its expectation is part of the contract.

--- a/src/services/sidecar/scheduler.ts
+++ b/src/services/sidecar/scheduler.ts
@@ -66,8 +66,6 @@
 	#displacedAt = 0;
 	/** Time until which the next ticket waits because of the pace of starts. */
 	#pacedUntil = Infinity;
-	/** End of the last pause of this process; times that span it say nothing about the endpoint. */
-	#resumedAt = 0;
 
 	/** `random` spreads the retry times; `policy` switches single mechanisms off for experiments. */
 	constructor(random: Random, policy: Partial<SchedulerPolicy> = {}) {
@@ -183,11 +181,7 @@
 		const {profile} = running.item.ticket;
 		if (running.lastTokenAt === undefined) {
 			this.#onFirstToken(running, now);
-		} else if (
-			tokens > 0 &&
-			profile.kind === 'model' &&
-			running.lastTokenAt >= this.#resumedAt
-		) {
+		} else if (tokens > 0 && profile.kind === 'model') {
 			this.#onGap((now - running.lastTokenAt) / tokens, now);
 		}
 
@@ -251,11 +245,6 @@
 		return shed;
 	}
 
-	/** Notes that this process itself was paused until now. */
-	onPause(now: number): void {
-		this.#resumedAt = now;
-	}
-
 	onLoadReport(report: LoadReport, now: number): void {
 		this.#load.onReport(report, this.#running.size);
 	}
@@ -296,13 +285,9 @@
 	}
 
 	#onFirstToken({item, startedAt}: RunningTicket, now: number): void {
+		this.#speed.observeFirstToken(now - startedAt, item.demand.uncachedTokens);
 		const {prefix, kind, contract} = item.ticket.profile;
 		this.#prefixCache.onPrompt(prefix, now);
-		if (startedAt < this.#resumedAt) {
-			return;
-		}
-
-		this.#speed.observeFirstToken(now - startedAt, item.demand.uncachedTokens);
 		if (kind === 'service') {
 			const target = contract.firstTokenMs * serviceTargetPart;
 			this.#limit.observe(
@@ -328,8 +313,7 @@
 	/** Slow answers count for the limit only in the classes that cannot wait, which are the ones with tight targets. */
 	#onAnswer(running: RunningTicket): void {
 		const gapMs = meanGapMs(running);
-		const isMeasured = running.startedAt >= this.#resumedAt;
-		if (gapMs !== undefined && isMeasured && this.#isUrgent(running.item)) {
+		if (gapMs !== undefined && this.#isUrgent(running.item)) {
 			const {contract} = running.item.ticket.profile;
 			this.#limit.onAnswer(gapMs > contract.gapMs);
 		}
--- a/src/services/sidecar/sidecar.ts
+++ b/src/services/sidecar/sidecar.ts
@@ -10,15 +10,9 @@
 /** An interval between messages that only a pause of the process explains, in milliseconds; entries give a link up after as long. */
 const pauseMs = 3000;
 
-/** Longest interval between decisions while work is queued, in milliseconds. */
+/** Longest interval between messages while work is queued, so that a pause shows, in milliseconds. */
 const checkMs = 1000;
 
-/** Longest interval between messages while work is unfinished, so that a pause shows, in milliseconds. */
-const watchMs = 100;
-
-/** Lateness of that message from which the process counts as paused, in milliseconds; below, a timer may just be late. */
-const latenessMs = 50;
-
 /** Time for which a leaving sidecar waits for the table after its last attempt, in milliseconds. */
 const drainMs = 5000;
 
@@ -42,7 +36,6 @@
 	readonly #admission: Admission;
 	readonly #runs: Runs;
 	#handledAt: number | undefined;
-	#advancedAt = 0;
 	#drainBy: number | undefined;
 	#drained = false;
 	#effects: SidecarEffect[] = [];
@@ -72,16 +65,10 @@
 
 	handle(message: SidecarMessage, now: number): SidecarEffect[] {
 		this.#effects = [];
-		const silenceMs = now - (this.#handledAt ?? now);
-		const wasPaused = silenceMs > pauseMs;
-		if (wasPaused) {
+		if (now - (this.#handledAt ?? now) > pauseMs) {
 			this.#runs.paused(now);
 		}
 
-		if (this.#runs.unfinished > 0 && silenceMs > watchMs + latenessMs) {
-			this.#options.scheduler.onPause(now);
-		}
-
 		this.#handledAt = now;
 		switch (message.type) {
 			case 'peer': {
@@ -131,22 +118,20 @@
 			}
 		}
 
-		// A tick that only shows that the process runs changes no decision.
-		const isDue = (this.#nextDecision() ?? Infinity) <= now;
-		if (message.type !== 'tick' || wasPaused || isDue) {
-			this.#advancedAt = now;
-			this.#runs.advance(now);
-			this.#drain(now);
-		}
-
+		this.#runs.advance(now);
+		this.#drain(now);
 		return this.#effects;
 	}
 
 	nextWake(): number | undefined {
-		const decision = this.#nextDecision();
-		return this.#runs.unfinished > 0
-			? Math.min(decision ?? Infinity, this.#handledAt! + watchMs)
-			: decision;
+		const times = [
+			this.#attempts.nextWake(),
+			this.#claims.nextWake(),
+			this.#options.scheduler.nextWake(),
+			this.#runs.queued > 0 ? this.#handledAt! + checkMs : undefined,
+			this.#drained ? undefined : this.#drainBy,
+		].filter((time) => time !== undefined);
+		return times.length === 0 ? undefined : Math.min(...times);
 	}
 
 	dump(): unknown {
@@ -167,18 +152,6 @@
 		};
 	}
 
-	/** Next time at which the passage of time alone changes something. */
-	#nextDecision(): number | undefined {
-		const times = [
-			this.#attempts.nextWake(),
-			this.#claims.nextWake(),
-			this.#options.scheduler.nextWake(),
-			this.#runs.queued > 0 ? this.#advancedAt + checkMs : undefined,
-			this.#drained ? undefined : this.#drainBy,
-		].filter((time) => time !== undefined);
-		return times.length === 0 ? undefined : Math.min(...times);
-	}
-
 	#onPeer(link: string, message: EntryToSidecar, now: number): void {
 		switch (message.type) {
 			case 'offer': {
