Let the bench's callers arrive at random

Cause: callers that ask again at once fall into step, so that 16 requests came in the same millisecond and the added first-token time was that of a burst; 2 s of warm-up also left cold code in the result. Change: exponential think times as long as an answer, 5 s of warm-up.

--- a/src/lab/bench/bench.ts
+++ b/src/lab/bench/bench.ts
@@ -59,7 +59,8 @@
 	}),
 });
 
-const warmUpSeconds = 2;
+/** Time in which the code is compiled; 2 s left the first-token times of cold code in the result. */
+const warmUpSeconds = 5;
 
 /** Measures the same load directly at the engine, through a bare pass-through and through one entry and one sidecar. */
 export async function runBench(options: BenchOptions): Promise<PhaseResult[]> {
@@ -87,6 +88,8 @@
 		const load: Load = {
 			streams: options.streams,
 			tokens: options.tokens,
+			// As long as an answer takes, so that half of the callers have one in progress.
+			thinkMs: options.firstTokenMs + options.tokens * options.gapMs,
 			seconds: options.seconds,
 			model: 'kettle-llm',
 			headers: {
--- a/src/lab/bench/load.ts
+++ b/src/lab/bench/load.ts
@@ -1,14 +1,17 @@
 import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {createParser} from 'eventsource-parser';
 import {build, type Histogram} from 'hdr-histogram-js';
 import {Agent, request} from 'undici';
 import {Random} from '../../base/index.js';
 
-/** Load of one phase: `streams` callers, each with one streamed answer after the other. */
+/** Load of one phase: `streams` callers, each of which waits for a random time and then asks for one streamed answer. */
 export type Load = {
 	readonly streams: number;
 	/** Mean tokens of an answer; lengths spread from half to one and a half of it, so that the callers do not run in step. */
 	readonly tokens: number;
+	/** Mean of the exponential time between answers of a caller, in milliseconds; without it the callers fall into step and measure their own bursts. */
+	readonly thinkMs: number;
 	readonly seconds: number;
 	readonly headers: Readonly<Record<string, string>>;
 	readonly model: string;
@@ -41,7 +44,12 @@
 	await Promise.all(
 		Array.from({length: load.streams}, async (_, index) => {
 			const random = new Random(index);
-			while (performance.now() < endAt) {
+			for (;;) {
+				await sleep(random.exponential(load.thinkMs));
+				if (performance.now() >= endAt) {
+					return;
+				}
+
 				const tokens = Math.ceil(load.tokens * (0.5 + random.next()));
 				await streamOnce(url, {...load, tokens}, pool, result);
 			}
