Share the stream handling of the HTTP adapters, move demo data to the examples

Cause: both HTTP adapters had the same 40 lines on undici's handler; names of one deployment stood in the code of the demo and the bench. Change: DispatchStream holds the common part; examples/*/demo.json holds the calls; the fleet names the model that its records allow; unit tests use neutral names. Conclusion: an adapter states only how it reads head, data and end.

--- a/src/cli/demo.ts
+++ b/src/cli/demo.ts
@@ -1,6 +1,8 @@
+import {readFile} from 'node:fs/promises';
 import process from 'node:process';
 import {defineCommand} from 'citty';
 import {request} from 'undici';
+import {z} from 'zod';
 import {Fleet} from '../lab/fleet/index.js';
 
 type DemoCall = {
@@ -10,28 +12,15 @@
 	readonly body: unknown;
 };
 
-const deployments = {
-	gebeya: {
-		model: 'kettle-llm',
-		modelCalls: [
-			['shop-staff', 'staff'],
-			['reminders', 'letter'],
-			['reminders', 'summary'],
-		],
-		service: '/services/booking-app/bookings',
-		serviceWorkspace: 'technicians',
-	},
-	harlech: {
-		model: 'assay-llm',
-		modelCalls: [
-			['counters', 'counter'],
-			['counters', 'valuation-letter'],
-			['compliance', 'compliance'],
-		],
-		service: '/services/till-core/payments',
-		serviceWorkspace: 'payments',
-	},
-} as const;
+const scriptSchema = z.object({
+	model: z.string(),
+	modelCalls: z
+		.array(z.object({workspace: z.string(), requestClass: z.string()}))
+		.min(1),
+	serviceCall: z.object({workspace: z.string(), path: z.string()}),
+});
+/** Calls that the demo makes, from examples/DEPLOYMENT/demo.json. */
+type Script = z.infer<typeof scriptSchema>;
 
 export const demoCommand = defineCommand({
 	meta: {
@@ -52,6 +41,7 @@
 		},
 	},
 	async run({args}) {
+		const script = await loadScript(args.deployment);
 		const fleet = new Fleet({
 			deployment: args.deployment,
 			entries: 2,
@@ -65,13 +55,13 @@
 				console.log(`${name} accepts callers at http://${address}`);
 			}
 
-			for (const [index, call] of callsOf(args.deployment).entries()) {
+			for (const [index, call] of callsOf(script).entries()) {
 				const entry = fleet.entries[index % fleet.entries.length]!;
 				await sendCall(`http://${entry.address}`, call);
 			}
 
 			if (args.stay) {
-				printStay(fleet.entries[0]!.address, args.deployment);
+				printStay(fleet.entries[0]!.address, script);
 				await untilInterrupted();
 			}
 		} finally {
@@ -82,35 +72,41 @@
 	},
 });
 
-function callsOf(name: keyof typeof deployments): DemoCall[] {
-	const deployment = deployments[name];
-	const modelCalls = deployment.modelCalls.map(([workspace, requestClass]) => ({
-		title: `chat completion, class ${requestClass}, workspace ${workspace}`,
-		path: '/v1/chat/completions',
-		headers: {
-			authorization: `Bearer sk-demo-${workspace}`,
-			'x-cicadaswitch-class': requestClass,
-		},
-		body: {
-			model: deployment.model,
-			stream: true,
-			max_tokens: 8,
-			messages: [{role: 'user', content: 'Write one line.'}],
-		},
-	}));
-	const serviceCall = {
-		title: `call of a plain service, workspace ${deployment.serviceWorkspace}`,
-		path: deployment.service,
+async function loadScript(deployment: string): Promise<Script> {
+	const file = new URL(
+		`../../examples/${deployment}/demo.json`,
+		import.meta.url,
+	);
+	return scriptSchema.parse(JSON.parse(await readFile(file, 'utf8')));
+}
+
+function callsOf({model, modelCalls, serviceCall}: Script): DemoCall[] {
+	const service = {
+		title: `call of a plain service, workspace ${serviceCall.workspace}`,
+		path: serviceCall.path,
 		headers: {
-			authorization: `Bearer sk-demo-${deployment.serviceWorkspace}`,
+			authorization: `Bearer sk-demo-${serviceCall.workspace}`,
 			'idempotency-key': 'demo-1',
 		},
 		body: {day: 'monday'},
 	};
 	return [
-		...modelCalls,
-		serviceCall,
-		{...serviceCall, title: 'the same call again, with the same key'},
+		...modelCalls.map(({workspace, requestClass}) => ({
+			title: `chat completion, class ${requestClass}, workspace ${workspace}`,
+			path: '/v1/chat/completions',
+			headers: {
+				authorization: `Bearer sk-demo-${workspace}`,
+				'x-cicadaswitch-class': requestClass,
+			},
+			body: {
+				model,
+				stream: true,
+				max_tokens: 8,
+				messages: [{role: 'user', content: 'Write one line.'}],
+			},
+		})),
+		service,
+		{...service, title: 'the same call again, with the same key'},
 	];
 }
 
@@ -128,14 +124,10 @@
 	console.log(`  ${text.trim().split('\n').at(-1)}`);
 }
 
-function printStay(
-	address: string,
-	deployment: keyof typeof deployments,
-): void {
-	const {model, modelCalls} = deployments[deployment];
+function printStay(address: string, {model, modelCalls}: Script): void {
 	console.log(`\nstays up; interrupt to stop. For example:
 curl -N http://${address}/v1/chat/completions \\
-  -H 'authorization: Bearer sk-demo-${modelCalls[0][0]}' \\
+  -H 'authorization: Bearer sk-demo-${modelCalls[0]!.workspace}' \\
   -H 'content-type: application/json' \\
   -d '{"model":"${model}","stream":true,"messages":[{"role":"user","content":"hello"}]}'`);
 }
--- a/src/daemons/link/link.test.ts
+++ b/src/daemons/link/link.test.ts
@@ -34,7 +34,7 @@
 };
 const sidecarHello: Hello = {
 	...entryHello,
-	instance: 'kettle-1',
+	instance: 'engine-1',
 	role: 'sidecar',
 };
 
@@ -76,7 +76,7 @@
 	const address = await serve(t, ['key-two', 'key-one']);
 	const keysOfPeers = [['key-one'], ['key-two'], ['key-three', 'key-two']];
 	for (const keys of keysOfPeers) {
-		expect(await tryConnect(address, keys)).toEqual('kettle-1');
+		expect(await tryConnect(address, keys)).toEqual('engine-1');
 	}
 
 	expect(await tryConnect(address, ['key-three'])).toEqual('refused');
--- a/src/lab/bench/bench.ts
+++ b/src/lab/bench/bench.ts
@@ -91,7 +91,7 @@
 			// As long as an answer takes, so that half of the callers have one in progress.
 			thinkMs: options.firstTokenMs + options.tokens * options.gapMs,
 			seconds: options.seconds,
-			model: 'kettle-llm',
+			model: fleet.model,
 			headers: {
 				authorization: 'Bearer sk-demo-reminders',
 				'x-cicadaswitch-class': 'letter',
--- a/src/lab/fleet/fleet.ts
+++ b/src/lab/fleet/fleet.ts
@@ -67,6 +67,8 @@
 	readonly sidecars = new Map<string, FleetProcess>();
 	/** Forwarder in front of each sidecar, by endpoint name. */
 	readonly forwarders = new Map<string, TcpForwarder>();
+	/** Model that the deployment's rules name; empty before `start`. */
+	model = '';
 	readonly #store = new DisposableStore();
 	readonly #options: FleetOptions;
 	#directory = '';
@@ -83,6 +85,12 @@
 		this.#tableUrl = await this.#store.add(this.tableServer).listen();
 		this.#instancesUrl = await this.#store.add(this.instanceList).listen();
 		const records = await this.#loadRecords();
+		for (const record of records) {
+			if (record.kind === 'rule' && record.targetKind === 'model') {
+				this.model = record.target;
+			}
+		}
+
 		const endpoints = records.filter((record) => record.kind === 'endpoint');
 		await Promise.all([
 			...endpoints
--- a/src/platform/adapters/http-engine.ts
+++ b/src/platform/adapters/http-engine.ts
@@ -13,6 +13,7 @@
 	type LoadReport,
 	type ResumePoint,
 } from '../ports/index.js';
+import {DispatchStream, type ResponseHeaders} from './dispatch-stream.js';
 import {exchangeJson, toError} from './http-json.js';
 
 const controlTimeoutMs = 2000;
@@ -129,57 +130,20 @@
 }
 
 /** One answer: turns server-sent events into endpoint events. */
-class EngineStream implements Dispatcher.DispatchHandler, Execution {
-	readonly #onEvent: (event: EndpointEvent) => void;
+class EngineStream extends DispatchStream {
 	readonly #decoder = new TextDecoder();
 	readonly #parser = createParser({
 		onEvent: (event) => {
-			this.#onData(event.data);
+			this.#onServerEvent(event.data);
 		},
 	});
 
-	#controller: Dispatcher.DispatchController | undefined;
 	#status = 0;
 	#errorBody = '';
-	#sent = false;
-	#ended = false;
-	#cancelled = false;
 
-	constructor(onEvent: (event: EndpointEvent) => void) {
-		this.#onEvent = onEvent;
-	}
-
-	cancel(): void {
-		this.#cancelled = true;
-		this.#ended = true;
-		this.#controller?.abort(new Error('cancelled'));
-	}
-
-	pause(): void {
-		this.#controller?.pause();
-	}
-
-	resume(): void {
-		this.#controller?.resume();
-	}
-
-	onRequestStart(controller: Dispatcher.DispatchController): void {
-		this.#controller = controller;
-		if (this.#cancelled) {
-			controller.abort(new Error('cancelled'));
-			return;
-		}
-
-		this.#sent = true;
-	}
-
-	onResponseStart(
-		controller: Dispatcher.DispatchController,
-		status: number,
-		headers: Record<string, string | string[] | undefined>,
-	): void {
+	protected override readHead(status: number, headers: ResponseHeaders): void {
 		this.#status = status;
-		this.#onEvent({
+		this.report({
 			type: 'head',
 			status,
 			headers: {'content-type': String(headers['content-type'] ?? '')},
@@ -187,10 +151,7 @@
 		});
 	}
 
-	onResponseData(
-		controller: Dispatcher.DispatchController,
-		chunk: Uint8Array,
-	): void {
+	protected override readData(chunk: Uint8Array): void {
 		const text = this.#decoder.decode(chunk, {stream: true});
 		if (this.#status === 200) {
 			this.#parser.feed(text);
@@ -199,13 +160,9 @@
 		}
 	}
 
-	onResponseEnd(): void {
-		if (this.#ended) {
-			return;
-		}
-
+	protected override readEnd(): void {
 		if (this.#status === 200) {
-			this.#finish({
+			this.report({
 				type: 'error',
 				sent: true,
 				reason: 'the engine closed the stream before its end',
@@ -213,33 +170,15 @@
 			return;
 		}
 
-		this.#onEvent({type: 'chunk', data: this.#errorBody, tokens: 0});
-		this.#finish({type: 'end'});
-	}
-
-	onResponseError(
-		controller: Dispatcher.DispatchController,
-		error: Error,
-	): void {
-		this.#finish({type: 'error', sent: this.#sent, reason: error.message});
+		this.report({type: 'chunk', data: this.#errorBody, tokens: 0});
+		this.report({type: 'end'});
 	}
 
-	#onData(data: string): void {
-		if (this.#ended) {
-			return;
-		}
-
+	#onServerEvent(data: string): void {
 		if (data === '[DONE]') {
-			this.#finish({type: 'end'});
+			this.report({type: 'end'});
 		} else {
-			this.#onEvent({type: 'chunk', data, tokens: 1});
-		}
-	}
-
-	#finish(event: EndpointEvent): void {
-		if (!this.#ended) {
-			this.#ended = true;
-			this.#onEvent(event);
+			this.report({type: 'chunk', data, tokens: 1});
 		}
 	}
 }
--- a/src/platform/adapters/http-service.ts
+++ b/src/platform/adapters/http-service.ts
@@ -10,6 +10,7 @@
 	type Execution,
 	type LoadReport,
 } from '../ports/index.js';
+import {DispatchStream, type ResponseHeaders} from './dispatch-stream.js';
 import {exchangeJson, toError} from './http-json.js';
 
 const controlTimeoutMs = 2000;
@@ -82,45 +83,9 @@
 	}
 }
 
-class ServiceStream implements Dispatcher.DispatchHandler, Execution {
-	readonly #onEvent: (event: EndpointEvent) => void;
-	#controller: Dispatcher.DispatchController | undefined;
-	#sent = false;
-	#cancelled = false;
-
-	constructor(onEvent: (event: EndpointEvent) => void) {
-		this.#onEvent = onEvent;
-	}
-
-	cancel(): void {
-		this.#cancelled = true;
-		this.#controller?.abort(new Error('cancelled'));
-	}
-
-	pause(): void {
-		this.#controller?.pause();
-	}
-
-	resume(): void {
-		this.#controller?.resume();
-	}
-
-	onRequestStart(controller: Dispatcher.DispatchController): void {
-		this.#controller = controller;
-		if (this.#cancelled) {
-			controller.abort(new Error('cancelled'));
-			return;
-		}
-
-		this.#sent = true;
-	}
-
-	onResponseStart(
-		controller: Dispatcher.DispatchController,
-		status: number,
-		headers: Record<string, string | string[] | undefined>,
-	): void {
-		this.#onEvent({
+class ServiceStream extends DispatchStream {
+	protected override readHead(status: number, headers: ResponseHeaders): void {
+		this.report({
 			type: 'head',
 			status,
 			headers: withoutConnectionHeaders(headers),
@@ -128,25 +93,13 @@
 		});
 	}
 
-	onResponseData(
-		controller: Dispatcher.DispatchController,
-		chunk: Uint8Array,
-	): void {
+	protected override readData(chunk: Uint8Array): void {
 		const data = Buffer.from(chunk).toString('base64');
-		this.#onEvent({type: 'chunk', data, tokens: 0});
-	}
-
-	onResponseEnd(): void {
-		this.#onEvent({type: 'end'});
+		this.report({type: 'chunk', data, tokens: 0});
 	}
 
-	onResponseError(
-		controller: Dispatcher.DispatchController,
-		error: Error,
-	): void {
-		if (!this.#cancelled) {
-			this.#onEvent({type: 'error', sent: this.#sent, reason: error.message});
-		}
+	protected override readEnd(): void {
+		this.report({type: 'end'});
 	}
 }
 
--- a/src/platform/records/upgrade.test.ts
+++ b/src/platform/records/upgrade.test.ts
@@ -16,14 +16,14 @@
 const samples = {
 	workspace: {keyHashes: [hash], classes: ['letters']},
 	class: {tier: 1, firstTokenMs: 660, gapMs: 32},
-	rule: {target: 'm', targetKind: 'model', endpoints: ['kettle-*']},
+	rule: {target: 'm', targetKind: 'model', endpoints: ['engine-*']},
 	endpoint: {type: 'engine', dataCentre: 'bole', region: 'addis'},
 	schedule: {
-		endpoints: ['kettle-1'],
+		endpoints: ['engine-1'],
 		action: {type: 'load', model: 'm', version: '2'},
 		startsAt: '2026-01-01T06:00:00Z',
 	},
-	placement: {model: 'm', version: '1', bytes: 9, endpoints: ['kettle-*']},
+	placement: {model: 'm', version: '1', bytes: 9, endpoints: ['engine-*']},
 	key: {purpose: 'peer', hash},
 	term: {startsAtRevision: 1},
 } satisfies Record<RecordKind, object>;
--- a/src/services/entry/resume.test.ts
+++ b/src/services/entry/resume.test.ts
@@ -214,7 +214,7 @@
 
 // Guards against event ids that are read otherwise than they are written.
 test('event ids are read as they are written', () => {
-	const id = {endpoint: 'kettle-1', attempt: 'req-1.2', sequence: 17};
+	const id = {endpoint: 'engine-1', attempt: 'req-1.2', sequence: 17};
 	expect(parseEventId(formatEventId(id))).toEqual(id);
-	expect(parseEventId('kettle-1/req-1.2')).toEqual(undefined);
+	expect(parseEventId('engine-1/req-1.2')).toEqual(undefined);
 });
