--- a/src/lab/fleet/configuration.test.ts
+++ b/src/lab/fleet/configuration.test.ts
@@ -97,11 +97,9 @@
 // Guards against an endpoint that goes on getting work after the platform has announced that it leaves.
 test('an endpoint that the platform lists as leaving gets no new work', async (t) => {
 	const fleet = await startFleet(t);
-	const leaving = fleet.instanceList.instances.find(
-		({id}) => id === 'kettle-1',
-	)!;
+	const [name] = [...fleet.engines.keys()];
 	fleet.instanceList.instances = fleet.instanceList.instances.map((instance) =>
-		instance === leaving ? {...instance, state: 'leaving'} : instance,
+		instance.id === name ? {...instance, state: 'leaving'} : instance,
 	);
 	const known = await until(async () => {
 		const dumps = await Promise.all(
@@ -111,13 +109,13 @@
 			dumpSchema
 				.parse(dump)
 				.membership.members.some(
-					({id, state}) => id === 'kettle-1' && state === 'leaving',
+					({id, state}) => id === name && state === 'leaving',
 				),
 		);
 	});
 	expect(known).toEqual(true);
 
-	const before = fleet.engines.get('kettle-1')!.executed.length;
+	const before = fleet.engines.get(name!)!.executed.length;
 	for (let n = 0; n < 10; n++) {
 		const answer = await request(
 			`http://${fleet.entries[n % 2]!.address}/v1/chat/completions`,
@@ -128,7 +126,7 @@
 					authorization: 'Bearer sk-demo-reminders',
 				},
 				body: JSON.stringify({
-					model: 'kettle-llm',
+					model: fleet.model,
 					max_tokens: 2,
 					messages: [{role: 'user', content: `hello ${n}`}],
 				}),
@@ -138,5 +136,5 @@
 		expect(answer.statusCode).toEqual(200);
 	}
 
-	expect(fleet.engines.get('kettle-1')!.executed.length).toEqual(before);
+	expect(fleet.engines.get(name!)!.executed.length).toEqual(before);
 });
