--- a/src/cli/apply.ts
+++ b/src/cli/apply.ts
@@ -1,5 +1,5 @@
 import {defineCommand} from 'citty';
-import type {Table} from '../platform/index.js';
+import type {Table} from '../interfaces/index.js';
 import {writeRecords} from '../daemons/index.js';
 import {exitCodes, terminal, type ExitCode, type Output} from './exit-code.js';
 import {recordArgs} from './record-args.js';
--- a/src/cli/check.ts
+++ b/src/cli/check.ts
@@ -1,7 +1,7 @@
 import {readFile} from 'node:fs/promises';
 import process from 'node:process';
 import {defineCommand} from 'citty';
-import {parseSettings, SettingsInvalid} from '../platform/index.js';
+import {parseSettings, SettingsInvalid} from '../interfaces/index.js';
 
 /** Result for one settings file. */
 type CheckResult = {
--- a/src/cli/daemon.ts
+++ b/src/cli/daemon.ts
@@ -2,8 +2,8 @@
 import {defineCommand} from 'citty';
 import loglevel from 'loglevel';
 import {EntryDaemon, SidecarDaemon} from '../daemons/index.js';
-import {HttpInstanceList, HttpTable} from '../platform/adapters/index.js';
-import type {Settings} from '../platform/index.js';
+import {HttpInstanceList, HttpTable} from '../interfaces/adapters/index.js';
+import type {Settings} from '../interfaces/index.js';
 import {loadSettings} from './settings-file.js';
 
 type Role = Settings['process']['role'];
--- a/src/cli/delete.ts
+++ b/src/cli/delete.ts
@@ -1,6 +1,6 @@
 import process from 'node:process';
 import {defineCommand} from 'citty';
-import type {Table} from '../platform/index.js';
+import type {Table} from '../interfaces/index.js';
 import type {Edit} from '../services/index.js';
 import {writeRecords} from '../daemons/index.js';
 import {exitCodes, terminal, type ExitCode, type Output} from './exit-code.js';
--- a/src/cli/diff.ts
+++ b/src/cli/diff.ts
@@ -1,6 +1,6 @@
 import {isDeepStrictEqual} from 'node:util';
 import {defineCommand} from 'citty';
-import {mergeRecord, type Table} from '../platform/index.js';
+import {mergeRecord, type Table} from '../interfaces/index.js';
 import {editKey, readStored} from '../services/index.js';
 import {exitCodes, terminal, type ExitCode, type Output} from './exit-code.js';
 import {recordArgs} from './record-args.js';
--- a/src/cli/get.ts
+++ b/src/cli/get.ts
@@ -1,5 +1,5 @@
 import {defineCommand} from 'citty';
-import {recordKey, type Table} from '../platform/index.js';
+import {recordKey, type Table} from '../interfaces/index.js';
 import {readStored} from '../services/index.js';
 import {exitCodes, terminal, type ExitCode, type Output} from './exit-code.js';
 import {recordArgs} from './record-args.js';
--- a/src/cli/history.ts
+++ b/src/cli/history.ts
@@ -6,7 +6,7 @@
 	logKey,
 	logPrefix,
 	type Table,
-} from '../platform/index.js';
+} from '../interfaces/index.js';
 import {headRevision} from '../services/index.js';
 import {exitCodes, terminal, type ExitCode, type Output} from './exit-code.js';
 import {scanAll} from './list.js';
--- a/src/cli/in-force.ts
+++ b/src/cli/in-force.ts
@@ -3,8 +3,8 @@
 import {defineCommand} from 'citty';
 import pLimit from 'p-limit';
 import {connect, PeerKeys} from '../daemons/index.js';
-import {HttpInstanceList} from '../platform/adapters/index.js';
-import type {ListedInstance, Settings} from '../platform/index.js';
+import {HttpInstanceList} from '../interfaces/adapters/index.js';
+import type {ListedInstance, Settings} from '../interfaces/index.js';
 import {loadSettings} from './settings-file.js';
 
 /** Connections opened at once. */
--- a/src/cli/record-files.ts
+++ b/src/cli/record-files.ts
@@ -7,7 +7,7 @@
 	readRecord,
 	recordMetaSchema,
 	type VersionedFields,
-} from '../platform/index.js';
+} from '../interfaces/index.js';
 import type {Edit} from '../services/index.js';
 import type {Output} from './exit-code.js';
 
--- a/src/cli/records.test.ts
+++ b/src/cli/records.test.ts
@@ -1,7 +1,7 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
-import {TableUncertain, type VersionedFields} from '../platform/index.js';
-import {MemoryTable} from '../platform/standins/index.js';
+import {TableUncertain, type VersionedFields} from '../interfaces/index.js';
+import {MemoryTable} from '../interfaces/standins/index.js';
 import {apply} from './apply.js';
 import {deleteRecord} from './delete.js';
 import {diffRecords} from './diff.js';
--- a/src/cli/settings-file.ts
+++ b/src/cli/settings-file.ts
@@ -4,7 +4,7 @@
 	parseSettings,
 	SettingsInvalid,
 	type Settings,
-} from '../platform/index.js';
+} from '../interfaces/index.js';
 
 /** Reads a settings file; prints what is wrong and exits with status 2 when it is not valid. */
 export async function loadSettings(file: string): Promise<Settings> {
--- a/src/cli/with-table.ts
+++ b/src/cli/with-table.ts
@@ -1,6 +1,6 @@
 import process from 'node:process';
-import {HttpTable} from '../platform/adapters/index.js';
-import {TableUnavailable, type Table} from '../platform/index.js';
+import {HttpTable} from '../interfaces/adapters/index.js';
+import {TableUnavailable, type Table} from '../interfaces/index.js';
 import {exitCodes, terminal, type ExitCode} from './exit-code.js';
 
 /** Runs a command against the table at a URL and sets the exit code of the process. */
--- a/src/cli/write-records.ts
+++ b/src/cli/write-records.ts
@@ -1,5 +1,5 @@
 import type {WriteRequest} from '../daemons/index.js';
-import type {Row, Table} from '../platform/index.js';
+import type {Row, Table} from '../interfaces/index.js';
 import {
 	editKey,
 	editProblems,
--- a/src/daemons/daemon-core.ts
+++ b/src/daemons/daemon-core.ts
@@ -8,7 +8,7 @@
 	type Settings,
 	type Table,
 	type TableAnswer,
-} from '../platform/index.js';
+} from '../interfaces/index.js';
 import {Catalogue, type CommonEffect} from '../services/index.js';
 import {AdminServer} from './admin/index.js';
 import {Gossip} from './gossip/index.js';
--- a/src/daemons/entry/answer-times.ts
+++ b/src/daemons/entry/answer-times.ts
@@ -1,4 +1,4 @@
-import type {Outcome, Profile} from '../../platform/index.js';
+import type {Outcome, Profile} from '../../interfaces/index.js';
 import type {Metrics} from '../metrics/index.js';
 import {monotonicNow} from '../task.js';
 
--- a/src/daemons/entry/answer.ts
+++ b/src/daemons/entry/answer.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
-import type {Outcome} from '../../platform/index.js';
+import type {Outcome} from '../../interfaces/index.js';
 import type {EntryEffect, Failure} from '../../services/index.js';
 import {errorBody, sendError, type ErrorAnswer} from './api-error.js';
 import {assembleCompletion} from './completion.js';
--- a/src/daemons/entry/api-error.ts
+++ b/src/daemons/entry/api-error.ts
@@ -1,6 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import VError from 'verror';
-import type {Outcome} from '../../platform/index.js';
+import type {Outcome} from '../../interfaces/index.js';
 
 /** An error in the form of the OpenAI interface, with what the router adds. */
 export type ErrorAnswer = {
--- a/src/daemons/entry/caller-request.ts
+++ b/src/daemons/entry/caller-request.ts
@@ -3,7 +3,7 @@
 import type {IncomingMessage} from 'node:http';
 import {z} from 'zod';
 import {prefixHashes} from '../../base/index.js';
-import {prefixBlockTokens, type Workspace} from '../../platform/index.js';
+import {prefixBlockTokens, type Workspace} from '../../interfaces/index.js';
 import type {CallerRequest, Catalogue, Target} from '../../services/index.js';
 import {ApiError} from './api-error.js';
 
--- a/src/daemons/entry/caller-server.ts
+++ b/src/daemons/entry/caller-server.ts
@@ -7,7 +7,7 @@
 } from 'node:http';
 import type {Duplex} from 'node:stream';
 import type {Disposable} from '../../base/index.js';
-import type {Limits} from '../../platform/index.js';
+import type {Limits} from '../../interfaces/index.js';
 import type {Catalogue} from '../../services/index.js';
 import {listen} from '../listen.js';
 import type {Log} from '../log.js';
--- a/src/daemons/entry/entry-daemon.ts
+++ b/src/daemons/entry/entry-daemon.ts
@@ -1,6 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import {DisposableStore, Random, type Disposable} from '../../base/index.js';
-import type {Profile} from '../../platform/index.js';
+import type {Profile} from '../../interfaces/index.js';
 import {
 	Entry,
 	type EntryEffect,
--- a/src/daemons/entry/links.ts
+++ b/src/daemons/entry/links.ts
@@ -3,7 +3,7 @@
 	EntryToSidecar,
 	Hello,
 	SidecarToEntry,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import {
 	connect,
 	receiveFromSidecar,
--- a/src/daemons/entry/request-body.ts
+++ b/src/daemons/entry/request-body.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
-import type {Limits} from '../../platform/index.js';
+import type {Limits} from '../../interfaces/index.js';
 import {ApiError} from './api-error.js';
 
 /** Time after which a caller is told to try again when memory for bodies is short, in milliseconds. */
--- a/src/daemons/gossip/gossip.ts
+++ b/src/daemons/gossip/gossip.ts
@@ -11,7 +11,7 @@
 	type InstanceList,
 	type Settings,
 	type Table,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import {
 	Membership,
 	Spread,
--- a/src/daemons/gossip/peer-links.ts
+++ b/src/daemons/gossip/peer-links.ts
@@ -5,7 +5,7 @@
 	type Hello,
 	type MembersMessage,
 	type SpreadMessage,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import {
 	connect,
 	type AcceptedLink,
--- a/src/daemons/link/connect.ts
+++ b/src/daemons/link/connect.ts
@@ -1,5 +1,5 @@
 import {WebSocket} from 'ws';
-import type {Hello} from '../../platform/index.js';
+import type {Hello} from '../../interfaces/index.js';
 import {greet} from './handshake.js';
 import {Link, maxPayloadBytes} from './link.js';
 import type {PeerKeys} from './peer-keys.js';
--- a/src/daemons/link/handshake.ts
+++ b/src/daemons/link/handshake.ts
@@ -4,7 +4,7 @@
 	provedSchema,
 	proveSchema,
 	type Hello,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {Link} from './link.js';
 import {createNonce, type PeerKeys} from './peer-keys.js';
 
--- a/src/daemons/link/link-server.ts
+++ b/src/daemons/link/link-server.ts
@@ -4,7 +4,7 @@
 import type {Duplex} from 'node:stream';
 import {WebSocketServer} from 'ws';
 import {DisposableStore, Emitter, type Disposable} from '../../base/index.js';
-import type {Hello, Limits} from '../../platform/index.js';
+import type {Hello, Limits} from '../../interfaces/index.js';
 import {listen} from '../listen.js';
 import {welcome} from './handshake.js';
 import {Link, maxPayloadBytes} from './link.js';
--- a/src/daemons/link/link.test.ts
+++ b/src/daemons/link/link.test.ts
@@ -2,7 +2,7 @@
 import {test, type TestContext} from 'node:test';
 import {expect} from 'earl';
 import {WebSocketServer} from 'ws';
-import {parseSettings, type Hello} from '../../platform/index.js';
+import {parseSettings, type Hello} from '../../interfaces/index.js';
 import {connect, LinkServer, PeerKeys, type Link} from './index.js';
 
 const {limits} = parseSettings(
--- a/src/daemons/link/peer-keys.ts
+++ b/src/daemons/link/peer-keys.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {createHmac, randomBytes, timingSafeEqual} from 'node:crypto';
-import type {Hello} from '../../platform/index.js';
+import type {Hello} from '../../interfaces/index.js';
 
 const nonceBytes = 16;
 
--- a/src/daemons/link/peer-method.ts
+++ b/src/daemons/link/peer-method.ts
@@ -8,7 +8,7 @@
 	type EntryToSidecar,
 	type SidecarToEntry,
 	type Update,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {Link} from './link.js';
 
 const entryMethods = {
--- a/src/daemons/records/write-records.ts
+++ b/src/daemons/records/write-records.ts
@@ -2,7 +2,7 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Random} from '../../base/index.js';
-import {callTable, type Table} from '../../platform/index.js';
+import {callTable, type Table} from '../../interfaces/index.js';
 import {
 	Writer,
 	type Edit,
--- a/src/daemons/sidecar/sidecar-daemon.ts
+++ b/src/daemons/sidecar/sidecar-daemon.ts
@@ -5,8 +5,8 @@
 	Random,
 	type Disposable,
 } from '../../base/index.js';
-import {HttpEngine, HttpService} from '../../platform/adapters/index.js';
-import type {Endpoint, Execution} from '../../platform/index.js';
+import {HttpEngine, HttpService} from '../../interfaces/adapters/index.js';
+import type {Endpoint, Execution} from '../../interfaces/index.js';
 import {
 	Scheduler,
 	Sidecar,
--- a/src/lab/bench/engine-process.ts
+++ b/src/lab/bench/engine-process.ts
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {EngineServer} from '../../platform/standins/index.js';
+import {EngineServer} from '../../interfaces/standins/index.js';
 
 /** Engine stand-in as a process of its own; the arguments are first-token time and gap in milliseconds. Prints its URL. */
 const [firstTokenMs, gapMs] = process.argv.slice(2).map(Number);
--- a/src/lab/capacity/link-opening.ts
+++ b/src/lab/capacity/link-opening.ts
@@ -3,7 +3,7 @@
 import process from 'node:process';
 import {connect, LinkServer, PeerKeys} from '../../daemons/index.js';
 import {listen} from '../../daemons/listen.js';
-import {limitsSection, type Hello} from '../../platform/index.js';
+import {limitsSection, type Hello} from '../../interfaces/index.js';
 
 const key = 'capacity-measurement-key';
 const warmUps = 20;
--- a/src/lab/capacity/traffic.ts
+++ b/src/lab/capacity/traffic.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createJSONRPCNotification} from 'json-rpc-2.0';
 import {z} from 'zod';
-import {encodeOffer} from '../../platform/index.js';
+import {encodeOffer} from '../../interfaces/index.js';
 import type {EntryEffect} from '../../services/index.js';
 import {
 	callerRequest,
--- a/src/lab/capacity/workload.ts
+++ b/src/lab/capacity/workload.ts
@@ -5,7 +5,7 @@
 	ListedInstance,
 	Profile,
 	SidecarToEntry,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import {
 	Catalogue,
 	Entry,
--- a/src/lab/cluster.ts
+++ b/src/lab/cluster.ts
@@ -1,6 +1,10 @@
 import {hash32, Random} from '../base/index.js';
-import type {EndpointEvent, TableAnswer, TableCall} from '../platform/index.js';
-import {MemoryTable} from '../platform/standins/index.js';
+import type {
+	EndpointEvent,
+	TableAnswer,
+	TableCall,
+} from '../interfaces/index.js';
+import {MemoryTable} from '../interfaces/standins/index.js';
 import {
 	Entry,
 	Scheduler,
--- a/src/lab/direct-router.ts
+++ b/src/lab/direct-router.ts
@@ -3,7 +3,7 @@
 	EntryToSidecar,
 	SidecarToEntry,
 	Update,
-} from '../platform/index.js';
+} from '../interfaces/index.js';
 import type {
 	CallerRequest,
 	EndpointView,
--- a/src/lab/fake-engine.ts
+++ b/src/lab/fake-engine.ts
@@ -3,7 +3,7 @@
 	type EndpointEvent,
 	type LoadReport,
 	prefixBlockTokens,
-} from '../platform/index.js';
+} from '../interfaces/index.js';
 import type {VirtualClock} from './virtual-clock.js';
 
 /** Speed and memory of an engine. A step takes `baseMs + sequenceMs * decoding + promptTokenMs * prefilled`. */
--- a/src/lab/fake-service.ts
+++ b/src/lab/fake-service.ts
@@ -1,4 +1,4 @@
-import type {EndpointEvent, LoadReport} from '../platform/index.js';
+import type {EndpointEvent, LoadReport} from '../interfaces/index.js';
 import type {VirtualClock} from './virtual-clock.js';
 
 type ServiceCall = {
--- a/src/lab/faulty-table.ts
+++ b/src/lab/faulty-table.ts
@@ -1,6 +1,6 @@
 import type {Random} from '../base/index.js';
-import type {TableAnswer, TableCall} from '../platform/index.js';
-import type {MemoryTable} from '../platform/standins/index.js';
+import type {TableAnswer, TableCall} from '../interfaces/index.js';
+import type {MemoryTable} from '../interfaces/standins/index.js';
 import type {VirtualClock} from './virtual-clock.js';
 
 /** Longest time after which a commit whose answer was lost takes effect, in milliseconds. */
--- a/src/lab/fleet/fleet.ts
+++ b/src/lab/fleet/fleet.ts
@@ -12,7 +12,7 @@
 	recordSchema,
 	type ConfigRecord,
 	type EndpointRecord,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import {
 	EngineServer,
 	InstanceListServer,
@@ -21,7 +21,7 @@
 	TableServer,
 	type EngineServerOptions,
 	TcpForwarder,
-} from '../../platform/standins/index.js';
+} from '../../interfaces/standins/index.js';
 import {freePort, isReady, until} from './loopback.js';
 
 const peerKey = 'loopback-fleet-key';
--- a/src/lab/fuzz/fake-endpoint.ts
+++ b/src/lab/fuzz/fake-endpoint.ts
@@ -1,5 +1,5 @@
 import type {Random} from '../../base/index.js';
-import type {Call, EndpointEvent, ResumePoint} from '../../platform/index.js';
+import type {Call, EndpointEvent, ResumePoint} from '../../interfaces/index.js';
 import type {VirtualClock} from '../virtual-clock.js';
 import {
 	countTokens,
--- a/src/lab/fuzz/fake-table.ts
+++ b/src/lab/fuzz/fake-table.ts
@@ -1,6 +1,6 @@
 import type {Random} from '../../base/index.js';
-import type {TableAnswer, TableCall} from '../../platform/index.js';
-import {MemoryTable} from '../../platform/standins/index.js';
+import type {TableAnswer, TableCall} from '../../interfaces/index.js';
+import {MemoryTable} from '../../interfaces/standins/index.js';
 import type {VirtualClock} from '../virtual-clock.js';
 import type {Step} from './plan.js';
 
--- a/src/lab/fuzz/history.ts
+++ b/src/lab/fuzz/history.ts
@@ -1,4 +1,4 @@
-import type {Outcome} from '../../platform/index.js';
+import type {Outcome} from '../../interfaces/index.js';
 import type {RequestStatus} from '../../services/index.js';
 import type {Plan} from './plan.js';
 
--- a/src/lab/fuzz/network.ts
+++ b/src/lab/fuzz/network.ts
@@ -1,4 +1,4 @@
-import type {EntryToSidecar, SidecarToEntry} from '../../platform/index.js';
+import type {EntryToSidecar, SidecarToEntry} from '../../interfaces/index.js';
 import type {
 	EntryEffect,
 	EntryMessage,
--- a/src/lab/lifecycle-fuzz.ts
+++ b/src/lab/lifecycle-fuzz.ts
@@ -1,6 +1,6 @@
 import {Random} from '../base/index.js';
-import {scheduleSchema} from '../platform/index.js';
-import {MemoryTable} from '../platform/standins/index.js';
+import {scheduleSchema} from '../interfaces/index.js';
+import {MemoryTable} from '../interfaces/standins/index.js';
 import {
 	dueOccurrence,
 	Lifecycle,
--- a/src/lab/measurement.ts
+++ b/src/lab/measurement.ts
@@ -1,4 +1,4 @@
-import type {Outcome} from '../platform/index.js';
+import type {Outcome} from '../interfaces/index.js';
 import type {EngineTotals} from './fake-engine.js';
 import type {Arrival, ClassDemand} from './workload.js';
 
--- a/src/lab/membership-bench.ts
+++ b/src/lab/membership-bench.ts
@@ -1,5 +1,5 @@
 import {Random} from '../base/index.js';
-import type {ListedInstance, MembersMessage} from '../platform/index.js';
+import type {ListedInstance, MembersMessage} from '../interfaces/index.js';
 import {
 	Membership,
 	type MembershipEffect,
--- a/src/lab/records-fuzz.test.ts
+++ b/src/lab/records-fuzz.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import {expect} from 'earl';
 import {type Random} from '../base/index.js';
-import type {TableAnswer, Term} from '../platform/index.js';
+import type {TableAnswer, Term} from '../interfaces/index.js';
 import {
 	Spread,
 	termKey,
--- a/src/lab/records-fuzz.ts
+++ b/src/lab/records-fuzz.ts
@@ -8,7 +8,7 @@
 	termSchema,
 	type LogEntry,
 	type Term,
-} from '../platform/index.js';
+} from '../interfaces/index.js';
 import {
 	headRevision,
 	Spread,
--- a/src/lab/spread-fleet.ts
+++ b/src/lab/spread-fleet.ts
@@ -7,8 +7,8 @@
 	type SpreadMessage,
 	type TableAnswer,
 	type TableCall,
-} from '../platform/index.js';
-import {MemoryTable} from '../platform/standins/index.js';
+} from '../interfaces/index.js';
+import {MemoryTable} from '../interfaces/standins/index.js';
 import {
 	keysToRead,
 	planWrite,
--- a/src/lab/workload.ts
+++ b/src/lab/workload.ts
@@ -3,7 +3,7 @@
 	prefixBlockTokens,
 	type Contract,
 	type Profile,
-} from '../platform/index.js';
+} from '../interfaces/index.js';
 import type {EngineModel} from './fake-engine.js';
 
 /** Demand of one request class. */
--- a/src/services/effect.ts
+++ b/src/services/effect.ts
@@ -1,4 +1,4 @@
-import type {TableCall} from '../platform/index.js';
+import type {TableCall} from '../interfaces/index.js';
 
 /** Effects that every role can ask of its daemon. */
 export type CommonEffect =
--- a/src/services/entry/attachments.ts
+++ b/src/services/entry/attachments.ts
@@ -1,4 +1,4 @@
-import type {EntryToSidecar} from '../../platform/index.js';
+import type {EntryToSidecar} from '../../interfaces/index.js';
 import type {EndpointView} from '../records/index.js';
 import type {EntryAttempt, Progress} from './progress.js';
 
--- a/src/services/entry/caller-output.ts
+++ b/src/services/entry/caller-output.ts
@@ -1,4 +1,4 @@
-import type {Outcome, RunCompletion, Update} from '../../platform/index.js';
+import type {Outcome, RunCompletion, Update} from '../../interfaces/index.js';
 import {formatEventId} from './event-id.js';
 import {repeated} from './failures.js';
 import type {EntryEffect, Failure} from './message.js';
--- a/src/services/entry/entry.test.ts
+++ b/src/services/entry/entry.test.ts
@@ -6,8 +6,8 @@
 	type EntryToSidecar,
 	type SidecarToEntry,
 	type Update,
-} from '../../platform/index.js';
-import {MemoryTable} from '../../platform/standins/index.js';
+} from '../../interfaces/index.js';
+import {MemoryTable} from '../../interfaces/standins/index.js';
 import {claimWork, completionWork, type Claimant} from '../ledger/index.js';
 import type {EndpointView} from '../records/index.js';
 import {Entry} from './entry.js';
--- a/src/services/entry/entry.ts
+++ b/src/services/entry/entry.ts
@@ -1,5 +1,5 @@
 import {Timers, type Random} from '../../base/index.js';
-import type {EntryToSidecar, SidecarToEntry} from '../../platform/index.js';
+import type {EntryToSidecar, SidecarToEntry} from '../../interfaces/index.js';
 import type {EndpointView} from '../records/index.js';
 import {Attachments} from './attachments.js';
 import {CallerOutput} from './caller-output.js';
--- a/src/services/entry/failures.ts
+++ b/src/services/entry/failures.ts
@@ -1,4 +1,4 @@
-import type {Outcome, RecordedRun, Refusal} from '../../platform/index.js';
+import type {Outcome, RecordedRun, Refusal} from '../../interfaces/index.js';
 import type {Failure} from './message.js';
 
 /** Time after which a caller may try again when no sidecar named one, in milliseconds. */
--- a/src/services/entry/hedging.ts
+++ b/src/services/entry/hedging.ts
@@ -1,4 +1,4 @@
-import type {EntryToSidecar, Update} from '../../platform/index.js';
+import type {EntryToSidecar, Update} from '../../interfaces/index.js';
 import type {EndpointView} from '../records/index.js';
 import type {CallerOutput} from './caller-output.js';
 import type {EntryAttempt, Progress} from './progress.js';
--- a/src/services/entry/launcher.ts
+++ b/src/services/entry/launcher.ts
@@ -1,4 +1,4 @@
-import type {EntryToSidecar} from '../../platform/index.js';
+import type {EntryToSidecar} from '../../interfaces/index.js';
 import type {EndpointView} from '../records/index.js';
 import type {Accepted, EntryAttempt, Progress} from './progress.js';
 import {currentProfile} from './remaining-profile.js';
--- a/src/services/entry/message.ts
+++ b/src/services/entry/message.ts
@@ -5,7 +5,7 @@
 	Profile,
 	SidecarToEntry,
 	TableAnswer,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {CommonEffect} from '../effect.js';
 import type {EndpointView} from '../records/index.js';
 
--- a/src/services/entry/progress.ts
+++ b/src/services/entry/progress.ts
@@ -1,4 +1,4 @@
-import type {Outcome, Refusal, Update} from '../../platform/index.js';
+import type {Outcome, Refusal, Update} from '../../interfaces/index.js';
 import type {EndpointView} from '../records/index.js';
 import {AnswerSoFar} from './answer-so-far.js';
 import {formatEventId} from './event-id.js';
--- a/src/services/entry/queries.ts
+++ b/src/services/entry/queries.ts
@@ -3,7 +3,7 @@
 	AttemptStatus,
 	EntryToSidecar,
 	Outcome,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {EndpointView} from '../records/index.js';
 import {formatEventId} from './event-id.js';
 import type {EntryEffect, EntryMessage, RequestStatus} from './message.js';
--- a/src/services/entry/remaining-profile.test.ts
+++ b/src/services/entry/remaining-profile.test.ts
@@ -1,6 +1,6 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
-import type {Profile} from '../../platform/index.js';
+import type {Profile} from '../../interfaces/index.js';
 import {remainingProfile} from './remaining-profile.js';
 
 // Guards against a request that waits at one endpoint after another, each time with the whole target.
--- a/src/services/entry/remaining-profile.ts
+++ b/src/services/entry/remaining-profile.ts
@@ -1,4 +1,4 @@
-import type {Profile} from '../../platform/index.js';
+import type {Profile} from '../../interfaces/index.js';
 import type {Progress} from './progress.js';
 
 /** Least first-token target that is sent, in milliseconds; the message schema requires a positive one. */
--- a/src/services/entry/request-flow.ts
+++ b/src/services/entry/request-flow.ts
@@ -1,4 +1,4 @@
-import type {OfferReply, Update} from '../../platform/index.js';
+import type {OfferReply, Update} from '../../interfaces/index.js';
 import type {RunResult} from '../ledger/index.js';
 import type {Attachments} from './attachments.js';
 import type {CallerOutput} from './caller-output.js';
--- a/src/services/entry/resume.test.ts
+++ b/src/services/entry/resume.test.ts
@@ -1,7 +1,7 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {Random} from '../../base/index.js';
-import type {EntryToSidecar} from '../../platform/index.js';
+import type {EntryToSidecar} from '../../interfaces/index.js';
 import type {EndpointView} from '../records/index.js';
 import {Scheduler, Sidecar, type SidecarMessage} from '../sidecar/index.js';
 import {Entry} from './entry.js';
--- a/src/services/entry/revocations.ts
+++ b/src/services/entry/revocations.ts
@@ -1,4 +1,4 @@
-import {runKey, type TableAnswer} from '../../platform/index.js';
+import {runKey, type TableAnswer} from '../../interfaces/index.js';
 import type {CommonEffect} from '../effect.js';
 import {
 	Ledger,
--- a/src/services/entry/selection.ts
+++ b/src/services/entry/selection.ts
@@ -1,5 +1,5 @@
 import type {Random} from '../../base/index.js';
-import type {EntryToSidecar, OfferReply} from '../../platform/index.js';
+import type {EntryToSidecar, OfferReply} from '../../interfaces/index.js';
 import type {EndpointView} from '../records/index.js';
 import {
 	maxOffers,
--- a/src/services/ledger/intents.ts
+++ b/src/services/ledger/intents.ts
@@ -4,7 +4,7 @@
 	type RunClaim,
 	type RunRecord,
 	type StoredAnswer,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {RunRow, RunStep, RunWork} from './work.js';
 
 /** Identity and times of a claim. */
--- a/src/services/ledger/ledger.ts
+++ b/src/services/ledger/ledger.ts
@@ -1,5 +1,9 @@
 import {Timers} from '../../base/index.js';
-import type {RunRecord, TableAnswer, TableCall} from '../../platform/index.js';
+import type {
+	RunRecord,
+	TableAnswer,
+	TableCall,
+} from '../../interfaces/index.js';
 import type {CommonEffect} from '../effect.js';
 import {
 	parseRunRow,
--- a/src/services/ledger/sweep.ts
+++ b/src/services/ledger/sweep.ts
@@ -4,7 +4,7 @@
 	type Row,
 	type TableAnswer,
 	type TableCall,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {CommonEffect} from '../effect.js';
 import {parseRunRow} from './work.js';
 
--- a/src/services/ledger/work.ts
+++ b/src/services/ledger/work.ts
@@ -2,7 +2,7 @@
 	runRecordSchema,
 	type Row,
 	type RunRecord,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 
 /** A run record's row as last seen. */
 export type RunRow =
--- a/src/services/lifecycle/claim.ts
+++ b/src/services/lifecycle/claim.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import type {TableAnswer, TableCall} from '../../platform/index.js';
+import type {TableAnswer, TableCall} from '../../interfaces/index.js';
 
 const claimSchema = z.object({by: z.string()});
 
--- a/src/services/lifecycle/commands.ts
+++ b/src/services/lifecycle/commands.ts
@@ -1,5 +1,5 @@
 import type {Random} from '../../base/index.js';
-import type {EngineCommand} from '../../platform/index.js';
+import type {EngineCommand} from '../../interfaces/index.js';
 import {jitter} from '../spread/index.js';
 import type {Lease} from './lease.js';
 import type {LifecycleEffect} from './message.js';
--- a/src/services/lifecycle/lease.ts
+++ b/src/services/lifecycle/lease.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import type {Row, TableAnswer, TableCall} from '../../platform/index.js';
+import type {Row, TableAnswer, TableCall} from '../../interfaces/index.js';
 
 /** Time for which a lease holds after its last renewal, in milliseconds. */
 export const leaseMs = 30_000;
--- a/src/services/lifecycle/lifecycle.test.ts
+++ b/src/services/lifecycle/lifecycle.test.ts
@@ -5,8 +5,8 @@
 	placementSchema,
 	scheduleSchema,
 	type TableCall,
-} from '../../platform/index.js';
-import {MemoryTable} from '../../platform/standins/index.js';
+} from '../../interfaces/index.js';
+import {MemoryTable} from '../../interfaces/standins/index.js';
 import {
 	CommandGate,
 	dueOccurrence,
--- a/src/services/lifecycle/lifecycle.ts
+++ b/src/services/lifecycle/lifecycle.ts
@@ -1,5 +1,5 @@
 import type {Random} from '../../base/index.js';
-import type {Placement, Schedule} from '../../platform/index.js';
+import type {Placement, Schedule} from '../../interfaces/index.js';
 import {Commands} from './commands.js';
 import {Lease} from './lease.js';
 import type {
--- a/src/services/lifecycle/message.ts
+++ b/src/services/lifecycle/message.ts
@@ -3,7 +3,7 @@
 	Placement,
 	Schedule,
 	TableAnswer,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {CommonEffect} from '../effect.js';
 
 /** What an endpoint is doing. */
--- a/src/services/lifecycle/occurrence.ts
+++ b/src/services/lifecycle/occurrence.ts
@@ -1,4 +1,4 @@
-import type {Schedule} from '../../platform/index.js';
+import type {Schedule} from '../../interfaces/index.js';
 
 /** Longest time by which a schedule may fire late, in milliseconds; covers outages of the table, and keeps a new endpoint from acting on old occurrences. */
 export const maxLateMs = 12 * 3_600_000;
--- a/src/services/lifecycle/readiness.ts
+++ b/src/services/lifecycle/readiness.ts
@@ -1,4 +1,4 @@
-import type {Placement} from '../../platform/index.js';
+import type {Placement} from '../../interfaces/index.js';
 import type {LifecycleEffect, LifecycleState} from './message.js';
 import type {Action} from './task.js';
 import type {TaskQueue} from './task-queue.js';
--- a/src/services/lifecycle/removal.ts
+++ b/src/services/lifecycle/removal.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import type {Row, TableAnswer, TableCall} from '../../platform/index.js';
+import type {Row, TableAnswer, TableCall} from '../../interfaces/index.js';
 
 const removalSchema = z.object({endpoints: z.array(z.string())});
 
--- a/src/services/lifecycle/removals.ts
+++ b/src/services/lifecycle/removals.ts
@@ -1,4 +1,4 @@
-import type {TableAnswer} from '../../platform/index.js';
+import type {TableAnswer} from '../../interfaces/index.js';
 import type {LifecycleEffect, ModelView} from './message.js';
 import {Removal} from './removal.js';
 import type {Task} from './task.js';
--- a/src/services/lifecycle/schedule-claims.ts
+++ b/src/services/lifecycle/schedule-claims.ts
@@ -1,4 +1,4 @@
-import type {Schedule, TableAnswer} from '../../platform/index.js';
+import type {Schedule, TableAnswer} from '../../interfaces/index.js';
 import {Claim} from './claim.js';
 import {dueOccurrence, occurrenceKey} from './occurrence.js';
 
--- a/src/services/lifecycle/task.ts
+++ b/src/services/lifecycle/task.ts
@@ -1,4 +1,4 @@
-import type {Schedule} from '../../platform/index.js';
+import type {Schedule} from '../../interfaces/index.js';
 
 /** What a schedule or a placement asks of an endpoint. */
 export type Action = Schedule['action'];
--- a/src/services/membership/member-table.ts
+++ b/src/services/membership/member-table.ts
@@ -1,5 +1,5 @@
 import {hash32} from '../../base/index.js';
-import type {MemberFact, MemberState} from '../../platform/index.js';
+import type {MemberFact, MemberState} from '../../interfaces/index.js';
 
 /** Buckets into which members are hashed; at 5,800 members one holds about 23, or 2 KB. */
 export const bucketCount = 256;
--- a/src/services/membership/membership.ts
+++ b/src/services/membership/membership.ts
@@ -3,7 +3,7 @@
 	ListedInstance,
 	MemberFact,
 	MembersMessage,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import {jitter, pickDistinct} from '../spread/index.js';
 import {isNewer, MemberTable} from './member-table.js';
 import type {MembershipEffect, MembershipInput} from './message.js';
--- a/src/services/membership/message.ts
+++ b/src/services/membership/message.ts
@@ -2,7 +2,7 @@
 	ListedInstance,
 	MemberFact,
 	MembersMessage,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {CommonEffect} from '../effect.js';
 
 /** Input of the membership state machine. */
--- a/src/services/records/catalogue.ts
+++ b/src/services/records/catalogue.ts
@@ -7,7 +7,7 @@
 	type RequestClass,
 	type Rule,
 	type Workspace,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 
 /** An endpoint as an entry sees it: its record joined with the instance list. */
 export type EndpointView = {
--- a/src/services/records/message.ts
+++ b/src/services/records/message.ts
@@ -3,7 +3,7 @@
 	RecordMeta,
 	TableAnswer,
 	VersionedFields,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {CommonEffect} from '../effect.js';
 
 /** One record that an operator wants to set or, with a null record, delete. */
--- a/src/services/records/plan.ts
+++ b/src/services/records/plan.ts
@@ -16,7 +16,7 @@
 	type Term,
 	type Transaction,
 	type VersionedFields,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {Edit, WriteResult} from './message.js';
 
 /** Log entries that the table keeps: more than five days at 18,000 changes a day. */
--- a/src/services/records/writer.test.ts
+++ b/src/services/records/writer.test.ts
@@ -8,8 +8,8 @@
 	type TableAnswer,
 	type TableCall,
 	type VersionedFields,
-} from '../../platform/index.js';
-import {MemoryTable} from '../../platform/standins/index.js';
+} from '../../interfaces/index.js';
+import {MemoryTable} from '../../interfaces/standins/index.js';
 import {
 	Writer,
 	type Edit,
--- a/src/services/records/writer.ts
+++ b/src/services/records/writer.ts
@@ -9,7 +9,7 @@
 	type TableAnswer,
 	type TableCall,
 	type Transaction,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {
 	Edit,
 	WriteResult,
--- a/src/services/sidecar/admission.ts
+++ b/src/services/sidecar/admission.ts
@@ -1,4 +1,4 @@
-import type {AttemptStart, Profile, Refusal} from '../../platform/index.js';
+import type {AttemptStart, Profile, Refusal} from '../../interfaces/index.js';
 
 /** Decides which work the sidecar takes at all, before its scheduler is asked. */
 export class Admission {
--- a/src/services/sidecar/answer-buffer.ts
+++ b/src/services/sidecar/answer-buffer.ts
@@ -1,4 +1,4 @@
-import type {Update} from '../../platform/index.js';
+import type {Update} from '../../interfaces/index.js';
 
 /** Chunk data that may wait for the caller before the run is paused, in UTF-16 code units of each stream. */
 export const windowSize = 256 * 1024;
--- a/src/services/sidecar/attempt.ts
+++ b/src/services/sidecar/attempt.ts
@@ -3,7 +3,7 @@
 	AttemptStatus,
 	Outcome,
 	Update,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {AnswerBuffer} from './answer-buffer.js';
 
 /** One try to run a request at the sidecar's endpoint. */
--- a/src/services/sidecar/attempts.ts
+++ b/src/services/sidecar/attempts.ts
@@ -1,5 +1,5 @@
 import {Timers} from '../../base/index.js';
-import type {EntryToSidecar, Update} from '../../platform/index.js';
+import type {EntryToSidecar, Update} from '../../interfaces/index.js';
 import {windowSize} from './answer-buffer.js';
 import {forgotten, type Attempt} from './attempt.js';
 import type {SidecarEffect} from './message.js';
--- a/src/services/sidecar/claims.ts
+++ b/src/services/sidecar/claims.ts
@@ -9,7 +9,7 @@
 	type RunCompletion,
 	type RunRecord,
 	type TableAnswer,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {CommonEffect} from '../effect.js';
 import {
 	Ledger,
--- a/src/services/sidecar/length-estimate.test.ts
+++ b/src/services/sidecar/length-estimate.test.ts
@@ -1,6 +1,6 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
-import type {Profile} from '../../platform/index.js';
+import type {Profile} from '../../interfaces/index.js';
 import {LengthEstimate} from './length-estimate.js';
 
 function profile(workspace: string, requestClass: string): Profile {
--- a/src/services/sidecar/length-estimate.ts
+++ b/src/services/sidecar/length-estimate.ts
@@ -1,5 +1,5 @@
 import {build, type Histogram} from 'hdr-histogram-js';
-import type {Profile} from '../../platform/index.js';
+import type {Profile} from '../../interfaces/index.js';
 
 /** Prediction of an answer's length: tokens of a model, or milliseconds of a plain service. */
 export type Length = {
--- a/src/services/sidecar/load-view.ts
+++ b/src/services/sidecar/load-view.ts
@@ -1,4 +1,4 @@
-import type {LoadReport} from '../../platform/index.js';
+import type {LoadReport} from '../../interfaces/index.js';
 
 /** Load of the endpoint beyond the work that this sidecar has in flight. */
 export class LoadView {
--- a/src/services/sidecar/message.ts
+++ b/src/services/sidecar/message.ts
@@ -7,7 +7,7 @@
 	ResumePoint,
 	SidecarToEntry,
 	TableAnswer,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {CommonEffect} from '../effect.js';
 
 /** Input of the sidecar's state machine. */
--- a/src/services/sidecar/prefix-cache.ts
+++ b/src/services/sidecar/prefix-cache.ts
@@ -1,5 +1,5 @@
 import {sampledLength} from '../../base/index.js';
-import {prefixBlockTokens, type CacheEvent} from '../../platform/index.js';
+import {prefixBlockTokens, type CacheEvent} from '../../interfaces/index.js';
 
 /** Blocks remembered; the least recently confirmed is dropped. */
 const maxBlocks = 65_536;
--- a/src/services/sidecar/reservations.ts
+++ b/src/services/sidecar/reservations.ts
@@ -1,4 +1,4 @@
-import type {Profile} from '../../platform/index.js';
+import type {Profile} from '../../interfaces/index.js';
 
 /** Time for which offered work counts as backlog, in milliseconds; covers the round trip to the entry. */
 const reservationMs = 50;
--- a/src/services/sidecar/runs.ts
+++ b/src/services/sidecar/runs.ts
@@ -5,7 +5,7 @@
 	Outcome,
 	Refusal,
 	Update,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {Admission} from './admission.js';
 import {AnswerBuffer} from './answer-buffer.js';
 import {brokenOutcome, statusOf, type Attempt} from './attempt.js';
--- a/src/services/sidecar/scheduler.test.ts
+++ b/src/services/sidecar/scheduler.test.ts
@@ -1,7 +1,7 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {Random} from '../../base/index.js';
-import type {Contract, Profile} from '../../platform/index.js';
+import type {Contract, Profile} from '../../interfaces/index.js';
 import {Scheduler} from './scheduler.js';
 import type {Ticket} from './ticket.js';
 
--- a/src/services/sidecar/scheduler.ts
+++ b/src/services/sidecar/scheduler.ts
@@ -5,7 +5,7 @@
 	OfferReply,
 	Profile,
 	Refusal,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import {Backlog} from './backlog.js';
 import {ConcurrencyLimit} from './concurrency-limit.js';
 import {EndpointSpeed} from './endpoint-speed.js';
--- a/src/services/sidecar/sidecar.test.ts
+++ b/src/services/sidecar/sidecar.test.ts
@@ -6,8 +6,8 @@
 	Profile,
 	TableCall,
 	Update,
-} from '../../platform/index.js';
-import {MemoryTable} from '../../platform/standins/index.js';
+} from '../../interfaces/index.js';
+import {MemoryTable} from '../../interfaces/standins/index.js';
 import {parseRunRow} from '../ledger/index.js';
 import {windowSize} from './answer-buffer.js';
 import type {SidecarEffect, SidecarMessage} from './message.js';
--- a/src/services/sidecar/sidecar.ts
+++ b/src/services/sidecar/sidecar.ts
@@ -1,5 +1,5 @@
 import type {Random} from '../../base/index.js';
-import type {EntryToSidecar} from '../../platform/index.js';
+import type {EntryToSidecar} from '../../interfaces/index.js';
 import {Admission} from './admission.js';
 import {Attempts} from './attempts.js';
 import {Claims} from './claims.js';
--- a/src/services/sidecar/ticket.ts
+++ b/src/services/sidecar/ticket.ts
@@ -1,4 +1,4 @@
-import type {Profile, Refusal} from '../../platform/index.js';
+import type {Profile, Refusal} from '../../interfaces/index.js';
 
 /** Work that waits for, or occupies, a place in the endpoint's batch. */
 export type Ticket = {
--- a/src/services/spread/digest-answers.ts
+++ b/src/services/spread/digest-answers.ts
@@ -1,4 +1,4 @@
-import type {SpreadDigest, SpreadMessage} from '../../platform/index.js';
+import type {SpreadDigest, SpreadMessage} from '../../interfaces/index.js';
 import type {Pulls} from './pulls.js';
 import type {Replica} from './replica.js';
 
--- a/src/services/spread/head-poll.ts
+++ b/src/services/spread/head-poll.ts
@@ -1,5 +1,5 @@
 import type {Random} from '../../base/index.js';
-import {headKey, headSchema, type Row} from '../../platform/index.js';
+import {headKey, headSchema, type Row} from '../../interfaces/index.js';
 import type {Peers} from './peers.js';
 import {jitter, type SpreadPolicy} from './policy.js';
 import type {Replica} from './replica.js';
--- a/src/services/spread/message.ts
+++ b/src/services/spread/message.ts
@@ -3,7 +3,7 @@
 	SpreadMessage,
 	StoredRecord,
 	TableAnswer,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {CommonEffect} from '../effect.js';
 
 /** Input of the spread state machine. */
--- a/src/services/spread/pulls.ts
+++ b/src/services/spread/pulls.ts
@@ -4,7 +4,7 @@
 	SpreadDigest,
 	SpreadMessage,
 	SpreadPush,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {Peers} from './peers.js';
 import {jitter, type SpreadPolicy} from './policy.js';
 import type {Replica} from './replica.js';
--- a/src/services/spread/record-store.ts
+++ b/src/services/spread/record-store.ts
@@ -2,7 +2,7 @@
 	LogEntry,
 	SnapshotPiece,
 	StoredRecord,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 
 /** Log entries kept for peers that are behind: more than five hours at 18,000 changes a day. */
 const logLimit = 4096;
--- a/src/services/spread/replica.ts
+++ b/src/services/spread/replica.ts
@@ -1,4 +1,4 @@
-import type {LogEntry} from '../../platform/index.js';
+import type {LogEntry} from '../../interfaces/index.js';
 import type {SpreadEffect} from './message.js';
 import type {RecordStore} from './record-store.js';
 import type {Staging} from './staging.js';
--- a/src/services/spread/spread.test.ts
+++ b/src/services/spread/spread.test.ts
@@ -5,7 +5,7 @@
 	LogEntry,
 	SpreadMessage,
 	SpreadPush,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import {RecordStore, Spread, Staging, type SpreadEffect} from './index.js';
 
 function entry(revision: number, key = 'record/class/a'): LogEntry {
--- a/src/services/spread/spread.ts
+++ b/src/services/spread/spread.ts
@@ -3,7 +3,7 @@
 	LogEntry,
 	SpreadMessage,
 	TableAnswer,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import {DigestAnswers} from './digest-answers.js';
 import {HeadPoll} from './head-poll.js';
 import type {SpreadEffect, SpreadInput} from './message.js';
--- a/src/services/spread/staging.ts
+++ b/src/services/spread/staging.ts
@@ -1,4 +1,4 @@
-import type {LogEntry, SnapshotPiece} from '../../platform/index.js';
+import type {LogEntry, SnapshotPiece} from '../../interfaces/index.js';
 import {RecordStore} from './record-store.js';
 
 /**
--- a/src/services/spread/table-calls.ts
+++ b/src/services/spread/table-calls.ts
@@ -1,4 +1,4 @@
-import type {TableCall} from '../../platform/index.js';
+import type {TableCall} from '../../interfaces/index.js';
 import type {SpreadEffect} from './message.js';
 
 /** Time after which the answer of a table operation is no longer awaited, in milliseconds. */
--- a/src/services/spread/table-scan.ts
+++ b/src/services/spread/table-scan.ts
@@ -5,7 +5,7 @@
 	recordPrefix,
 	storedRecordSchema,
 	type Row,
-} from '../../platform/index.js';
+} from '../../interfaces/index.js';
 import type {Replica} from './replica.js';
 import {Staging} from './staging.js';
 import type {TableCalls} from './table-calls.js';
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -1,7 +1,7 @@
 import type {FlatXoConfig} from 'xo';
 
 /** Folders in order of their layer; each may import only from those before it. */
-const layers = ['base', 'platform', 'services', 'daemons', 'lab', 'cli'];
+const layers = ['base', 'interfaces', 'services', 'daemons', 'lab', 'cli'];
 
 const layerZones = layers.slice(0, -1).map((layer, index) => ({
 	target: `./src/${layer}`,
@@ -21,7 +21,7 @@
 						...layerZones,
 						{
 							target: './src/services',
-							from: ['./src/platform/adapters', './src/platform/standins'],
+							from: ['./src/interfaces/adapters', './src/interfaces/standins'],
 							message: 'src/services decides; it must not reach outside',
 						},
 					],
