--- /dev/null
+++ b/src/daemons/gateway/exchange.ts
@@ -0,0 +1,444 @@
+import type {Disposable} from '../../base/index.js';
+import type {
+	HttpFormat,
+	KeyHolder,
+	RequestHead,
+	Route,
+	Service,
+} from '../../interfaces/index.js';
+import {
+	nextStep,
+	patience,
+	place,
+	type Course,
+	type EndpointSet,
+	type NextStep,
+	type Assignment,
+	type RetryAllowance,
+	type SendEnd,
+	type Upstream,
+} from '../../services/gateway/index.js';
+import type {Log} from '../log.js';
+import {monotonicNow} from '../task.js';
+import type {CallerOutput} from './caller-output.js';
+import type {ConnectionDirectory} from './connection-directory.js';
+import {sendOwnAnswer} from './own-answer.js';
+import {Send, type HeldAnswer, type StreamPosition} from './send.js';
+
+/** Part of a Retry-After that is random, so that callers do not return together. */
+const retryAfterSpread = 0.5;
+
+/** A request as the gateway has read and resolved it. */
+export type CallerRequest = {
+	readonly method: string;
+	/** Path and query. */
+	readonly target: string;
+	readonly headers: readonly string[];
+	readonly body: Uint8Array;
+	readonly head: RequestHead;
+	readonly route: Route;
+	readonly service: Service;
+	readonly workspace: KeyHolder | undefined;
+	/** Moment at which its head had been read. */
+	readonly receivedAt: number;
+	/** Version of the configuration that it is handled by. */
+	readonly configurationVersion: number;
+};
+
+/** What exchanges share. */
+export type ExchangeContext = {
+	readonly dataCentre: string;
+	readonly format: HttpFormat;
+	readonly endpoints: EndpointSet;
+	readonly connections: ConnectionDirectory;
+	readonly allowance: RetryAllowance;
+	readonly gateways: () => number;
+	readonly log: Log;
+	readonly onDidEnd: (summary: ExchangeSummary) => void;
+};
+
+/** How a request ended, for counters. */
+export type ExchangeSummary = {
+	readonly request: CallerRequest;
+	readonly outcome: string;
+	readonly sends: number;
+	readonly totalMs: number;
+	readonly firstByteMs: number | undefined;
+};
+
+/** One request of a caller: places it, follows its sends and answers it. */
+export class Exchange implements Disposable {
+	readonly #context: ExchangeContext;
+	readonly #request: CallerRequest;
+	readonly #output: CallerOutput;
+	readonly #expiresAt: number;
+	readonly #position: StreamPosition;
+	readonly #tried = new Set<Upstream>();
+	#send: Send | undefined;
+	#sends = 0;
+	#failedConnections = 0;
+	#mayHaveRun = false;
+	#failure: HeldAnswer | undefined;
+	#isAbandoned = false;
+	#firstByteAt: number | undefined;
+
+	constructor(
+		context: ExchangeContext,
+		request: CallerRequest,
+		output: CallerOutput,
+	) {
+		this.#context = context;
+		this.#request = request;
+		this.#output = output;
+		this.#position = {lastEventId: request.head.lastEventId};
+		this.#expiresAt =
+			request.receivedAt +
+			Math.min(
+				request.route.timeoutMs,
+				request.head.deadlineMs ?? request.route.timeoutMs,
+			);
+	}
+
+	/** Handles the request to its end; never rejects. */
+	async run(): Promise<void> {
+		const {allowance} = this.#context;
+		allowance.request(this.#request.service.name, monotonicNow());
+		const expiry = setTimeout(() => {
+			this.#send?.cancel({type: 'expired'});
+		}, this.#remainingMs());
+		let step: NextStep = {type: 'send'};
+		while (step.type === 'send') {
+			step = await this.#sendOnce();
+		}
+
+		clearTimeout(expiry);
+		this.#conclude(step);
+	}
+
+	/** The caller has left. A request that may not be repeated runs to its end, so that its outcome does not depend on the moment. */
+	dispose(): void {
+		this.#isAbandoned = true;
+		const {route} = this.#request;
+		if (route.isStream || route.repetition !== 'once' || !this.#send?.isSent) {
+			this.#send?.cancel({type: 'abandoned'});
+		}
+	}
+
+	async #sendOnce(): Promise<NextStep> {
+		if (this.#isAbandoned) {
+			return {type: 'done'};
+		}
+
+		const now = monotonicNow();
+		if (this.#remainingMs() <= 0) {
+			return nextStep({type: 'expired'}, this.#course(), () => false);
+		}
+
+		const assignment = this.#place(now);
+		switch (assignment.type) {
+			case 'refuse': {
+				const {reason, retryAfterMs} = assignment;
+				return this.#giveUp(reason, retryAfterMs);
+			}
+
+			case 'send': {
+				const end = await this.#perform(assignment);
+				return this.#follow(end);
+			}
+		}
+	}
+
+	#place(now: number): Assignment {
+		const {endpoints, dataCentre} = this.#context;
+		const {head, route, service} = this.#request;
+		return place(
+			{
+				prompt: service.engine ? head.prompt : undefined,
+				tried: this.#tried,
+				isOnce: route.repetition === 'once',
+				dataCentre,
+			},
+			endpoints.serving(service.name, now),
+			now,
+		);
+	}
+
+	async #perform(
+		assignment: Extract<Assignment, {type: 'send'}>,
+	): Promise<SendEnd> {
+		const {upstream, expectedMs, uncachedTokens} = assignment;
+		const {format, connections} = this.#context;
+		const {method, target, headers, body, head, route, workspace} =
+			this.#request;
+		const canSendAgain = this.#sends + 1 < route.maxSends;
+		this.#tried.add(upstream);
+		const send = new Send({
+			format,
+			upstream,
+			connections: connections.of(upstream),
+			output: this.#output,
+			requestId: head.requestId,
+			isStream: route.isStream,
+			isOnce: route.repetition === 'once',
+			position: this.#position,
+			...patience(route, expectedMs, canSendAgain),
+		});
+		this.#send = send;
+		const work = upstream.begin(head.prompt?.parts ?? [], uncachedTokens);
+		const startedAt = monotonicNow();
+		this.#log('placed', {
+			endpoint: upstream.id,
+			expected_ms: Math.round(expectedMs),
+			uncached_tokens: uncachedTokens,
+			running: Math.round(upstream.running(startedAt) * 10) / 10,
+			failing: Math.round(upstream.health.failingPart(startedAt) * 100) / 100,
+		});
+		send.onDidAnswer = () => {
+			work.hasAnswered = true;
+		};
+
+		send.start({
+			method,
+			path: target,
+			headers: format.requestHeaders(headers, {
+				endpointId: upstream.id,
+				deadlineMs: this.#remainingMs(),
+				workspace: workspace?.name,
+				tier: workspace?.tier ?? route.tier,
+				lastEventId: this.#output.isBegun
+					? this.#position.lastEventId
+					: undefined,
+			}),
+			body: body.length > 0 ? body : null,
+		});
+		const end = await send.ended;
+		upstream.end(work);
+		this.#note(send, end, assignment, startedAt);
+		return end;
+	}
+
+	/** Updates the course and the beliefs about the endpoint. */
+	#note(
+		send: Send,
+		end: SendEnd,
+		{upstream, expectedMs}: Extract<Assignment, {type: 'send'}>,
+		startedAt: number,
+	): void {
+		const now = monotonicNow();
+		if (send.isSent) {
+			this.#sends++;
+		}
+
+		this.#firstByteAt ??= send.firstByteAt;
+		if (send.firstByteAt !== undefined) {
+			upstream.timed(send.firstByteAt - startedAt, expectedMs, now);
+		}
+
+		switch (end.type) {
+			case 'unsent': {
+				this.#failedConnections++;
+				upstream.health.block(now);
+				break;
+			}
+
+			case 'rejected': {
+				upstream.health.failed(now);
+				break;
+			}
+
+			case 'answered': {
+				this.#mayHaveRun = true;
+				if (end.status < 500) {
+					upstream.health.succeeded(now);
+				} else {
+					upstream.health.failed(now);
+				}
+
+				break;
+			}
+
+			case 'delivered': {
+				this.#mayHaveRun = true;
+				upstream.health.succeeded(now);
+				break;
+			}
+
+			case 'broken': {
+				this.#mayHaveRun = true;
+				upstream.health.failed(now);
+				break;
+			}
+
+			case 'silent': {
+				this.#mayHaveRun = true;
+				if (now - upstream.lastHeardAt > now - startedAt) {
+					upstream.health.block(now);
+				} else {
+					upstream.health.failed(now);
+				}
+
+				break;
+			}
+
+			case 'expired':
+			case 'abandoned': {
+				this.#mayHaveRun ||= send.isSent;
+				break;
+			}
+		}
+	}
+
+	#follow(end: SendEnd): NextStep {
+		const {allowance, gateways} = this.#context;
+		const {service} = this.#request;
+		const step = nextStep(end, this.#course(), () =>
+			allowance.take(service.name, monotonicNow(), gateways()),
+		);
+		if (end.type === 'answered' && step.type === 'send') {
+			this.#failure = this.#send!.answer;
+		}
+
+		if (step.type === 'send') {
+			this.#log('repeated', {
+				after: end.type,
+				reason: 'reason' in end ? end.reason : '',
+				sends: this.#sends,
+				last_event: this.#position.lastEventId ?? '',
+			});
+		}
+
+		return step;
+	}
+
+	#giveUp(reason: string, retryAfterMs: number): NextStep {
+		if (this.#output.isBegun) {
+			return {type: 'cut', reason};
+		}
+
+		if (this.#failure) {
+			return {type: 'deliver failure'};
+		}
+
+		return this.#mayHaveRun
+			? {type: 'fail', status: 502, reason}
+			: {type: 'refuse', reason, retryAfterMs};
+	}
+
+	#conclude(step: Exclude<NextStep, {type: 'send'}>): void {
+		let outcome: string = step.type;
+		switch (step.type) {
+			case 'deliver': {
+				outcome = this.#deliver(this.#send!.answer!);
+				break;
+			}
+
+			case 'deliver failure': {
+				outcome = this.#deliver(this.#failure!);
+				break;
+			}
+
+			case 'refuse': {
+				sendOwnAnswer(this.#output, {
+					status: 503,
+					reason: step.reason,
+					retryAfterMs: spread(step.retryAfterMs),
+				});
+				break;
+			}
+
+			case 'fail': {
+				sendOwnAnswer(this.#output, step);
+				break;
+			}
+
+			case 'cut': {
+				this.#output.cut();
+				break;
+			}
+
+			case 'done': {
+				if (this.#isAbandoned) {
+					outcome = 'abandoned';
+				} else {
+					this.#output.end();
+					outcome = 'streamed';
+				}
+
+				break;
+			}
+		}
+
+		const now = monotonicNow();
+		const summary = {
+			request: this.#request,
+			outcome,
+			sends: this.#sends,
+			totalMs: now - this.#request.receivedAt,
+			firstByteMs:
+				this.#firstByteAt && this.#firstByteAt - this.#request.receivedAt,
+		};
+		this.#log('ended', {
+			outcome,
+			reason: 'reason' in step ? step.reason : '',
+			sends: this.#sends,
+			total_ms: Math.round(summary.totalMs),
+			first_byte_ms: Math.round(summary.firstByteMs ?? -1),
+			last_event: this.#position.lastEventId ?? '',
+			configuration: this.#request.configurationVersion,
+		});
+		this.#context.onDidEnd(summary);
+	}
+
+	#deliver(answer: HeldAnswer): string {
+		if (this.#output.isClosed) {
+			return 'abandoned';
+		}
+
+		const {status, headers, body} = answer;
+		this.#output.send(
+			status,
+			withLength(this.#context.format.answerHeaders(headers), body.length),
+			body,
+		);
+		return `answered ${status}`;
+	}
+
+	#course(): Course {
+		const {route} = this.#request;
+		return {
+			repetition: route.repetition,
+			sends: this.#sends,
+			maxSends: route.maxSends,
+			failedConnections: this.#failedConnections,
+			mayHaveRun: this.#mayHaveRun,
+			isPartlyDelivered: this.#output.isBegun,
+			remainingMs: this.#remainingMs(),
+			hasFailure: this.#failure !== undefined,
+		};
+	}
+
+	#remainingMs(): number {
+		return Math.max(0, this.#expiresAt - monotonicNow());
+	}
+
+	#log(event: string, fields: Readonly<Record<string, string | number>>): void {
+		const {head, route} = this.#request;
+		this.#context.log.info(event, {
+			request: head.requestId,
+			route: route.name,
+			...fields,
+		});
+	}
+}
+
+function spread(ms: number): number {
+	return ms * (1 + retryAfterSpread * (Math.random() - 0.5));
+}
+
+/** Adds the length of a body that came without one. */
+function withLength(headers: string[], length: number): string[] {
+	const hasLength = headers.some(
+		(name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length',
+	);
+	return hasLength ? headers : [...headers, 'Content-Length', String(length)];
+}
--- /dev/null
+++ b/src/daemons/gateway/index.ts
@@ -0,0 +1,1 @@
+export * from './gateway-daemon.js';
--- /dev/null
+++ b/src/daemons/gateway/roster-task.ts
@@ -0,0 +1,80 @@
+import type {Disposable} from '../../base/index.js';
+import type {Roster} from '../../interfaces/index.js';
+import type {Log} from '../log.js';
+
+/** Time between two counts, in milliseconds. */
+const countPeriodMs = 10_000;
+
+/** Time until a failed call is repeated, in milliseconds. */
+const retryMs = 2000;
+
+/** Gateways that are assumed until they have been counted; a high number makes this one's shares small. */
+const assumedGateways = 10;
+
+/** Task that keeps this gateway on the roster and counts the gateways. */
+export class RosterTask implements Disposable {
+	readonly #roster: Roster;
+	readonly #log: Log;
+	#count = assumedGateways;
+	#hasJoined = false;
+	#isStopped = false;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(roster: Roster, log: Log) {
+		this.#roster = roster;
+		this.#log = log;
+	}
+
+	/** Gateways that run. */
+	get count(): number {
+		return this.#count;
+	}
+
+	start(): void {
+		void this.#step();
+	}
+
+	/** Leaves the roster; a failure only makes the shares of the others smaller. */
+	async leave(): Promise<void> {
+		this.#isStopped = true;
+		clearTimeout(this.#timer);
+		try {
+			await this.#roster.leave();
+		} catch (error) {
+			this.#log.warn('roster_leave_failed', {reason: String(error)});
+		}
+	}
+
+	dispose(): void {
+		this.#isStopped = true;
+		clearTimeout(this.#timer);
+	}
+
+	async #step(): Promise<void> {
+		let waitMs = countPeriodMs;
+		try {
+			if (!this.#hasJoined) {
+				await this.#roster.enter();
+				this.#hasJoined = true;
+			}
+
+			const count = Math.max(1, await this.#roster.count());
+			if (count !== this.#count) {
+				this.#log.info('gateways', {count, before: this.#count});
+				this.#count = count;
+			}
+		} catch (error) {
+			waitMs = retryMs;
+			this.#log.warn('roster_failed', {reason: String(error)});
+		}
+
+		if (!this.#isStopped) {
+			this.#timer = setTimeout(
+				() => {
+					void this.#step();
+				},
+				waitMs * (0.5 + Math.random()),
+			);
+		}
+	}
+}
--- /dev/null
+++ b/src/daemons/gateway/send.ts
@@ -0,0 +1,355 @@
+import {Buffer} from 'node:buffer';
+import type {Dispatcher} from 'undici';
+import type {
+	AnswerHead,
+	HttpFormat,
+	RawHeaders,
+} from '../../interfaces/index.js';
+import {
+	EventSplitter,
+	type SendEnd,
+	type Upstream,
+} from '../../services/gateway/index.js';
+import {monotonicNow} from '../task.js';
+import type {CallerOutput} from './caller-output.js';
+import type {Connection, Connections} from './connections.js';
+
+/** Answer that is kept until it is whole, in bytes; a longer one is handed on as it comes and cannot be replaced by a repeated one. */
+const maxHeldBytes = 256 * 1024;
+
+const success = 200;
+const firstFailure = 300;
+const unavailable = 503;
+
+/** Statuses that tell a caller that its request has not run. */
+const promises: ReadonlySet<number> = new Set([408, 421, 429, unavailable]);
+
+/** Whole answer of an endpoint. */
+export type HeldAnswer = {
+	readonly status: number;
+	readonly headers: RawHeaders;
+	readonly body: Uint8Array;
+};
+
+/** How far the caller's stream has come; shared by the sends that continue it. */
+export type StreamPosition = {
+	/** Number of the last event that the caller has. */
+	lastEventId: number | undefined;
+};
+
+export type SendOptions = {
+	readonly format: HttpFormat;
+	readonly upstream: Upstream;
+	readonly connections: Connections;
+	readonly output: CallerOutput;
+	readonly requestId: string;
+	readonly isStream: boolean;
+	readonly isOnce: boolean;
+	readonly position: StreamPosition;
+	/** Longest silence before the first byte of the answer, in milliseconds; undefined for no limit of its own. */
+	readonly firstByteMs: number | undefined;
+	/** Longest silence within the answer, in milliseconds. */
+	readonly gapMs: number | undefined;
+};
+
+/** One send of a request to one endpoint: reads the answer, hands events on and reports how it ended. */
+export class Send implements Dispatcher.DispatchHandler {
+	/** Resolves exactly once; the promise never rejects. */
+	readonly ended: Promise<SendEnd>;
+	/** The answer of a send that ended as `answered`. */
+	answer: HeldAnswer | undefined;
+	isSent = false;
+	/** Called at the first byte of the answer's body. */
+	onDidAnswer: () => void = () => undefined;
+	/** Moment of the first byte of the answer's body or of its end. */
+	firstByteAt: number | undefined;
+	readonly #options: SendOptions;
+	readonly #connection: Connection;
+	readonly #startedAt = monotonicNow();
+	readonly #splitter = new EventSplitter();
+	#end!: (end: SendEnd) => void;
+	#isEnded = false;
+	#controller: Dispatcher.DispatchController | undefined;
+	#status = 0;
+	#headers: RawHeaders = [];
+	#head: AnswerHead | undefined;
+	#mode: 'events' | 'held' | 'passed' = 'held';
+	#held: Uint8Array[] = [];
+	#heldBytes = 0;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(options: SendOptions) {
+		this.#options = options;
+		this.#connection = options.connections.take(options.isOnce);
+		this.ended = new Promise((resolve) => {
+			this.#end = resolve;
+		});
+	}
+
+	start(options: Dispatcher.DispatchOptions): void {
+		this.#connection.dispatch(options, this);
+		this.#watch(this.#options.firstByteMs);
+	}
+
+	/** Breaks the send off; the endpoint drops the request when its connection closes. */
+	cancel(end: SendEnd): void {
+		if (this.#finish(end)) {
+			this.#options.connections.discard(this.#connection);
+		}
+	}
+
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		this.#controller = controller;
+		this.isSent = true;
+	}
+
+	onResponseStart(
+		controller: Dispatcher.DispatchController,
+		status: number,
+	): void {
+		if (this.#isEnded || status < success) {
+			return;
+		}
+
+		const {format, requestId, upstream} = this.#options;
+		const now = monotonicNow();
+		this.#status = status;
+		this.#headers = toText(controller.rawHeaders);
+		const head = format.readAnswer(status, this.#headers);
+		this.#head = head;
+		upstream.heard(now);
+		if (head.requestId !== undefined && head.requestId !== requestId) {
+			this.cancel({type: 'broken', reason: 'answer to another request'});
+			return;
+		}
+
+		if (head.load) {
+			upstream.stated(head.load, now);
+		}
+
+		if (status < firstFailure && (!head.isSigned || head.isEncoded)) {
+			this.cancel({type: 'broken', reason: 'success without signature'});
+			return;
+		}
+
+		if (this.#options.isStream && status === success) {
+			this.#mode = 'events';
+		}
+	}
+
+	onResponseData(
+		controller: Dispatcher.DispatchController,
+		chunk: Uint8Array,
+	): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		this.#options.upstream.heard(monotonicNow());
+		this.#watch(this.#options.gapMs);
+		switch (this.#mode) {
+			case 'events': {
+				this.#readEvents(chunk);
+				break;
+			}
+
+			case 'held': {
+				this.#hold(chunk);
+				break;
+			}
+
+			case 'passed': {
+				this.#noteFirstByte();
+				this.#write(chunk);
+				break;
+			}
+		}
+	}
+
+	onResponseEnd(): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		if (this.#connection.isReset) {
+			this.cancel({type: 'broken', reason: 'connection reset'});
+			return;
+		}
+
+		this.#noteFirstByte();
+		const end = this.#conclude();
+		if (end.type === 'broken') {
+			this.cancel(end);
+		} else if (this.#finish(end)) {
+			// The library marks the connection free only after this call.
+			setImmediate(() => {
+				this.#options.connections.release(this.#connection);
+			});
+		}
+	}
+
+	onResponseError(
+		controller: Dispatcher.DispatchController,
+		error: Error,
+	): void {
+		this.cancel(
+			this.isSent
+				? {type: 'broken', reason: error.message}
+				: {type: 'unsent', reason: error.message},
+		);
+	}
+
+	/** Outcome of an answer that has been read to its end. */
+	#conclude(): SendEnd {
+		const head = this.#head!;
+		if (head.isNotExecuted) {
+			return {
+				type: 'rejected',
+				status: this.#status,
+				retryAfterMs: head.retryAfterMs,
+			};
+		}
+
+		if (promises.has(this.#status)) {
+			return {
+				type: 'broken',
+				reason: `status ${this.#status} without a statement that the request did not run`,
+			};
+		}
+
+		switch (this.#mode) {
+			case 'events': {
+				return this.#splitter.restLength > 0 || !this.#options.output.isBegun
+					? {type: 'broken', reason: 'stream ended within an event'}
+					: {type: 'delivered'};
+			}
+
+			case 'held': {
+				this.answer = {
+					status: this.#status,
+					headers: this.#headers,
+					body: Buffer.concat(this.#held),
+				};
+				return {type: 'answered', status: this.#status};
+			}
+
+			case 'passed': {
+				return {type: 'delivered'};
+			}
+		}
+	}
+
+	#readEvents(chunk: Uint8Array): void {
+		const {position} = this.#options;
+		const ready: Uint8Array[] = [];
+		for (const event of this.#splitter.push(chunk)) {
+			const {id} = event;
+			const last = position.lastEventId;
+			if (id !== undefined && last !== undefined && id <= last) {
+				continue;
+			}
+
+			if (id !== undefined && last !== undefined && id > last + 1) {
+				this.#flush(ready);
+				this.cancel({type: 'broken', reason: `event ${last + 1} is missing`});
+				return;
+			}
+
+			position.lastEventId = id ?? last;
+			ready.push(event.bytes);
+		}
+
+		this.#flush(ready);
+	}
+
+	#flush(events: readonly Uint8Array[]): void {
+		if (events.length === 0) {
+			return;
+		}
+
+		this.#noteFirstByte();
+		this.#begin();
+		this.#write(events.length === 1 ? events[0]! : Buffer.concat(events));
+	}
+
+	#hold(chunk: Uint8Array): void {
+		this.#held.push(Buffer.from(chunk));
+		this.#heldBytes += chunk.length;
+		if (
+			this.#heldBytes > maxHeldBytes &&
+			!this.#head!.isNotExecuted &&
+			!promises.has(this.#status)
+		) {
+			this.#mode = 'passed';
+			this.#noteFirstByte();
+			this.#begin();
+			this.#write(Buffer.concat(this.#held));
+			this.#held = [];
+		}
+	}
+
+	#noteFirstByte(): void {
+		if (this.firstByteAt === undefined) {
+			this.firstByteAt = monotonicNow();
+			this.onDidAnswer();
+		}
+	}
+
+	#begin(): void {
+		const {output, format} = this.#options;
+		if (!output.isBegun) {
+			output.begin(this.#status, format.answerHeaders(this.#headers));
+		}
+	}
+
+	#write(bytes: Uint8Array): void {
+		const controller = this.#controller!;
+		const goesOn = this.#options.output.write(bytes, () => {
+			controller.resume();
+			this.#watch(this.#options.gapMs);
+		});
+		if (!goesOn) {
+			controller.pause();
+			clearTimeout(this.#timer);
+		}
+	}
+
+	/** Ends the send when nothing comes within a time. */
+	#watch(ms: number | undefined): void {
+		clearTimeout(this.#timer);
+		if (ms !== undefined && !this.#isEnded) {
+			this.#timer = setTimeout(() => {
+				const elapsed = Math.round(monotonicNow() - this.#startedAt);
+				this.cancel(
+					this.isSent
+						? {
+								type: 'silent',
+								reason: `nothing for ${Math.round(ms)} ms, ${elapsed} ms after the start`,
+							}
+						: {type: 'unsent', reason: 'no connection in time'},
+				);
+			}, ms);
+		}
+	}
+
+	#finish(end: SendEnd): boolean {
+		if (this.#isEnded) {
+			return false;
+		}
+
+		this.#isEnded = true;
+		clearTimeout(this.#timer);
+		this.#end(end);
+		return true;
+	}
+}
+
+function toText(
+	headers: Dispatcher.DispatchController['rawHeaders'],
+): RawHeaders {
+	return Array.isArray(headers)
+		? headers.map((text) =>
+				typeof text === 'string' ? text : text.toString('latin1'),
+			)
+		: [];
+}
--- /dev/null
+++ b/src/daemons/gateway/table-watch.ts
@@ -0,0 +1,112 @@
+import type {Disposable} from '../../base/index.js';
+import type {WatchedTable} from '../../interfaces/index.js';
+import type {Clocks} from '../../services/gateway/index.js';
+import {readClocks} from './clocks.js';
+
+/** Pause after a failed call, in milliseconds; half of it is random, so that gateways do not call in step. */
+const retryPauseMs = 300;
+
+/** Time between two reads of the whole table, in milliseconds; repairs what a feed missed. */
+const relistMs = 10_000;
+
+export type TableWatchOptions<Change> = {
+	readonly table: WatchedTable<Change>;
+	/** Time that a feed call waits for a change, in milliseconds. */
+	readonly waitMs: number;
+	/** Pause between two feed calls, in milliseconds; collects frequent changes in one answer. */
+	readonly pauseMs: number;
+	/** Whole table; `isAfterOutage` tells that calls have failed since the last answer. */
+	readonly onList: (changes: readonly Change[], isAfterOutage: boolean) => void;
+	readonly onChange: (change: Change) => void;
+	/** A call was answered; the copy was current when the call was sent. */
+	readonly onConfirm: (sentAt: Clocks) => void;
+	/** Called once when calls begin to fail, with the reason, and once when they succeed again. */
+	readonly onContact: (reason: string | undefined) => void;
+};
+
+/** Task that keeps a copy of one table of the platform's store up to date. */
+export class TableWatch<Change> implements Disposable {
+	readonly #options: TableWatchOptions<Change>;
+	#position: number | undefined;
+	#listedAt = 0;
+	#hasFailed = false;
+	#isDisposed = false;
+
+	constructor(options: TableWatchOptions<Change>) {
+		this.#options = options;
+	}
+
+	start(): void {
+		void this.#run();
+	}
+
+	dispose(): void {
+		this.#isDisposed = true;
+	}
+
+	async #run(): Promise<void> {
+		while (!this.#isDisposed) {
+			const sentAt = readClocks();
+			try {
+				await this.#step(sentAt);
+				this.#options.onConfirm(sentAt);
+				if (this.#options.pauseMs > 0) {
+					await pause(this.#options.pauseMs);
+				}
+			} catch (error) {
+				this.#position = undefined;
+				if (!this.#hasFailed) {
+					this.#hasFailed = true;
+					this.#options.onContact(String(error));
+				}
+
+				await pause((retryPauseMs / 2) * (1 + Math.random()));
+			}
+		}
+	}
+
+	async #step(sentAt: Clocks): Promise<void> {
+		const {table, waitMs, onList, onChange} = this.#options;
+		if (
+			this.#position === undefined ||
+			sentAt.steadyMs - this.#listedAt > relistMs
+		) {
+			const {changes, position} = await table.list();
+			onList(changes, this.#hasFailed);
+			this.#position = position;
+			this.#listedAt = sentAt.steadyMs;
+			this.#regain();
+			return;
+		}
+
+		const feed = await table.feed(this.#position, waitMs);
+		switch (feed.type) {
+			case 'lost': {
+				this.#position = undefined;
+				break;
+			}
+
+			case 'changes': {
+				for (const change of feed.changes) {
+					onChange(change);
+				}
+
+				this.#position = feed.position;
+				break;
+			}
+		}
+	}
+
+	#regain(): void {
+		if (this.#hasFailed) {
+			this.#hasFailed = false;
+			this.#options.onContact(undefined);
+		}
+	}
+}
+
+async function pause(ms: number): Promise<void> {
+	return new Promise((resolve) => {
+		setTimeout(resolve, ms);
+	});
+}
--- a/src/daemons/log.ts
+++ b/src/daemons/log.ts
@@ -8,15 +8,22 @@
 	readonly format: 'text' | 'json';
 	/** Lines below this level are not written. */
 	readonly level: 'debug' | 'info' | 'warn' | 'error' | 'silent';
+	/** Where lines go in place of the console, which blocks while its reader is slow. */
+	readonly write?: (line: string) => void;
 };
 
-/** Writes one line for each change of state. */
+/** Writes structured lines. */
 export class Log {
 	readonly #options: LogOptions;
 	readonly #logger = loglevel.getLogger('cicadaswitch');
 
 	constructor(options: LogOptions) {
 		this.#options = options;
+		const {write} = options;
+		if (write) {
+			this.#logger.methodFactory = () => write;
+		}
+
 		this.#logger.setLevel(options.level, false);
 	}
 
--- /dev/null
+++ b/src/interfaces/ports/http-format.ts
@@ -0,0 +1,72 @@
+/** Headers as they stand on the wire: name, value, name, value. */
+export type RawHeaders = readonly string[];
+
+/** Part of a prompt that several requests may share. */
+export type PromptPart = {
+	readonly id: string;
+	readonly tokens: number;
+};
+
+/** What a request tells about the work that it brings to a model engine. */
+export type Prompt = {
+	readonly model: string;
+	readonly promptTokens: number;
+	/** Most tokens that the answer may have. */
+	readonly maxOutputTokens: number;
+	/** In order; the last one belongs to the request itself or to its session. */
+	readonly parts: readonly PromptPart[];
+};
+
+/** What the router needs to know of a request's head. */
+export type RequestHead = {
+	readonly requestId: string;
+	/** Time that the caller will wait, in milliseconds; undefined when it does not say. */
+	readonly deadlineMs: number | undefined;
+	readonly key: string | undefined;
+	/** Number of the last event that the caller has of this stream. */
+	readonly lastEventId: number | undefined;
+	readonly prompt: Prompt | undefined;
+};
+
+/** What the router adds to a request for one endpoint. */
+export type SendHead = {
+	/** The endpoint rejects the request when it is not this one. */
+	readonly endpointId: string;
+	/** Time left, in milliseconds. */
+	readonly deadlineMs: number;
+	readonly workspace: string | undefined;
+	readonly tier: number;
+	/** Event after which a stream goes on. */
+	readonly lastEventId: number | undefined;
+};
+
+/** Load that an endpoint states in an answer. */
+export type StatedLoad = {
+	readonly running: number;
+	readonly waiting: number;
+	readonly slots: number;
+};
+
+/** What the router needs to know of an answer's head. */
+export type AnswerHead = {
+	/** Request that the answer belongs to. */
+	readonly requestId: string | undefined;
+	/** The endpoint vouches for the answer; a success without it is not the endpoint's. */
+	readonly isSigned: boolean;
+	/** The endpoint states that the request did not run. */
+	readonly isNotExecuted: boolean;
+	readonly load: StatedLoad | undefined;
+	readonly retryAfterMs: number | undefined;
+	/** The body has been encoded on the way. */
+	readonly isEncoded: boolean;
+};
+
+/** Names and formats of headers on the wire. Methods without a network or state. */
+export type HttpFormat = {
+	readRequest(headers: RawHeaders): RequestHead;
+	/** Headers for an endpoint: the caller's, less those of one connection and those that the router sets. */
+	requestHeaders(headers: RawHeaders, head: SendHead): string[];
+	readAnswer(status: number, headers: RawHeaders): AnswerHead;
+	/** Headers for the caller: the endpoint's, less those of one connection. */
+	answerHeaders(headers: RawHeaders): string[];
+};
--- /dev/null
+++ b/src/services/gateway/confirmation.ts
@@ -0,0 +1,34 @@
+/** Clocks of a process, in milliseconds. Only their differences are used. */
+export type Clocks = {
+	/** Steady; stands still while the machine is suspended. */
+	readonly steadyMs: number;
+	/** Steady; goes on while the machine is suspended. */
+	readonly bootMs: number;
+	/** Time of day; may jump either way. */
+	readonly wallMs: number;
+};
+
+/**
+ * Age of what a process believes. The largest difference of the three clocks
+ * counts, so that neither a suspension nor a step of one clock makes an old
+ * belief look young.
+ */
+export class Confirmation {
+	#at: Clocks | undefined;
+
+	/** The belief was true when the call that confirmed it was sent. */
+	confirm(sentAt: Clocks): void {
+		this.#at = sentAt;
+	}
+
+	/** Time since the last confirmation in milliseconds; infinite before the first. */
+	ageMs(now: Clocks): number {
+		return this.#at
+			? Math.max(
+					now.steadyMs - this.#at.steadyMs,
+					now.bootMs - this.#at.bootMs,
+					now.wallMs - this.#at.wallMs,
+				)
+			: Number.POSITIVE_INFINITY;
+	}
+}
--- /dev/null
+++ b/src/services/gateway/routing-table.ts
@@ -0,0 +1,89 @@
+import {hash32} from '../../base/index.js';
+import type {
+	Configuration,
+	Route,
+	Service,
+	KeyHolder,
+} from '../../interfaces/index.js';
+
+/** Lookups in one version of the configuration; built once for each version. */
+export class RoutingTable {
+	/** Routes by host and path prefix. */
+	readonly #routes = new Map<string, Map<string, Route>>();
+	readonly #services = new Map<string, Service>();
+	readonly #workspaces = new Map<string, KeyHolder>();
+
+	constructor(readonly configuration: Configuration) {
+		for (const route of configuration.routes) {
+			const host = route.host.toLowerCase();
+			const prefixes = this.#routes.get(host) ?? new Map<string, Route>();
+			prefixes.set(route.pathPrefix, route);
+			this.#routes.set(host, prefixes);
+		}
+
+		for (const service of configuration.services) {
+			this.#services.set(service.name, service);
+		}
+
+		for (const workspace of configuration.workspaces) {
+			for (const key of workspace.keys) {
+				this.#workspaces.set(key, workspace);
+			}
+		}
+	}
+
+	/** Keys are in use: a request on a route that is not public needs one. */
+	get hasWorkspaces(): boolean {
+		return this.configuration.workspaces.length > 0;
+	}
+
+	/** Route with the longest prefix that begins the path; the time is that of the path's depth, not of the number of routes. */
+	route(host: string, target: string): Route | undefined {
+		const prefixes = this.#routes.get(hostName(host));
+		if (!prefixes) {
+			return undefined;
+		}
+
+		const [path = ''] = target.split('?', 1);
+		for (
+			let end = path.lastIndexOf('/');
+			end >= 0;
+			end = end === 0 ? -1 : path.lastIndexOf('/', end - 1)
+		) {
+			const route = prefixes.get(path.slice(0, end + 1));
+			if (route) {
+				return route;
+			}
+		}
+
+		return undefined;
+	}
+
+	workspace(key: string): KeyHolder | undefined {
+		return this.#workspaces.get(key);
+	}
+
+	service(name: string): Service | undefined {
+		return this.#services.get(name);
+	}
+
+	/** Service for a request by the weights of its route; the same request id always gets the same one. */
+	target(route: Route, requestId: string): Service | undefined {
+		const total = route.targets.reduce((sum, {weight}) => sum + weight, 0);
+		let point = (hash32(requestId) / 2 ** 32) * total;
+		for (const {service, weight} of route.targets) {
+			point -= weight;
+			if (point < 0) {
+				return this.service(service);
+			}
+		}
+
+		const last = route.targets.at(-1);
+		return last && this.service(last.service);
+	}
+}
+
+function hostName(host: string): string {
+	const [name = ''] = host.split(':', 1);
+	return name.toLowerCase();
+}
--- /dev/null
+++ b/src/services/gateway/upstream.ts
@@ -0,0 +1,124 @@
+import type {
+	ListedEndpoint,
+	PromptPart,
+	Service,
+	StatedLoad,
+} from '../../interfaces/index.js';
+import {Health} from './health.js';
+import {PrefixMemory} from './prefix-memory.js';
+
+/** Time in which stated load of other gateways counts for a third of what it did, in milliseconds: about the duration of an answer. */
+const statedLoadFadeMs = 1500;
+
+/** Weight of one sample in the moving ratios. */
+const sampleWeight = 0.2;
+
+/** Bounds of the ratio of observed to expected time. */
+const minSlowness = 0.5;
+const maxSlowness = 10;
+
+/** Time in which the slowness falls back towards 1 while there are no samples, in milliseconds. */
+const slownessFadeMs = 5000;
+
+/** Work that this gateway has in progress at an endpoint. */
+export type Work = {
+	/** Prompt tokens that the engine has to read. */
+	readonly uncachedTokens: number;
+	hasAnswered: boolean;
+};
+
+/** One incarnation of an endpoint, as this gateway sees it. */
+export class Upstream {
+	readonly health = new Health();
+	readonly prefixes: PrefixMemory;
+	readonly #works = new Set<Work>();
+	#stated: {load: StatedLoad; ownRunning: number; at: number} | undefined;
+	#slowness = 1;
+	#slownessAt = 0;
+	#lastHeardAt = 0;
+
+	constructor(
+		/** Its latest entry in the list. */
+		public listed: ListedEndpoint,
+		readonly firstSeenAt: number,
+		service: Service | undefined,
+	) {
+		this.prefixes = new PrefixMemory(service?.engine?.kvTokens ?? 0);
+	}
+
+	get id(): string {
+		return this.listed.id;
+	}
+
+	/** Requests of this gateway in progress. */
+	get ownRunning(): number {
+		return this.#works.size;
+	}
+
+	/** Moment of the last byte from the endpoint. */
+	get lastHeardAt(): number {
+		return this.#lastHeardAt;
+	}
+
+	heard(now: number): void {
+		this.#lastHeardAt = now;
+	}
+
+	begin(parts: readonly PromptPart[], uncachedTokens: number): Work {
+		const work = {uncachedTokens, hasAnswered: false};
+		this.#works.add(work);
+		this.prefixes.read(parts);
+		return work;
+	}
+
+	end(work: Work): void {
+		this.#works.delete(work);
+	}
+
+	/** Notes the load that the endpoint states in an answer. */
+	stated(load: StatedLoad, now: number): void {
+		this.#stated = {load, ownRunning: this.ownRunning, at: now};
+	}
+
+	/** Notes a time to the first byte against what was expected, in milliseconds. */
+	timed(observedMs: number, expectedMs: number, now: number): void {
+		const sample = Math.min(
+			maxSlowness,
+			Math.max(minSlowness, observedMs / Math.max(1, expectedMs)),
+		);
+		const slowness = this.slowness(now);
+		this.#slowness = slowness + sampleWeight * (sample - slowness);
+		this.#slownessAt = now;
+	}
+
+	/** Ratio of observed to expected times. */
+	slowness(now: number): number {
+		const fade = Math.exp((this.#slownessAt - now) / slownessFadeMs);
+		return 1 + (this.#slowness - 1) * fade;
+	}
+
+	/** Requests in progress, those of other gateways as the endpoint stated them. */
+	running(now: number): number {
+		return this.ownRunning + this.#othersRunning(now);
+	}
+
+	/** Prompt tokens of this gateway's requests that the engine has still to read. */
+	unreadTokens(): number {
+		let tokens = 0;
+		for (const work of this.#works) {
+			tokens += work.hasAnswered ? 0 : work.uncachedTokens;
+		}
+
+		return tokens;
+	}
+
+	#othersRunning(now: number): number {
+		if (!this.#stated) {
+			return 0;
+		}
+
+		const {load, ownRunning, at} = this.#stated;
+		const others = Math.max(0, load.running + load.waiting - ownRunning);
+		return others * Math.exp((at - now) / statedLoadFadeMs);
+	}
+}
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -10,7 +10,7 @@
 }));
 
 const config: FlatXoConfig = [
-	{ignores: ['dist/**']},
+	{ignores: ['dist/**', 'target/**', 'journal/**']},
 	{
 		prettier: true,
 		rules: {
@@ -70,7 +70,7 @@
 		},
 	},
 	{
-		files: ['src/cli/**/*.ts'],
+		files: ['src/cli/**/*.ts', 'platform/main.ts'],
 		rules: {
 			// Commands end with the exit status that operators' scripts rely on.
 			'unicorn/no-process-exit': 'off',
