Tell the other gateways the load of engines and the prompt parts that they read

Change: datagrams between gateways carry requests in progress, unread tokens and prompt parts begun and read; placement prefers engines that hold or are reading the parts, the more the longer the backlog; requests wait at the gateway while engines have prompts to read, urgent and punctual ones first; an engine that answers a state request is not given up on before 1.5 objectives.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -10,24 +10,44 @@
 	nextStep,
 	patience,
 	place,
+	prefixLinks,
 	type Course,
 	type EndpointSet,
 	type NextStep,
+	type PrefixLink,
 	type Assignment,
 	type RetryAllowance,
 	type SendEnd,
 	type Upstream,
+	type Waiting,
+	type WaitingRoom,
+	type Work,
 } from '../../services/gateway/index.js';
 import type {Log} from '../log.js';
 import {monotonicNow} from '../task.js';
 import type {CallerOutput} from './caller-output.js';
 import type {ConnectionDirectory} from './connection-directory.js';
 import {sendOwnAnswer} from './own-answer.js';
+import {isAlive} from './liveness.js';
 import {Send, type HeldAnswer, type StreamPosition} from './send.js';
 
 /** Part of a Retry-After that is random, so that callers do not return together. */
 const retryAfterSpread = 0.5;
 
+/** Part of its objective after which a request that found no room is refused. */
+const maxWaitObjectivePart = 1;
+
+/** When a caller may come back after there was no room, as a part of the objective: bursts last for seconds. */
+const noRoomRetryObjectivePart = 1;
+
+/** Assignment to an endpoint, with the work noted there. */
+type Placed = {
+	readonly type: 'send';
+	readonly upstream: Upstream;
+	readonly expectedMs: number;
+	readonly work: Work;
+};
+
 /** A request as the gateway has read and resolved it. */
 export type CallerRequest = {
 	readonly method: string;
@@ -54,6 +74,15 @@
 	readonly allowance: RetryAllowance;
 	readonly gateways: () => number;
 	readonly log: Log;
+	readonly room: WaitingRoom;
+	/** Tells the other gateways what an engine reads. */
+	readonly noteReads: (
+		endpoint: string,
+		links: readonly PrefixLink[],
+		isDone: boolean,
+	) => void;
+	/** Places waiting requests, because there may be room. */
+	readonly sweep: () => void;
 	readonly onDidEnd: (summary: ExchangeSummary) => void;
 };
 
@@ -73,6 +102,7 @@
 	readonly #output: CallerOutput;
 	readonly #expiresAt: number;
 	readonly #position: StreamPosition;
+	readonly #links: readonly PrefixLink[];
 	readonly #tried = new Set<Upstream>();
 	#send: Send | undefined;
 	#sends = 0;
@@ -91,6 +121,7 @@
 		this.#request = request;
 		this.#output = output;
 		this.#position = {lastEventId: request.head.lastEventId};
+		this.#links = prefixLinks(request.head.prompt?.parts ?? []);
 		this.#expiresAt =
 			request.receivedAt +
 			Math.min(
@@ -129,49 +160,127 @@
 			return {type: 'done'};
 		}
 
-		const now = monotonicNow();
 		if (this.#remainingMs() <= 0) {
 			return nextStep({type: 'expired'}, this.#course(), () => false);
 		}
 
-		const assignment = this.#place(now);
-		switch (assignment.type) {
+		const placed = await this.#placeInTurn();
+		switch (placed.type) {
 			case 'refuse': {
-				const {reason, retryAfterMs} = assignment;
+				const {reason, retryAfterMs} = placed;
 				return this.#giveUp(reason, retryAfterMs);
 			}
 
+			case 'abandoned': {
+				return {type: 'done'};
+			}
+
 			case 'send': {
-				const end = await this.#perform(assignment);
+				const end = await this.#perform(placed);
 				return this.#follow(end);
 			}
 		}
 	}
 
+	/** Waits until the request is placed, refused or abandoned. */
+	async #placeInTurn(): Promise<
+		Placed | Extract<Assignment, {type: 'refuse'}> | {type: 'abandoned'}
+	> {
+		const {room, sweep} = this.#context;
+		const {route, receivedAt, workspace} = this.#request;
+		const lateAt = receivedAt + route.objectiveMs;
+		const waitUntil = Math.min(
+			this.#expiresAt,
+			receivedAt + route.objectiveMs * maxWaitObjectivePart,
+		);
+		return new Promise((resolve) => {
+			const waiting: Waiting = {
+				tier: workspace?.tier ?? route.tier,
+				arrivedAt: receivedAt,
+				lateAt,
+				tryPlace: (now) => {
+					if (this.#isAbandoned) {
+						resolve({type: 'abandoned'});
+						return true;
+					}
+
+					const assignment = this.#place(now);
+					switch (assignment.type) {
+						case 'send': {
+							resolve(this.#begin(assignment));
+							return true;
+						}
+
+						case 'refuse': {
+							resolve(assignment);
+							return true;
+						}
+
+						case 'wait': {
+							if (now < waitUntil) {
+								return false;
+							}
+
+							resolve({
+								type: 'refuse',
+								reason: 'no room in time',
+								retryAfterMs: route.objectiveMs * noRoomRetryObjectivePart,
+							});
+							return true;
+						}
+					}
+				},
+			};
+			room.add(waiting);
+			sweep();
+		});
+	}
+
+	#begin(assignment: Extract<Assignment, {type: 'send'}>): Placed {
+		const {upstream, expectedMs, uncachedTokens, home} = assignment;
+		const {head} = this.#request;
+		this.#tried.add(upstream);
+		const now = monotonicNow();
+		this.#log('placed', {
+			endpoint: upstream.id,
+			expected_ms: Math.round(expectedMs),
+			waited_ms: Math.round(now - this.#request.receivedAt),
+			home,
+			prompt_tokens: head.prompt?.promptTokens ?? 0,
+			uncached_tokens: Math.round(uncachedTokens),
+			unread_tokens: Math.round(upstream.unreadTokens(now)),
+			running: Math.round(upstream.running(now) * 10) / 10,
+			failing: Math.round(upstream.health.failingPart(now) * 100) / 100,
+		});
+		const work = upstream.begin(this.#links, uncachedTokens, now);
+		this.#context.noteReads(upstream.id, this.#links.slice(0, -1), false);
+		return {type: 'send', upstream, expectedMs, work};
+	}
+
 	#place(now: number): Assignment {
 		const {endpoints, dataCentre} = this.#context;
-		const {head, route, service} = this.#request;
+		const {head, receivedAt, route, service} = this.#request;
 		return place(
 			{
 				prompt: service.engine ? head.prompt : undefined,
+				links: this.#links,
+				waitedMs: now - receivedAt,
 				tried: this.#tried,
 				isOnce: route.repetition === 'once',
 				dataCentre,
+				objectiveMs: route.objectiveMs,
 			},
 			endpoints.serving(service.name, now),
 			now,
 		);
 	}
 
-	async #perform(
-		assignment: Extract<Assignment, {type: 'send'}>,
-	): Promise<SendEnd> {
-		const {upstream, expectedMs, uncachedTokens} = assignment;
-		const {format, connections} = this.#context;
+	async #perform(placed: Placed): Promise<SendEnd> {
+		const {upstream, expectedMs, work} = placed;
+		const {format, connections, noteReads, sweep} = this.#context;
 		const {method, target, headers, body, head, route, workspace} =
 			this.#request;
 		const canSendAgain = this.#sends + 1 < route.maxSends;
-		this.#tried.add(upstream);
 		const send = new Send({
 			format,
 			upstream,
@@ -181,24 +290,19 @@
 			isStream: route.isStream,
 			isOnce: route.repetition === 'once',
 			position: this.#position,
+			isAlive: async () => isAlive(connections.of(upstream), format),
 			...patience(route, expectedMs, canSendAgain),
 		});
 		this.#send = send;
-		const work = upstream.begin(head.prompt?.parts ?? [], uncachedTokens);
 		const startedAt = monotonicNow();
-		this.#log('placed', {
-			endpoint: upstream.id,
-			expected_ms: Math.round(expectedMs),
-			uncached_tokens: uncachedTokens,
-			running: Math.round(upstream.running(startedAt) * 10) / 10,
-			failing: Math.round(upstream.health.failingPart(startedAt) * 100) / 100,
-		});
 		send.onDidAnswer = () => {
-			work.hasAnswered = true;
+			upstream.answered(work, this.#links);
+			noteReads(upstream.id, this.#links.slice(0, -1), true);
+			sweep();
 		};
 
 		send.start({
-			method,
+			method: method as 'GET',
 			path: target,
 			headers: format.requestHeaders(headers, {
 				endpointId: upstream.id,
@@ -213,7 +317,8 @@
 		});
 		const end = await send.ended;
 		upstream.end(work);
-		this.#note(send, end, assignment, startedAt);
+		this.#note(send, end, placed, startedAt);
+		sweep();
 		return end;
 	}
 
@@ -221,7 +326,7 @@
 	#note(
 		send: Send,
 		end: SendEnd,
-		{upstream, expectedMs}: Extract<Assignment, {type: 'send'}>,
+		{upstream, expectedMs}: Placed,
 		startedAt: number,
 	): void {
 		const now = monotonicNow();
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -21,8 +21,10 @@
 import {
 	Confirmation,
 	EndpointSet,
+	PeerLoads,
 	RetryAllowance,
 	RoutingTable,
+	WaitingRoom,
 	type RetryBounds,
 } from '../../services/gateway/index.js';
 import {listen} from '../listen.js';
@@ -33,6 +35,7 @@
 import {ConnectionDirectory} from './connection-directory.js';
 import {Exchange, type ExchangeContext} from './exchange.js';
 import {sendOwnAnswer, type OwnAnswer} from './own-answer.js';
+import {PeerExchange} from './peer-exchange.js';
 import {readBody} from './request-body.js';
 import {RosterTask} from './roster-task.js';
 import {TableWatch} from './table-watch.js';
@@ -64,6 +67,9 @@
 /** Time for which a connection stays open beyond the idle time that callers are told, in milliseconds. */
 const idleMarginMs = 2000;
 
+/** Time after which waiting requests are looked at again, in milliseconds. */
+const sweepPeriodMs = 40;
+
 /** Headers before the configuration is known, in bytes; also the library's own bound. */
 const maxHeaderBytes = 64 * 1024;
 
@@ -75,6 +81,9 @@
 };
 
 export type GatewayOptions = {
+	/** Name of this gateway. */
+	readonly instance: string;
+	readonly peerAddress: string;
 	readonly dataCentre: string;
 	readonly callerAddress: string;
 	readonly readinessAddress: string;
@@ -105,6 +114,9 @@
 	readonly #endpoints: EndpointSet;
 	readonly #confirmation = new Confirmation();
 	readonly #roster: RosterTask;
+	readonly #peers: PeerExchange;
+	readonly #room = new WaitingRoom();
+	#sweepTimer: NodeJS.Timeout | undefined;
 	readonly #exchanges = new Set<Exchange>();
 	#routing: RoutingTable | undefined;
 	#hasEndpoints = false;
@@ -113,8 +125,28 @@
 
 	constructor(options: GatewayOptions) {
 		this.#options = options;
-		this.#endpoints = new EndpointSet((name) => this.#routing?.service(name));
-		this.#roster = this.#store.add(new RosterTask(options.roster, options.log));
+		const loads = new PeerLoads();
+		this.#endpoints = new EndpointSet(
+			(name) => this.#routing?.service(name),
+			loads,
+		);
+		this.#peers = this.#store.add(
+			new PeerExchange({
+				instance: options.instance,
+				address: options.peerAddress,
+				endpoints: this.#endpoints,
+				loads,
+				log: options.log,
+				onDidHear: () => {
+					this.#sweep();
+				},
+			}),
+		);
+		this.#roster = this.#store.add(
+			new RosterTask(options.roster, options.log, (addresses) => {
+				this.#peers.setPeers(addresses);
+			}),
+		);
 		const connections = this.#store.add(new ConnectionDirectory());
 		this.#context = {
 			dataCentre: options.dataCentre,
@@ -124,6 +156,13 @@
 			allowance: new RetryAllowance(options.retries),
 			gateways: () => this.#roster.count,
 			log: options.log,
+			room: this.#room,
+			noteReads: (endpoint, links, isDone) => {
+				this.#peers.noteReads(endpoint, links, isDone);
+			},
+			sweep: () => {
+				this.#sweep();
+			},
 			onDidEnd: () => undefined,
 		};
 		this.#followEndpoints(connections);
@@ -157,6 +196,7 @@
 		const {callerAddress, readinessAddress, log} = this.#options;
 		await listen(this.#server, callerAddress);
 		await listen(this.#readiness, readinessAddress);
+		this.#peers.start();
 		this.#roster.start();
 		log.info('started', {caller: callerAddress});
 	}
@@ -188,6 +228,17 @@
 		this.#store.dispose();
 	}
 
+	/** Places waiting requests; comes back while some are left, because load falls also without an event here. */
+	#sweep(): void {
+		this.#room.sweep(monotonicNow());
+		if (this.#room.size > 0 && this.#sweepTimer === undefined) {
+			this.#sweepTimer = setTimeout(() => {
+				this.#sweepTimer = undefined;
+				this.#sweep();
+			}, sweepPeriodMs);
+		}
+	}
+
 	#createCallerServer(): Server {
 		const server = createServer(
 			{
--- a/src/daemons/gateway/roster-task.ts
+++ b/src/daemons/gateway/roster-task.ts
@@ -2,8 +2,11 @@
 import type {Roster} from '../../interfaces/index.js';
 import type {Log} from '../log.js';
 
-/** Time between two counts, in milliseconds. */
-const countPeriodMs = 10_000;
+/** Time between two reads of the roster, in milliseconds. */
+const readPeriodMs = 10_000;
+
+/** Time after the first read until the second, in milliseconds: all gateways may start together. */
+const secondReadMs = 1500;
 
 /** Time until a failed call is repeated, in milliseconds. */
 const retryMs = 2000;
@@ -16,13 +19,21 @@
 	readonly #roster: Roster;
 	readonly #log: Log;
 	#count = assumedGateways;
-	#hasJoined = false;
+	#hasEntered = false;
+	#reads = 0;
 	#isStopped = false;
 	#timer: NodeJS.Timeout | undefined;
 
-	constructor(roster: Roster, log: Log) {
+	readonly #onDidRead: (addresses: readonly string[]) => void;
+
+	constructor(
+		roster: Roster,
+		log: Log,
+		onDidRead: (addresses: readonly string[]) => void,
+	) {
 		this.#roster = roster;
 		this.#log = log;
+		this.#onDidRead = onDidRead;
 	}
 
 	/** Gateways that run. */
@@ -51,14 +62,17 @@
 	}
 
 	async #step(): Promise<void> {
-		let waitMs = countPeriodMs;
+		let waitMs = this.#reads === 0 ? secondReadMs : readPeriodMs;
 		try {
-			if (!this.#hasJoined) {
+			if (!this.#hasEntered) {
 				await this.#roster.enter();
-				this.#hasJoined = true;
+				this.#hasEntered = true;
 			}
 
-			const count = Math.max(1, await this.#roster.count());
+			const addresses = await this.#roster.addresses();
+			this.#reads++;
+			this.#onDidRead(addresses);
+			const count = Math.max(1, addresses.length);
 			if (count !== this.#count) {
 				this.#log.info('gateways', {count, before: this.#count});
 				this.#count = count;
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -50,6 +50,10 @@
 	readonly firstByteMs: number | undefined;
 	/** Longest silence within the answer, in milliseconds. */
 	readonly gapMs: number | undefined;
+	/** Silence after which `isAlive` is asked, in milliseconds; undefined to never ask. */
+	readonly checkMs: number | undefined;
+	/** Asks the endpoint itself whether it is alive. */
+	readonly isAlive: () => Promise<boolean>;
 };
 
 /** One send of a request to one endpoint: reads the answer, hands events on and reports how it ended. */
@@ -65,7 +69,6 @@
 	firstByteAt: number | undefined;
 	readonly #options: SendOptions;
 	readonly #connection: Connection;
-	readonly #startedAt = monotonicNow();
 	readonly #splitter = new EventSplitter();
 	#end!: (end: SendEnd) => void;
 	#isEnded = false;
@@ -77,6 +80,8 @@
 	#held: Uint8Array[] = [];
 	#heldBytes = 0;
 	#timer: NodeJS.Timeout | undefined;
+	#silentSince = 0;
+	#silenceMs: number | undefined;
 
 	constructor(options: SendOptions) {
 		this.#options = options;
@@ -314,22 +319,55 @@
 		}
 	}
 
-	/** Ends the send when nothing comes within a time. */
+	/** Ends the send when nothing comes within a time, or earlier when the endpoint is dead. */
 	#watch(ms: number | undefined): void {
 		clearTimeout(this.#timer);
-		if (ms !== undefined && !this.#isEnded) {
-			this.#timer = setTimeout(() => {
-				const elapsed = Math.round(monotonicNow() - this.#startedAt);
-				this.cancel(
-					this.isSent
-						? {
-								type: 'silent',
-								reason: `nothing for ${Math.round(ms)} ms, ${elapsed} ms after the start`,
-							}
-						: {type: 'unsent', reason: 'no connection in time'},
-				);
-			}, ms);
+		this.#silentSince = monotonicNow();
+		this.#silenceMs = ms;
+		this.#schedule();
+	}
+
+	#schedule(): void {
+		const ms = this.#silenceMs;
+		if (ms === undefined || this.#isEnded) {
+			return;
 		}
+
+		const left = this.#silentSince + ms - monotonicNow();
+		const {checkMs = Number.POSITIVE_INFINITY} = this.#options;
+		this.#timer = setTimeout(
+			() => {
+				if (left > checkMs) {
+					void this.#check();
+				} else {
+					this.#giveUp(`nothing for ${Math.round(ms)} ms`);
+				}
+			},
+			Math.max(0, Math.min(left, checkMs)),
+		);
+	}
+
+	/** Asks the endpoint unless it has been heard on another connection meanwhile. */
+	async #check(): Promise<void> {
+		const since = this.#silentSince;
+		const {upstream, checkMs = 0, isAlive} = this.#options;
+		const isHeard = monotonicNow() - upstream.lastHeardAt < checkMs;
+		const isDead = !isHeard && !(await isAlive());
+		if (since !== this.#silentSince) {
+			return;
+		}
+
+		if (isDead) {
+			this.#giveUp('endpoint does not answer');
+		} else {
+			this.#schedule();
+		}
+	}
+
+	#giveUp(reason: string): void {
+		this.cancel(
+			this.isSent ? {type: 'silent', reason} : {type: 'unsent', reason},
+		);
 	}
 
 	#finish(end: SendEnd): boolean {
--- a/src/interfaces/ports/http-format.ts
+++ b/src/interfaces/ports/http-format.ts
@@ -63,6 +63,8 @@
 
 /** Names and formats of headers on the wire. Methods without a network or state. */
 export type HttpFormat = {
+	/** Path at which a model engine reports its state, at any load. */
+	readonly enginePath: string;
 	readRequest(headers: RawHeaders): RequestHead;
 	/** Headers for an endpoint: the caller's, less those of one connection and those that the router sets. */
 	requestHeaders(headers: RawHeaders, head: SendHead): string[];
--- a/src/interfaces/ports/routing.ts
+++ b/src/interfaces/ports/routing.ts
@@ -135,6 +135,6 @@
 export type Roster = {
 	enter(): Promise<void>;
 	leave(): Promise<void>;
-	/** Gateways that have joined and not left; one that was lost stays counted. */
-	count(): Promise<number>;
+	/** Addresses of the gateways that have entered and not left; one that was lost stays listed. */
+	addresses(): Promise<readonly string[]>;
 };
--- a/src/services/gateway/endpoint-set.ts
+++ b/src/services/gateway/endpoint-set.ts
@@ -4,6 +4,7 @@
 	ListedEndpoint,
 	Service,
 } from '../../interfaces/index.js';
+import type {PeerLoads, ReadNotice} from './peer-loads.js';
 import {Upstream} from './upstream.js';
 
 /**
@@ -24,9 +25,14 @@
 	readonly #onDidLeave = new Emitter<{upstream: Upstream; why: Departure}>();
 	readonly #onDidDrain = new Emitter<Upstream>();
 	readonly #serviceOf: (name: string) => Service | undefined;
+	readonly #peers: PeerLoads;
 
-	constructor(serviceOf: (name: string) => Service | undefined) {
+	constructor(
+		serviceOf: (name: string) => Service | undefined,
+		peers: PeerLoads,
+	) {
 		this.#serviceOf = serviceOf;
+		this.#peers = peers;
 	}
 
 	readonly onDidAdd = this.#onDidAdd.event;
@@ -94,7 +100,20 @@
 		}
 	}
 
-	/** All upstreams, for a dump. */
+	/** Notes what other gateways made engines read. */
+	noteReads(reads: readonly ReadNotice[], now: number): void {
+		for (const {endpoint, hash, tokens, isDone} of reads) {
+			const prefixes = this.#upstreams.get(endpoint)?.prefixes;
+			const links = [{hash, tokens}];
+			if (isDone) {
+				prefixes?.read(links);
+			} else {
+				prefixes?.begin(links, now);
+			}
+		}
+	}
+
+	/** All upstreams. */
 	all(): Upstream[] {
 		return [...this.#upstreams.values()];
 	}
@@ -114,7 +133,7 @@
 
 		this.#leave(endpoint.id, 'restarted');
 		const service = this.#serviceOf(endpoint.service);
-		const upstream = new Upstream(endpoint, now, service);
+		const upstream = new Upstream(endpoint, now, service, this.#peers);
 		this.#upstreams.set(endpoint.id, upstream);
 		this.#onDidAdd.fire(upstream);
 	}
--- a/src/services/gateway/patience.ts
+++ b/src/services/gateway/patience.ts
@@ -1,18 +1,21 @@
 import type {Route} from '../../interfaces/index.js';
 
-/** Multiple of the expected time after which an engine counts as silent, and a constant beyond it, in milliseconds. */
-const streamFactor = 3;
-const streamExtraMs = 250;
+/** Multiple of the expected time after which an engine counts as silent although it is alive, and a constant beyond it, in milliseconds. */
+const streamFactor = 4;
+const streamExtraMs = 500;
 
-/** Part of the objective that a first try may use up: the rest must suffice for a second one. */
-const streamObjectivePart = 0.6;
+/** Least such time, as a multiple of the objective: an overloaded engine answers late, and sending its work elsewhere as well adds to the overload. */
+const streamObjectiveFactor = 1.5;
+
+/** Silence of an engine after which it is asked whether it is alive, in milliseconds. */
+const engineCheckMs = 500;
 
 /** Multiple of the expected time after which a plain service counts as silent; its slowest hundredth takes five times the mean. */
 const serviceFactor = 4;
 
-/** Multiple of the gap target after which a stream counts as silent, and the least such time in milliseconds. */
-const gapFactor = 3;
-const minGapMs = 600;
+/** Multiple of the gap target after which a stream counts as silent although its engine is alive, and the least such time in milliseconds. */
+const gapFactor = 6;
+const minGapMs = 1500;
 
 /** Longest silence within a plain service's answer, in milliseconds; its bytes leave together. */
 const serviceGapMs = 250;
@@ -21,9 +24,15 @@
 export type Patience = {
 	readonly firstByteMs: number | undefined;
 	readonly gapMs: number | undefined;
+	/** Silence after which the endpoint is asked whether it is alive; a dead one is given up at once. */
+	readonly checkMs: number | undefined;
 };
 
-const unlimited: Patience = {firstByteMs: undefined, gapMs: undefined};
+const unlimited: Patience = {
+	firstByteMs: undefined,
+	gapMs: undefined,
+	checkMs: undefined,
+};
 
 /** How long to wait for an endpoint. Without another send left, silence changes nothing and only the request's own time counts. */
 export function patience(
@@ -44,6 +53,7 @@
 			return {
 				firstByteMs: Math.max(expectedMs * serviceFactor, route.objectiveMs),
 				gapMs: serviceGapMs,
+				checkMs: undefined,
 			};
 		}
 
@@ -51,9 +61,10 @@
 			return {
 				firstByteMs: Math.max(
 					expectedMs * streamFactor + streamExtraMs,
-					route.objectiveMs * streamObjectivePart,
+					route.objectiveMs * streamObjectiveFactor,
 				),
 				gapMs: Math.max((route.gapTargetMs ?? 0) * gapFactor, minGapMs),
+				checkMs: engineCheckMs,
 			};
 		}
 	}
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -1,12 +1,13 @@
 import {hash32} from '../../base/index.js';
 import type {Prompt} from '../../interfaces/index.js';
+import type {PrefixLink} from './prefix-memory.js';
 import type {Upstream} from './upstream.js';
 
-/** Prompt tokens that an engine reads in a millisecond; published figures of the engines in use lie between 50 and 65. */
-const prefillTokensPerMs = 50;
+/** Prompt tokens that a loaded engine reads in a millisecond: published figures of the engines in use lie between 50 and 65, and each chunk of 1024 tokens takes a decoding step as well. */
+const prefillTokensPerMs = 40;
 
 /** Time that each running request adds to the first token of another, in milliseconds. */
-const perRunningMs = 6;
+const perRunningMs = 1.5;
 
 /** Time of an idle engine until the first token without any prompt, in milliseconds. */
 const engineBaseMs = 100;
@@ -14,8 +15,20 @@
 /** Time of an idle plain service until its answer, in milliseconds. */
 const serviceBaseMs = 25;
 
-/** Part of the shared tokens that the first-ranked engines are taken to hold when this gateway has not sent them there itself: other gateways have. */
-const homeCachedParts = [0.8, 0.4] as const;
+/** Share of its reading time by which a prompt that no engine holds is drawn to the engine that all gateways prefer for it. */
+const homePull = 0.5;
+
+/** Mean backlog of a service's engines at which reading a prompt part again counts double, in milliseconds: the others wait for it as well. */
+const doublingBacklogMs = 150;
+
+/** Largest such factor. */
+const maxReadFactor = 5;
+
+/** Least tokens for which a request waits until another one has made the engine read them. */
+const minSharedTokens = 1500;
+
+/** Part of its objective for which a request so waits. */
+const sharedWaitObjectivePart = 0.4;
 
 /** What a failing endpoint costs, against an answer in time: the time until a second try succeeds, in milliseconds. */
 const failureCostMs = 3000;
@@ -26,14 +39,24 @@
 /** Requests beyond its slots that an endpoint may queue before it is passed over. */
 const queueFactor = 1.25;
 
-/** What assignment needs to know of a request. */
+/** Part of its objective that a request may wait for prompts before it at an engine; beyond it waits at the gateway, where more urgent requests can pass it. */
+const backlogObjectivePart = 0.3;
+
+/** What placement needs to know of a request. */
 export type Placeable = {
+	/** Absent when the service is no model engine. */
 	readonly prompt: Prompt | undefined;
+	/** The links of the prompt; the last one belongs to the request itself. */
+	readonly links: readonly PrefixLink[];
+	/** Time since it arrived, in milliseconds. */
+	readonly waitedMs: number;
 	/** Endpoints that have already been tried. */
 	readonly tried: ReadonlySet<Upstream>;
 	/** It runs at most once, so it avoids endpoints that are only being tried out. */
 	readonly isOnce: boolean;
 	readonly dataCentre: string;
+	/** Latency target, in milliseconds. */
+	readonly objectiveMs: number;
 };
 
 /** Where a request goes, or why it goes nowhere. */
@@ -44,11 +67,14 @@
 			/** Expected time to the first byte, in milliseconds. */
 			readonly expectedMs: number;
 			readonly uncachedTokens: number;
+			/** 0 for the engine that all gateways prefer for the prompt's shared parts, -1 for any other. */
+			readonly home: number;
 	  }
+	/** No endpoint has room now. */
+	| {readonly type: 'wait'}
 	| {
 			readonly type: 'refuse';
-			readonly reason:
-				'no endpoint' | 'all endpoints down' | 'all endpoints full';
+			readonly reason: 'no endpoint' | 'all endpoints down' | 'no room in time';
 			/** Time after which there may be room, in milliseconds. */
 			readonly retryAfterMs: number;
 	  };
@@ -61,6 +87,9 @@
 	readonly expectedMs: number;
 	readonly costMs: number;
 	readonly uncachedTokens: number;
+	/** Tokens of the prompt that the engine is reading for another request. */
+	readonly pendingTokens: number;
+	readonly home: number;
 };
 
 /**
@@ -97,11 +126,7 @@
 
 	const open = up.filter((upstream) => hasRoom(upstream, now));
 	if (open.length === 0) {
-		return {
-			type: 'refuse',
-			reason: 'all endpoints full',
-			retryAfterMs: defaultRetryAfterMs,
-		};
+		return {type: 'wait'};
 	}
 
 	const steady = open.filter((upstream) => isSteady(upstream, request));
@@ -113,8 +138,15 @@
 		}
 	}
 
-	const {upstream, expectedMs, uncachedTokens} = best!;
-	return {type: 'send', upstream, expectedMs, uncachedTokens};
+	const {upstream, expectedMs, uncachedTokens, home} = best!;
+	const isBacklogged =
+		backlogMs(upstream, now) > request.objectiveMs * backlogObjectivePart;
+	const waitsForShared =
+		best!.pendingTokens >= minSharedTokens &&
+		request.waitedMs < request.objectiveMs * sharedWaitObjectivePart;
+	return isBacklogged || waitsForShared
+		? {type: 'wait'}
+		: {type: 'send', upstream, expectedMs, uncachedTokens, home};
 }
 
 function hasRoom(upstream: Upstream, now: number): boolean {
@@ -124,63 +156,115 @@
 /** An endpoint on trial gets one request at a time, and none that may not be repeated. */
 function isSteady(upstream: Upstream, request: Placeable): boolean {
 	return (
-		!upstream.health.isOnTrial || (!request.isOnce && upstream.ownRunning === 0)
+		!upstream.health.isOnTrial ||
+		(!request.isOnce && upstream.ownRunning === 0)
 	);
 }
 
+/** Time that an engine needs for the prompts that it has still to read. */
+function backlogMs(upstream: Upstream, now: number): number {
+	return upstream.unreadTokens(now) / prefillTokensPerMs;
+}
+
 function estimate(
 	request: Placeable,
 	upstreams: readonly Upstream[],
 	now: number,
 ): Candidate[] {
-	const {prompt} = request;
-	const homes = prompt ? rankHomes(prompt, upstreams) : [];
+	return request.prompt
+		? estimateEngines(request, request.prompt, upstreams, now)
+		: upstreams.map((upstream) => estimateService(request, upstream, now));
+}
+
+function estimateService(
+	request: Placeable,
+	upstream: Upstream,
+	now: number,
+): Candidate {
+	const queueMs =
+		(upstream.running(now) / Math.max(1, upstream.listed.slots)) *
+		serviceBaseMs;
+	const expectedMs = (serviceBaseMs + queueMs) * upstream.slowness(now);
+	return {
+		upstream,
+		expectedMs,
+		costMs: expectedMs + penaltyMs(request, upstream, now),
+		uncachedTokens: 0,
+		pendingTokens: 0,
+		home: -1,
+	};
+}
+
+function estimateEngines(
+	request: Placeable,
+	prompt: Prompt,
+	upstreams: readonly Upstream[],
+	now: number,
+): Candidate[] {
+	const home = preferred(request.links, upstreams);
+	const meanBacklogMs =
+		upstreams.reduce((sum, upstream) => sum + backlogMs(upstream, now), 0) /
+		upstreams.length;
+	const readFactor = Math.min(
+		maxReadFactor,
+		1 + meanBacklogMs / doublingBacklogMs,
+	);
 	return upstreams.map((upstream) => {
-		const uncachedTokens = prompt
-			? uncached(prompt, upstream, homes.indexOf(upstream))
-			: 0;
-		const baseMs = prompt ? engineBaseMs : serviceBaseMs;
-		const running = upstream.running(now);
-		const waitMs = prompt
-			? (upstream.unreadTokens() + uncachedTokens) / prefillTokensPerMs +
-				running * perRunningMs
-			: (running / Math.max(1, upstream.listed.slots)) * serviceBaseMs;
-		const expectedMs = (baseMs + waitMs) * upstream.slowness(now);
-		const crossingMs =
-			upstream.listed.dataCentre === request.dataCentre ? 0 : crossingCostMs;
+		const cached = upstream.prefixes.cachedTokens(request.links);
+		const expected = upstream.prefixes.expectedTokens(request.links, now);
+		const readMs =
+			Math.max(0, prompt.promptTokens - expected) / prefillTokensPerMs;
+		const uncachedTokens = Math.max(0, prompt.promptTokens - cached);
+		const slowness = upstream.slowness(now);
+		const baseMs =
+			engineBaseMs +
+			backlogMs(upstream, now) +
+			upstream.running(now) * perRunningMs;
+		const pull = upstream === home ? 1 - homePull : 1;
 		return {
 			upstream,
-			expectedMs,
-			uncachedTokens,
+			expectedMs: (baseMs + uncachedTokens / prefillTokensPerMs) * slowness,
 			costMs:
-				expectedMs +
-				crossingMs +
-				upstream.listed.warmUpMs +
-				upstream.health.failingPart(now) * failureCostMs,
+				(baseMs + readMs * readFactor * pull) * slowness +
+				penaltyMs(request, upstream, now),
+			uncachedTokens,
+			pendingTokens: expected - cached,
+			home: upstream === home ? 0 : -1,
 		};
 	});
 }
 
-/** The engines that all gateways prefer for a prompt, best first: by the longest part that requests share. */
-function rankHomes(prompt: Prompt, upstreams: readonly Upstream[]): Upstream[] {
-	const shared = prompt.parts.slice(0, -1);
-	if (shared.length === 0) {
-		return [];
+function penaltyMs(
+	request: Placeable,
+	upstream: Upstream,
+	now: number,
+): number {
+	const {dataCentre, warmUpMs} = upstream.listed;
+	const crossingMs = dataCentre === request.dataCentre ? 0 : crossingCostMs;
+	return (
+		crossingMs + warmUpMs + upstream.health.failingPart(now) * failureCostMs
+	);
+}
+
+/** The engine that all gateways prefer for a prompt, by the longest part that requests share. */
+function preferred(
+	links: readonly PrefixLink[],
+	upstreams: readonly Upstream[],
+): Upstream | undefined {
+	const shared = links.at(-2);
+	if (!shared) {
+		return undefined;
 	}
 
-	const key = shared.map(({id}) => id).join('/');
-	return upstreams
-		.map((upstream) => ({upstream, rank: hash32(`${key}\n${upstream.id}`)}))
-		.toSorted((a, b) => b.rank - a.rank)
-		.slice(0, homeCachedParts.length)
-		.map(({upstream}) => upstream);
-}
+	let best: Upstream | undefined;
+	let bestRank = -1;
+	for (const upstream of upstreams) {
+		const rank = hash32(`${shared.hash}\n${upstream.id}`);
+		if (rank > bestRank) {
+			best = upstream;
+			bestRank = rank;
+		}
+	}
 
-function uncached(prompt: Prompt, upstream: Upstream, home: number): number {
-	const known = upstream.prefixes.cachedTokens(prompt.parts);
-	const shared = prompt.parts
-		.slice(0, -1)
-		.reduce((sum, {tokens}) => sum + tokens, 0);
-	const assumed = home === -1 ? 0 : shared * homeCachedParts[home]!;
-	return Math.max(0, prompt.promptTokens - Math.max(known, assumed));
+	return best;
 }
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -1,11 +1,11 @@
 import type {
 	ListedEndpoint,
-	PromptPart,
 	Service,
 	StatedLoad,
 } from '../../interfaces/index.js';
 import {Health} from './health.js';
-import {PrefixMemory} from './prefix-memory.js';
+import type {PeerLoads} from './peer-loads.js';
+import {PrefixMemory, type PrefixLink} from './prefix-memory.js';
 
 /** Time in which stated load of other gateways counts for a third of what it did, in milliseconds: about the duration of an answer. */
 const statedLoadFadeMs = 1500;
@@ -32,6 +32,7 @@
 	readonly health = new Health();
 	readonly prefixes: PrefixMemory;
 	readonly #works = new Set<Work>();
+	readonly #peers: PeerLoads;
 	#stated: {load: StatedLoad; ownRunning: number; at: number} | undefined;
 	#slowness = 1;
 	#slownessAt = 0;
@@ -42,7 +43,9 @@
 		public listed: ListedEndpoint,
 		readonly firstSeenAt: number,
 		service: Service | undefined,
+		peers: PeerLoads,
 	) {
+		this.#peers = peers;
 		this.prefixes = new PrefixMemory(service?.engine?.kvTokens ?? 0);
 	}
 
@@ -64,13 +67,23 @@
 		this.#lastHeardAt = now;
 	}
 
-	begin(parts: readonly PromptPart[], uncachedTokens: number): Work {
+	begin(
+		links: readonly PrefixLink[],
+		uncachedTokens: number,
+		now: number,
+	): Work {
 		const work = {uncachedTokens, hasAnswered: false};
 		this.#works.add(work);
-		this.prefixes.read(parts);
+		this.prefixes.begin(links, now);
 		return work;
 	}
 
+	/** Notes that an engine has read the prompt of a work and answers. */
+	answered(work: Work, links: readonly PrefixLink[]): void {
+		work.hasAnswered = true;
+		this.prefixes.read(links);
+	}
+
 	end(work: Work): void {
 		this.#works.delete(work);
 	}
@@ -97,13 +110,18 @@
 		return 1 + (this.#slowness - 1) * fade;
 	}
 
-	/** Requests in progress, those of other gateways as the endpoint stated them. */
+	/** Requests in progress, those of other gateways as they or the endpoint stated them. */
 	running(now: number): number {
 		return this.ownRunning + this.#othersRunning(now);
 	}
 
+	/** Prompt tokens that the engine has still to read. */
+	unreadTokens(now: number): number {
+		return this.ownUnreadTokens() + this.#peers.at(this.id, now).unreadTokens;
+	}
+
 	/** Prompt tokens of this gateway's requests that the engine has still to read. */
-	unreadTokens(): number {
+	ownUnreadTokens(): number {
 		let tokens = 0;
 		for (const work of this.#works) {
 			tokens += work.hasAnswered ? 0 : work.uncachedTokens;
@@ -112,9 +130,10 @@
 		return tokens;
 	}
 
+	/** Peers report often but see only gateways; what the endpoint states is older and covers everything. */
 	#othersRunning(now: number): number {
-		if (!this.#stated) {
-			return 0;
+		if (this.#peers.count(now) > 0 || !this.#stated) {
+			return this.#peers.at(this.id, now).running;
 		}
 
 		const {load, ownRunning, at} = this.#stated;
