--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -302,7 +302,7 @@
 		};
 
 		send.start({
-			method: method as 'GET',
+			method,
 			path: target,
 			headers: format.requestHeaders(headers, {
 				endpointId: upstream.id,
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -127,7 +127,8 @@
 		const now = monotonicNow();
 		if (
 			this.#reads.length === 0 &&
-			text === this.#lastLoads && now - this.#lastSentAt < repeatMs
+			text === this.#lastLoads &&
+			now - this.#lastSentAt < repeatMs
 		) {
 			return;
 		}
--- /dev/null
+++ b/src/services/gateway/next-step.test.ts
@@ -0,0 +1,90 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {nextStep, type Course, type SendEnd} from './next-step.js';
+
+const course: Course = {
+	repetition: 'idempotent',
+	sends: 1,
+	maxSends: 2,
+	failedConnections: 0,
+	mayHaveRun: true,
+	isPartlyDelivered: false,
+	remainingMs: 1000,
+	hasFailure: false,
+};
+
+const ends: SendEnd[] = [
+	{type: 'unsent', reason: ''},
+	{type: 'rejected', status: 503, retryAfterMs: undefined},
+	{type: 'answered', status: 500},
+	{type: 'broken', reason: ''},
+	{type: 'silent', reason: ''},
+	{type: 'expired'},
+];
+
+const yes = () => true;
+const no = () => false;
+
+// Guards against a request that must not be repeated and is sent again although it may have run.
+test('a request that runs at most once is sent again only when it has not run', () => {
+	const once: Course = {...course, repetition: 'once', maxSends: 3};
+	for (const end of ends) {
+		const step = nextStep(end, once, yes);
+		const hasNotRun = end.type === 'unsent' || end.type === 'rejected';
+		expect([end.type, step.type === 'send']).toEqual([end.type, hasNotRun]);
+	}
+});
+
+// Guards against a refusal, which promises that the request has not run, after a send that may have run.
+test('a refusal follows only when no send may have run', () => {
+	for (const end of ends) {
+		const exhausted: Course = {...course, sends: 2, failedConnections: 3};
+		const ran = nextStep(end, exhausted, no);
+		expect(ran.type === 'refuse').toEqual(false);
+		const unrun = nextStep(end, {...exhausted, mayHaveRun: false}, no);
+		const isRefusable =
+			end.type === 'unsent' ||
+			end.type === 'rejected' ||
+			end.type === 'expired';
+		if (isRefusable) {
+			expect(unrun.type).toEqual('refuse');
+		}
+	}
+});
+
+// Guards against an answer that is begun a second time, or that looks complete although it is not.
+test('an answer of which the caller has a part is continued or cut', () => {
+	const begun: Course = {...course, isPartlyDelivered: true};
+	const end: SendEnd = {type: 'broken', reason: 'reset'};
+	expect(nextStep(end, {...begun, repetition: 'resumable'}, yes).type).toEqual(
+		'send',
+	);
+	expect(nextStep(end, {...begun, repetition: 'once'}, yes).type).toEqual(
+		'cut',
+	);
+	expect(
+		nextStep(end, {...begun, repetition: 'resumable', sends: 2}, yes).type,
+	).toEqual('cut');
+});
+
+// Guards against retries beyond the shared budget, and against a budget that is spent on retries that do not happen.
+test('the budget is asked only for a retry that can be', () => {
+	let asked = 0;
+	const ask = () => {
+		asked++;
+		return false;
+	};
+
+	expect(nextStep(ends[3]!, course, ask).type).toEqual('fail');
+	expect(asked).toEqual(1);
+	nextStep(ends[3]!, {...course, sends: 2}, ask);
+	nextStep(ends[3]!, {...course, remainingMs: 1}, ask);
+	nextStep(ends[3]!, {...course, repetition: 'once'}, ask);
+	expect(asked).toEqual(1);
+});
+
+// Guards against an endpoint's own failure that is lost when the repeated send fails as well.
+test('an earlier failure is handed on when nothing better came', () => {
+	const step = nextStep(ends[3]!, {...course, sends: 2, hasFailure: true}, yes);
+	expect(step.type).toEqual('deliver failure');
+});
--- /dev/null
+++ b/src/services/gateway/peer-loads.test.ts
@@ -0,0 +1,31 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {PeerLoads, type PeerReport} from './peer-loads.js';
+
+function report(
+	gateway: string,
+	sequence: number,
+	unreadTokens: number,
+	incarnation = 1,
+): PeerReport {
+	return {
+		gateway,
+		sequence,
+		incarnation,
+		loads: [{endpoint: 'e', running: 1, unreadTokens}],
+		reads: [],
+	};
+}
+
+// Guards against load that is counted twice or for ever when datagrams are late, repeated or lost.
+test('only the newest report of each gateway counts, while it is fresh', () => {
+	const loads = new PeerLoads();
+	expect(loads.receive(report('a', 2, 20), 0)).toEqual(true);
+	expect(loads.receive(report('a', 1, 10), 0)).toEqual(false);
+	loads.receive(report('b', 1, 5), 0);
+	expect(loads.at('e', 0)).toEqual({running: 2, unreadTokens: 25});
+	expect(loads.receive(report('a', 1, 7, 2), 500)).toEqual(true);
+	expect(loads.at('e', 500)).toEqual({running: 2, unreadTokens: 12});
+	expect(loads.at('e', 1200)).toEqual({running: 1, unreadTokens: 7});
+	expect(loads.count(1200)).toEqual(1);
+});
--- /dev/null
+++ b/src/services/gateway/placement.test.ts
@@ -0,0 +1,157 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import type {ListedEndpoint} from '../../interfaces/ports/index.js';
+import {PeerLoads} from './peer-loads.js';
+import {place, type Placeable} from './placement.js';
+import {prefixLinks, type PrefixLink} from './prefix-memory.js';
+import {Upstream} from './upstream.js';
+
+const slots = 16;
+
+function upstreams(count: number, peers = new PeerLoads()): Upstream[] {
+	return Array.from({length: count}, (_, index) => {
+		const listed: ListedEndpoint = {
+			id: `e${index}`,
+			service: 's',
+			address: `10.0.0.${index}:80`,
+			dataCentre: 'd',
+			isDraining: false,
+			slots,
+			startedAt: 1,
+			warmUpMs: 0,
+		};
+		return new Upstream(
+			listed,
+			0,
+			{
+				name: 's',
+				maxConnections: 100,
+				engine: {slots, kvTokens: 500_000},
+			},
+			peers,
+		);
+	});
+}
+
+function request(links: readonly PrefixLink[]): Placeable {
+	const promptTokens = links.reduce((sum, {tokens}) => sum + tokens, 0);
+	return {
+		prompt: {model: 'm', promptTokens, maxOutputTokens: 50, parts: []},
+		links,
+		waitedMs: 0,
+		tried: new Set(),
+		isOnce: false,
+		dataCentre: 'd',
+		objectiveMs: 2000,
+	};
+}
+
+function prompt(subject: string, own: string): PrefixLink[] {
+	return prefixLinks([
+		{id: subject, tokens: 12_000},
+		{id: own, tokens: 1000},
+	]);
+}
+
+const plain: Placeable = {...request([]), prompt: undefined, objectiveMs: 100};
+
+// Guards against prompt parts that every engine reads because gateways send them to different engines.
+test('gateways that know nothing of each other choose the same engine for a subject', () => {
+	for (let subject = 0; subject < 50; subject++) {
+		const chosen = [0, 1, 2].map((own) => {
+			const placed = place(
+				request(prompt(`subject-${subject}`, `own-${own}`)),
+				upstreams(8),
+				0,
+			);
+			return placed.type === 'send' ? placed.upstream.id : placed.type;
+		});
+		expect(new Set(chosen).size).toEqual(1);
+	}
+});
+
+// Guards against an overload that feeds itself: while engines have a backlog, a prompt that goes elsewhere is read again and adds to it.
+test('a subject stays with the engine that has read it while all have a backlog', () => {
+	const all = upstreams(8);
+	const links = prompt('subject', 'one');
+	const first = place(request(links), all, 0);
+	expect(first.type).toEqual('send');
+	const holder = first.type === 'send' ? first.upstream : undefined;
+	const work = holder!.begin(links, 13_000, 0);
+	holder!.answered(work, links);
+	for (const upstream of all) {
+		upstream.begin(prompt(`busy-${upstream.id}`, 'x'), 13_000, 0);
+	}
+
+	holder!.begin(prompt('more', 'x'), 6000, 0);
+	const next = place(request(prompt('subject', 'two')), all, 0);
+	expect(next.type === 'send' && next.upstream === holder).toEqual(true);
+});
+
+// Guards against two requests that make an engine read the same part at once.
+test('a request waits while its shared part is being read, but not for long', () => {
+	const all = upstreams(3);
+	const links = prompt('subject', 'one');
+	const first = place(request(links), all, 0);
+	if (first.type === 'send') {
+		first.upstream.begin(links, 13_000, 0);
+	}
+
+	const next = request(prompt('subject', 'two'));
+	expect(place(next, all, 100).type).toEqual('wait');
+	expect(place({...next, waitedMs: 1500}, all, 1500).type).toEqual('send');
+});
+
+// Guards against prompts that pile up at engines, where an urgent request cannot pass them.
+test('a request waits at the gateway when every engine has prompts to read', () => {
+	const all = upstreams(2);
+	for (const upstream of all) {
+		upstream.begin(prompt(upstream.id, 'x'), 60_000, 0);
+	}
+
+	expect(place(request(prompt('subject', 'x')), all, 0).type).toEqual('wait');
+});
+
+// Guards against a herd towards one endpoint when work of other gateways is not seen.
+test('work of other gateways counts as load', () => {
+	const peers = new PeerLoads();
+	const [first, second] = upstreams(2, peers);
+	peers.receive(
+		{
+			gateway: 'g',
+			sequence: 1,
+			incarnation: 1,
+			loads: [{endpoint: first!.id, running: 6, unreadTokens: 0}],
+			reads: [],
+		},
+		0,
+	);
+	const placed = place(plain, [first!, second!], 0);
+	expect(placed.type === 'send' && placed.upstream === second).toEqual(true);
+});
+
+// Guards against requests that may not be repeated at an endpoint that has just been down.
+test('an endpoint on trial gets one request at a time, and none that runs at most once', () => {
+	const [first, second] = upstreams(2);
+	first!.health.block(0);
+	expect(place(plain, [first!], 100)).toEqual({
+		type: 'refuse',
+		reason: 'all endpoints down',
+		retryAfterMs: 400,
+	});
+	for (let count = 0; count < 10; count++) {
+		second!.begin([], 0, 600);
+	}
+
+	const trial = place(plain, [first!, second!], 5000);
+	expect(trial.type === 'send' && trial.upstream === second).toEqual(true);
+	const once = place({...plain, isOnce: true}, [first!, second!], 30_000);
+	expect(once.type === 'send' && once.upstream === second).toEqual(true);
+});
+
+// Guards against a retry that goes to the endpoint that has just failed.
+test('an endpoint that has been tried is not tried again', () => {
+	const [only] = upstreams(1);
+	const placed = place({...plain, tried: new Set([only!])}, [only!], 0);
+	expect(placed.type).toEqual('refuse');
+});
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -156,8 +156,7 @@
 /** An endpoint on trial gets one request at a time, and none that may not be repeated. */
 function isSteady(upstream: Upstream, request: Placeable): boolean {
 	return (
-		!upstream.health.isOnTrial ||
-		(!request.isOnce && upstream.ownRunning === 0)
+		!upstream.health.isOnTrial || (!request.isOnce && upstream.ownRunning === 0)
 	);
 }
 
--- /dev/null
+++ b/src/services/gateway/prefix-memory.test.ts
@@ -0,0 +1,46 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {prefixLinks, PrefixMemory} from './prefix-memory.js';
+
+const links = prefixLinks([
+	{id: 'a', tokens: 100},
+	{id: 'b', tokens: 200},
+	{id: 'c', tokens: 300},
+]);
+
+// Guards against a part that counts as held although the parts before it are not.
+test('a part counts only when all before it are held', () => {
+	const memory = new PrefixMemory(10_000);
+	memory.read(links.slice(1));
+	expect(memory.cachedTokens(links)).toEqual(0);
+	memory.read(links.slice(0, 1));
+	expect(memory.cachedTokens(links)).toEqual(600);
+	const other = prefixLinks([
+		{id: 'x', tokens: 100},
+		{id: 'b', tokens: 200},
+	]);
+	expect(memory.cachedTokens(other)).toEqual(0);
+});
+
+// Guards against a second request that makes the engine read a part while it is being read.
+test('a part that is being read is expected until its reader has failed for long', () => {
+	const memory = new PrefixMemory(10_000);
+	memory.begin(links, 0);
+	expect(memory.cachedTokens(links)).toEqual(0);
+	expect(memory.expectedTokens(links, 1000)).toEqual(600);
+	expect(memory.expectedTokens(links, 5000)).toEqual(0);
+	memory.read(links);
+	memory.begin(links, 6000);
+	expect(memory.cachedTokens(links)).toEqual(600);
+});
+
+// Guards against a memory of prompts that grows beyond what the engine holds.
+test('the least recently used parts are dropped first', () => {
+	const memory = new PrefixMemory(1000);
+	memory.read([{hash: 1, tokens: 300}]);
+	memory.read([{hash: 2, tokens: 300}]);
+	memory.read([{hash: 1, tokens: 300}]);
+	memory.read([{hash: 3, tokens: 300}]);
+	expect(memory.cachedTokens([{hash: 2, tokens: 300}])).toEqual(0);
+	expect(memory.cachedTokens([{hash: 1, tokens: 300}])).toEqual(300);
+});
--- a/src/services/gateway/prefix-memory.ts
+++ b/src/services/gateway/prefix-memory.ts
@@ -82,7 +82,8 @@
 			const entry = this.#entries.get(hash);
 			this.#set(hash, {
 				tokens,
-				pendingSince: entry && entry.pendingSince === undefined ? undefined : now,
+				pendingSince:
+					entry && entry.pendingSince === undefined ? undefined : now,
 			});
 		}
 
