--- /dev/null
+++ b/src/daemons/gateway/admin-server.ts
@@ -0,0 +1,58 @@
+import {createServer, type Server} from 'node:http';
+import type {Disposable} from '../../base/index.js';
+import {listen} from '../listen.js';
+
+export type GatewayAdminOptions = {
+	readonly address: string;
+	readonly metricsPath: string;
+	readonly metrics: () => Promise<string>;
+	/** Plain data of the process's state. */
+	readonly state: () => unknown;
+};
+
+/** Path of the state dump. */
+const statePath = '/state';
+
+/** Serves a gateway's metrics as text and its state as JSON, on an address of its own. */
+export class GatewayAdmin implements Disposable {
+	readonly #options: GatewayAdminOptions;
+	readonly #server: Server;
+
+	constructor(options: GatewayAdminOptions) {
+		this.#options = options;
+		this.#server = createServer((request, response) => {
+			void this.#answer(request.url ?? '').then(({status, type, body}) => {
+				response.writeHead(status, {'Content-Type': type}).end(body);
+			});
+		});
+	}
+
+	async start(): Promise<void> {
+		await listen(this.#server, this.#options.address);
+	}
+
+	dispose(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
+	async #answer(
+		path: string,
+	): Promise<{status: number; type: string; body: string}> {
+		const {metricsPath, metrics, state} = this.#options;
+		switch (path) {
+			case metricsPath: {
+				return {status: 200, type: 'text/plain', body: await metrics()};
+			}
+
+			case statePath: {
+				const body = JSON.stringify(state());
+				return {status: 200, type: 'application/json', body};
+			}
+
+			default: {
+				return {status: 404, type: 'text/plain', body: ''};
+			}
+		}
+	}
+}
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -28,6 +28,7 @@
 import type {CallerOutput} from './caller-output.js';
 import type {ConnectionDirectory} from './connection-directory.js';
 import {sendOwnAnswer} from './own-answer.js';
+import type {GatewayMetrics} from './gateway-metrics.js';
 import {isAlive} from './liveness.js';
 import {Send, type HeldAnswer, type StreamPosition} from './send.js';
 
@@ -83,7 +84,7 @@
 	) => void;
 	/** Places waiting requests, because there may be room. */
 	readonly sweep: () => void;
-	readonly onDidEnd: (summary: ExchangeSummary) => void;
+	readonly metrics: GatewayMetrics;
 };
 
 /** How a request ended, for counters. */
@@ -330,6 +331,7 @@
 		startedAt: number,
 	): void {
 		const now = monotonicNow();
+		this.#context.metrics.sent(this.#request.service.name, end.type);
 		if (send.isSent) {
 			this.#sends++;
 		}
@@ -404,6 +406,7 @@
 		}
 
 		if (step.type === 'send') {
+			this.#context.metrics.repeated(service.name);
 			this.#log('repeated', {
 				after: end.type,
 				reason: 'reason' in end ? end.reason : '',
@@ -491,7 +494,7 @@
 			last_event: this.#position.lastEventId ?? '',
 			configuration: this.#request.configurationVersion,
 		});
-		this.#context.onDidEnd(summary);
+		this.#context.metrics.ended(summary);
 	}
 
 	#deliver(answer: HeldAnswer): string {
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -30,10 +30,12 @@
 import {listen} from '../listen.js';
 import type {Log} from '../log.js';
 import {monotonicNow} from '../task.js';
+import {GatewayAdmin} from './admin-server.js';
 import {CallerOutput} from './caller-output.js';
 import {readClocks} from './clocks.js';
 import {ConnectionDirectory} from './connection-directory.js';
 import {Exchange, type ExchangeContext} from './exchange.js';
+import {GatewayMetrics} from './gateway-metrics.js';
 import {sendOwnAnswer, type OwnAnswer} from './own-answer.js';
 import {PeerExchange} from './peer-exchange.js';
 import {readBody} from './request-body.js';
@@ -80,7 +82,16 @@
 	idleTimeoutMs: 15_000,
 };
 
-export type GatewayOptions = {
+/** Bounds that may change while the process runs. */
+export type GatewayBounds = {
+	/** Time after which a key that was removed must no longer be accepted, in milliseconds. */
+	readonly revocationMs: number;
+	/** Time between the request to stop and the end of the process, in milliseconds. */
+	readonly graceMs: number;
+	readonly retries: RetryBounds;
+};
+
+export type GatewayOptions = GatewayBounds & {
 	/** Name of this gateway. */
 	readonly instance: string;
 	readonly peerAddress: string;
@@ -89,14 +100,15 @@
 	readonly readinessAddress: string;
 	/** Path at which readiness is asked for. */
 	readonly readinessPath: string;
-	readonly revocationMs: number;
-	readonly graceMs: number;
-	readonly retries: RetryBounds;
 	readonly format: HttpFormat;
 	readonly configuration: WatchedTable<ConfigurationChange>;
 	readonly endpoints: WatchedTable<EndpointChange>;
 	readonly roster: Roster;
 	readonly log: Log;
+	/** Log lines that were dropped. */
+	readonly droppedLines: () => number;
+	/** Where metrics and state are served; nowhere when absent. */
+	readonly admin?: {readonly address: string; readonly metricsPath: string};
 };
 
 /** Outcome of the checks on a request before it is placed. */
@@ -117,14 +129,26 @@
 	readonly #peers: PeerExchange;
 	readonly #room = new WaitingRoom();
 	#sweepTimer: NodeJS.Timeout | undefined;
+	readonly #metrics: GatewayMetrics;
 	readonly #exchanges = new Set<Exchange>();
 	#routing: RoutingTable | undefined;
 	#hasEndpoints = false;
 	#isDraining = false;
+	#bounds: GatewayBounds;
 	readonly #unreadable = new Map<string, string>();
 
 	constructor(options: GatewayOptions) {
 		this.#options = options;
+		this.#bounds = options;
+		this.#metrics = new GatewayMetrics({
+			requestsInProgress: () => this.#exchanges.size,
+			requestsWaiting: () => this.#room.size,
+			configurationVersion: () => this.#routing?.configuration.version ?? 0,
+			configurationAgeMs: () => this.#configurationAgeMs(),
+			endpoints: () => this.#endpoints.all().length,
+			gateways: () => this.#roster.count,
+			droppedLines: options.droppedLines,
+		});
 		const loads = new PeerLoads();
 		this.#endpoints = new EndpointSet(
 			(name) => this.#routing?.service(name),
@@ -163,7 +187,7 @@
 			sweep: () => {
 				this.#sweep();
 			},
-			onDidEnd: () => undefined,
+			metrics: this.#metrics,
 		};
 		this.#followEndpoints(connections);
 		this.#watchTables();
@@ -196,14 +220,27 @@
 		const {callerAddress, readinessAddress, log} = this.#options;
 		await listen(this.#server, callerAddress);
 		await listen(this.#readiness, readinessAddress);
+		await this.#startAdmin();
 		this.#peers.start();
 		this.#roster.start();
 		log.info('started', {caller: callerAddress});
 	}
 
+	/** Takes over bounds from changed settings; addresses stay until the next start. */
+	reload({revocationMs, graceMs, retries}: GatewayBounds): void {
+		this.#bounds = {revocationMs, graceMs, retries};
+		this.#context.allowance.bounds = retries;
+		this.#options.log.info('reloaded', {
+			revocation_ms: revocationMs,
+			grace_ms: graceMs,
+			retry_slack: retries.slack,
+		});
+	}
+
 	/** Finishes the answers in progress; resolves when the process may end. */
 	async drain(): Promise<void> {
-		const {graceMs, log} = this.#options;
+		const {log} = this.#options;
+		const {graceMs} = this.#bounds;
 		const startedAt = monotonicNow();
 		this.#isDraining = true;
 		log.info('draining', {requests: this.#exchanges.size});
@@ -228,6 +265,44 @@
 		this.#store.dispose();
 	}
 
+	async #startAdmin(): Promise<void> {
+		const {admin} = this.#options;
+		if (admin) {
+			const server = this.#store.add(
+				new GatewayAdmin({
+					...admin,
+					metrics: async () => this.#metrics.text(),
+					state: () => this.#state(),
+				}),
+			);
+			await server.start();
+		}
+	}
+
+	/** What the process believes, for people on call. */
+	#state(): unknown {
+		const now = monotonicNow();
+		return {
+			isReady: this.isReady,
+			isDraining: this.#isDraining,
+			configuration: this.#routing?.configuration.version,
+			configurationAgeMs: Math.round(this.#configurationAgeMs()),
+			gateways: this.#roster.count,
+			requests: this.#exchanges.size,
+			waiting: this.#room.size,
+			endpoints: this.#endpoints.all().map((upstream) => ({
+				...upstream.listed,
+				ownRunning: upstream.ownRunning,
+				running: upstream.running(now),
+				unreadTokens: upstream.unreadTokens(now),
+				slowness: upstream.slowness(now),
+				failingPart: upstream.health.failingPart(now),
+				blockedMs: upstream.health.blockedMs(now),
+				isOnTrial: upstream.health.isOnTrial,
+			})),
+		};
+	}
+
 	/** Places waiting requests; comes back while some are left, because load falls also without an event here. */
 	#sweep(): void {
 		this.#room.sweep(monotonicNow());
@@ -281,9 +356,13 @@
 				onChange: (change) => {
 					this.#onConfiguration(change);
 				},
-				onConfirm: (sentAt) => {
+				onAnswer: (sentAt) => {
+					this.#metrics.storeCall('configuration', 'answered');
 					this.#confirmation.confirm(sentAt);
 				},
+				onFailure: () => {
+					this.#metrics.storeCall('configuration', 'failed');
+				},
 				onContact: contact('configuration'),
 			}),
 		);
@@ -301,7 +380,12 @@
 					this.#noteUnreadable([change]);
 					this.#endpoints.apply(change, monotonicNow());
 				},
-				onConfirm: () => undefined,
+				onAnswer: () => {
+					this.#metrics.storeCall('endpoints', 'answered');
+				},
+				onFailure: () => {
+					this.#metrics.storeCall('endpoints', 'failed');
+				},
 				onContact: contact('endpoints'),
 			}),
 		);
@@ -438,6 +522,7 @@
 			configuration: this.#routing?.configuration.version ?? '',
 			configuration_age_ms: Math.round(this.#configurationAgeMs()),
 		});
+		this.#metrics.rejected(answer.status);
 		sendOwnAnswer(output, answer);
 	}
 
@@ -466,7 +551,7 @@
 		if (routing.hasWorkspaces && !route.isPublic) {
 			workspace =
 				head.key === undefined ? undefined : routing.workspace(head.key);
-			if (ageMs > this.#options.revocationMs * keyAgePart) {
+			if (ageMs > this.#bounds.revocationMs * keyAgePart) {
 				return rejected(503, 'keys cannot be checked', elsewhereRetryAfterMs);
 			}
 
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {createSocket, type Socket} from 'node:dgram';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Disposable} from '../../base/index.js';
 import type {
 	EndpointSet,
--- a/src/daemons/gateway/table-watch.ts
+++ b/src/daemons/gateway/table-watch.ts
@@ -19,7 +19,8 @@
 	readonly onList: (changes: readonly Change[], isAfterOutage: boolean) => void;
 	readonly onChange: (change: Change) => void;
 	/** A call was answered; the copy was current when the call was sent. */
-	readonly onConfirm: (sentAt: Clocks) => void;
+	readonly onAnswer: (sentAt: Clocks) => void;
+	readonly onFailure: () => void;
 	/** Called once when calls begin to fail, with the reason, and once when they succeed again. */
 	readonly onContact: (reason: string | undefined) => void;
 };
@@ -49,12 +50,13 @@
 			const sentAt = readClocks();
 			try {
 				await this.#step(sentAt);
-				this.#options.onConfirm(sentAt);
+				this.#options.onAnswer(sentAt);
 				if (this.#options.pauseMs > 0) {
 					await pause(this.#options.pauseMs);
 				}
 			} catch (error) {
 				this.#position = undefined;
+				this.#options.onFailure();
 				if (!this.#hasFailed) {
 					this.#hasFailed = true;
 					this.#options.onContact(String(error));
--- a/src/services/gateway/retry-allowance.ts
+++ b/src/services/gateway/retry-allowance.ts
@@ -22,11 +22,12 @@
  * retries while many requests fail at once.
  */
 export class RetryAllowance {
-	readonly #bounds: RetryBounds;
+	/** May be replaced at any time. */
+	bounds: RetryBounds;
 	readonly #services = new Map<string, Bucket[]>();
 
 	constructor(bounds: RetryBounds) {
-		this.#bounds = bounds;
+		this.bounds = bounds;
 	}
 
 	/** Notes the first send of a request, or a request that was not sent. */
@@ -53,14 +54,14 @@
 			retries += bucket.retries;
 		}
 
-		const {ratio, slack} = this.#bounds;
+		const {ratio, slack} = this.bounds;
 		const allowed = ratio * requests + slack / Math.max(1, gateways);
 		return usedPart * allowed - retries;
 	}
 
 	/** The bucket of this moment; drops those that have left the window. */
 	#bucket(service: string, now: number): Bucket {
-		const index = Math.floor(now / (this.#bounds.windowMs / bucketsPerWindow));
+		const index = Math.floor(now / (this.bounds.windowMs / bucketsPerWindow));
 		const buckets = (this.#services.get(service) ?? []).filter(
 			(bucket) => bucket.index > index - bucketsPerWindow,
 		);
