Cut a stream whose continuation is answered with a failure

Change: nextStep cuts the answer when a part of it has been delivered; an exception in one exchange is logged and ends that exchange alone. Before and after: the new assertion in next-step.test.ts failed before and passes after. Conclusion: fixed.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -502,13 +502,26 @@
 						exchange.dispose();
 					}
 				});
-				await exchange.run();
-				this.#exchanges.delete(exchange);
+				await this.#run(exchange, output);
 				break;
 			}
 		}
 	}
 
+	/** A defect in the handling of one request must not end the process and all others. */
+	async #run(exchange: Exchange, output: CallerOutput): Promise<void> {
+		try {
+			await exchange.run();
+		} catch (error) {
+			this.#options.log.warn('exchange_failed', {
+				reason: error instanceof Error ? (error.stack ?? '') : String(error),
+			});
+			output.cut();
+		} finally {
+			this.#exchanges.delete(exchange);
+		}
+	}
+
 	#reject(
 		request: IncomingMessage,
 		output: CallerOutput,
--- a/src/services/gateway/next-step.test.ts
+++ b/src/services/gateway/next-step.test.ts
@@ -65,6 +65,8 @@
 	expect(
 		nextStep(end, {...begun, repetition: 'resumable', sends: 2}, yes).type,
 	).toEqual('cut');
+	const failure: SendEnd = {type: 'answered', status: 500};
+	expect(nextStep(failure, {...begun, sends: 2}, yes).type).toEqual('cut');
 });
 
 // Guards against retries beyond the shared budget, and against a budget that is spent on retries that do not happen.
--- a/src/services/gateway/next-step.ts
+++ b/src/services/gateway/next-step.ts
@@ -110,8 +110,12 @@
 
 		case 'answered': {
 			const isFailure = end.status >= firstServerError;
-			return isFailure && canRepeat(course, takeRetry)
-				? {type: 'send'}
+			if (isFailure && canRepeat(course, takeRetry)) {
+				return {type: 'send'};
+			}
+
+			return course.isPartlyDelivered
+				? {type: 'cut', reason: `status ${end.status} in place of the rest`}
 				: {type: 'deliver'};
 		}
 
