Hand on an answer without a length as it came

Ruled out: an error of the socket that was overlooked; its trace shows an orderly end. Change: an answer that ends with its connection does so for the caller as well; a framed stream that goes on from an unframed one is cut.

--- a/src/daemons/gateway/caller-output.ts
+++ b/src/daemons/gateway/caller-output.ts
@@ -4,6 +4,7 @@
 export class CallerOutput {
 	readonly #response: ServerResponse;
 	#isPaused = false;
+	#isUnframed = false;
 
 	constructor(response: ServerResponse) {
 		this.#response = response;
@@ -24,7 +25,22 @@
 		this.#response.shouldKeepAlive = false;
 	}
 
-	begin(status: number, headers: readonly string[]): void {
+	/** The end of the connection is the end of the answer. */
+	get isUnframed(): boolean {
+		return this.#isUnframed;
+	}
+
+	/**
+	 * An unframed answer has no length and ends with the connection, as the
+	 * endpoint's did: a length would vouch for an end that nobody has seen.
+	 */
+	begin(status: number, headers: readonly string[], isUnframed: boolean): void {
+		this.#isUnframed = isUnframed;
+		if (isUnframed) {
+			this.#response.useChunkedEncodingByDefault = false;
+			this.#response.shouldKeepAlive = false;
+		}
+
 		this.#response.writeHead(status, [...headers]);
 	}
 
@@ -50,8 +66,13 @@
 	}
 
 	/** Sends a whole answer. */
-	send(status: number, headers: readonly string[], body: Uint8Array): void {
-		this.begin(status, headers);
+	send(
+		status: number,
+		headers: readonly string[],
+		body: Uint8Array,
+		isUnframed = false,
+	): void {
+		this.begin(status, headers, isUnframed);
 		this.#response.end(body);
 	}
 
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -502,11 +502,13 @@
 			return 'abandoned';
 		}
 
-		const {status, headers, body} = answer;
+		const {status, headers, body, isUnframed} = answer;
+		const passed = this.#context.format.answerHeaders(headers);
 		this.#output.send(
 			status,
-			withLength(this.#context.format.answerHeaders(headers), body.length),
+			isUnframed ? passed : withLength(passed, body.length),
 			body,
+			isUnframed,
 		);
 		return `answered ${status}`;
 	}
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -24,11 +24,21 @@
 /** Statuses that tell a caller that its request has not run. */
 const promises: ReadonlySet<number> = new Set([408, 421, 429, unavailable]);
 
+/** Statuses whose answers have no body. */
+const bodiless: ReadonlySet<number> = new Set([204, 304]);
+
+const framingHeaders: ReadonlySet<string> = new Set([
+	'content-length',
+	'transfer-encoding',
+]);
+
 /** Whole answer of an endpoint. */
 export type HeldAnswer = {
 	readonly status: number;
 	readonly headers: RawHeaders;
 	readonly body: Uint8Array;
+	/** It had no length and ended with its connection. */
+	readonly isUnframed: boolean;
 };
 
 /** How far the caller's stream has come; shared by the sends that continue it. */
@@ -75,6 +85,7 @@
 	#controller: Dispatcher.DispatchController | undefined;
 	#status = 0;
 	#headers: RawHeaders = [];
+	#isUnframed = false;
 	#head: AnswerHead | undefined;
 	#mode: 'events' | 'held' | 'passed' = 'held';
 	#held: Uint8Array[] = [];
@@ -120,6 +131,7 @@
 		const now = monotonicNow();
 		this.#status = status;
 		this.#headers = toText(controller.rawHeaders);
+		this.#isUnframed = isUnframed(status, this.#headers);
 		const head = format.readAnswer(status, this.#headers);
 		this.#head = head;
 		upstream.heard(now);
@@ -224,9 +236,7 @@
 
 		switch (this.#mode) {
 			case 'events': {
-				return this.#splitter.restLength > 0 || !this.#options.output.isBegun
-					? {type: 'broken', reason: 'stream ended within an event'}
-					: {type: 'delivered'};
+				return this.#concludeEvents();
 			}
 
 			case 'held': {
@@ -234,6 +244,7 @@
 					status: this.#status,
 					headers: this.#headers,
 					body: Buffer.concat(this.#held),
+					isUnframed: this.#isUnframed,
 				};
 				return {type: 'answered', status: this.#status};
 			}
@@ -244,6 +255,17 @@
 		}
 	}
 
+	#concludeEvents(): SendEnd {
+		const {output} = this.#options;
+		if (this.#splitter.restLength > 0 || !output.isBegun) {
+			return {type: 'broken', reason: 'stream ended within an event'};
+		}
+
+		return this.#isUnframed && !output.isUnframed
+			? {type: 'broken', reason: 'end of the stream cannot be verified'}
+			: {type: 'delivered'};
+	}
+
 	#readEvents(chunk: Uint8Array): void {
 		const {position} = this.#options;
 		const ready: Uint8Array[] = [];
@@ -303,7 +325,11 @@
 	#begin(): void {
 		const {output, format} = this.#options;
 		if (!output.isBegun) {
-			output.begin(this.#status, format.answerHeaders(this.#headers));
+			output.begin(
+				this.#status,
+				format.answerHeaders(this.#headers),
+				this.#isUnframed,
+			);
 		}
 	}
 
@@ -382,6 +408,17 @@
 	}
 }
 
+/** Whether the end of the connection is the only end of the answer. */
+function isUnframed(status: number, headers: RawHeaders): boolean {
+	return (
+		!bodiless.has(status) &&
+		!headers.some(
+			(name, index) =>
+				index % 2 === 0 && framingHeaders.has(name.toLowerCase()),
+		)
+	);
+}
+
 function toText(
 	headers: Dispatcher.DispatchController['rawHeaders'],
 ): RawHeaders {
