--- a/src/daemons/gateway/connections.ts
+++ b/src/daemons/gateway/connections.ts
@@ -111,6 +111,11 @@
 			this.discard(connection);
 		}
 
+		return this.open();
+	}
+
+	/** A new connection; a kept one may have gone silent without notice. */
+	open(): Connection {
 		const connection = new Connection(this.#address, (lost) => {
 			if (this.#idle.includes(lost)) {
 				this.discard(lost);
--- a/src/daemons/gateway/liveness.ts
+++ b/src/daemons/gateway/liveness.ts
@@ -9,7 +9,7 @@
 	connections: Connections,
 	format: HttpFormat,
 ): Promise<boolean> {
-	const connection = connections.take(true);
+	const connection = connections.open();
 	return new Promise((resolve) => {
 		const end = (isGood: boolean) => {
 			clearTimeout(timer);
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -56,10 +56,10 @@
 	readonly isStream: boolean;
 	readonly isOnce: boolean;
 	readonly position: StreamPosition;
-	/** Longest silence before the first byte of the answer, in milliseconds; undefined for no limit of its own. */
-	readonly firstByteMs: number | undefined;
+	/** Longest silence before the first byte of the answer, in milliseconds. */
+	readonly firstByteMs: number;
 	/** Longest silence within the answer, in milliseconds. */
-	readonly gapMs: number | undefined;
+	readonly gapMs: number;
 	/** Silence after which `isAlive` is asked, in milliseconds; undefined to never ask. */
 	readonly checkMs: number | undefined;
 	/** Asks the endpoint itself whether it is alive. */
@@ -92,7 +92,7 @@
 	#heldBytes = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#silentSince = 0;
-	#silenceMs: number | undefined;
+	#silenceMs = 0;
 
 	constructor(options: SendOptions) {
 		this.#options = options;
@@ -346,7 +346,7 @@
 	}
 
 	/** Ends the send when nothing comes within a time, or earlier when the endpoint is dead. */
-	#watch(ms: number | undefined): void {
+	#watch(ms: number): void {
 		clearTimeout(this.#timer);
 		this.#silentSince = monotonicNow();
 		this.#silenceMs = ms;
@@ -355,7 +355,7 @@
 
 	#schedule(): void {
 		const ms = this.#silenceMs;
-		if (ms === undefined || this.#isEnded) {
+		if (this.#isEnded) {
 			return;
 		}
 
@@ -373,12 +373,12 @@
 		);
 	}
 
-	/** Asks the endpoint unless it has been heard on another connection meanwhile. */
+	/** Asks the endpoint unless it has been heard on another connection meanwhile; twice, as the first packet of a connection may be lost. */
 	async #check(): Promise<void> {
 		const since = this.#silentSince;
 		const {upstream, checkMs = 0, isAlive} = this.#options;
 		const isHeard = monotonicNow() - upstream.lastHeardAt < checkMs;
-		const isDead = !isHeard && !(await isAlive());
+		const isDead = !isHeard && !(await isAlive()) && !(await isAlive());
 		if (since !== this.#silentSince) {
 			return;
 		}
--- a/src/services/gateway/patience.ts
+++ b/src/services/gateway/patience.ts
@@ -22,24 +22,23 @@
 
 /** Longest silences of an endpoint before a request is sent elsewhere, in milliseconds. */
 export type Patience = {
-	readonly firstByteMs: number | undefined;
-	readonly gapMs: number | undefined;
+	readonly firstByteMs: number;
+	readonly gapMs: number;
 	/** Silence after which the endpoint is asked whether it is alive; a dead one is given up at once. */
 	readonly checkMs: number | undefined;
 };
 
-const unlimited: Patience = {
-	firstByteMs: undefined,
-	gapMs: undefined,
-	checkMs: undefined,
-};
-
-/** How long to wait for an endpoint. Without another send left, silence changes nothing and only the request's own time counts. */
+/** How long to wait for an endpoint. Without another send left, silence of one that is alive changes nothing and only the request's own time counts; one that is dead is still given up, so that the caller learns it at once. */
 export function patience(
 	route: Route,
 	expectedMs: number,
 	canSendAgain: boolean,
 ): Patience {
+	const unlimited: Patience = {
+		firstByteMs: route.timeoutMs,
+		gapMs: route.timeoutMs,
+		checkMs: route.isStream ? engineCheckMs : undefined,
+	};
 	if (!canSendAgain) {
 		return unlimited;
 	}
