Remove leases, schedules and engine commands that no process ran

Cause: on the platform, endpoints register and leave by themselves and nothing gives an engine orders; the lifecycle state machine was proved and never run.

--- a/src/interfaces/adapters/http-engine.ts
+++ b/src/interfaces/adapters/http-engine.ts
@@ -2,13 +2,11 @@
 import type {Dispatcher} from 'undici';
 import {z} from 'zod';
 import {
-	CommandFenced,
 	EndpointUnavailable,
 	type CacheEvent,
 	type Call,
 	type Endpoint,
 	type EndpointEvent,
-	type EngineCommand,
 	type Execution,
 	type LoadReport,
 	type ResumePoint,
@@ -86,23 +84,6 @@
 		return cacheSchema.parse(answer.body).events;
 	}
 
-	async command(command: EngineCommand): Promise<void> {
-		const answer = await this.#control('POST', '/commands', command);
-		if (answer.status === 409) {
-			throw new CommandFenced(
-				'engine rejected fencing token %d',
-				command.fencingToken,
-			);
-		}
-
-		if (answer.status >= 400) {
-			throw new EndpointUnavailable(
-				'command answered with status %d',
-				answer.status,
-			);
-		}
-	}
-
 	async #control(method: 'GET' | 'POST', path: string, body?: unknown) {
 		try {
 			return await exchangeJson(
--- a/src/interfaces/adapters/http-service.ts
+++ b/src/interfaces/adapters/http-service.ts
@@ -77,10 +77,6 @@
 	async cacheEvents(): Promise<CacheEvent[]> {
 		return [];
 	}
-
-	async command(): Promise<void> {
-		throw new EndpointUnavailable('a plain service takes no commands');
-	}
 }
 
 class ServiceStream extends DispatchStream {
--- a/src/interfaces/ports/engine.ts
+++ b/src/interfaces/ports/engine.ts
@@ -56,25 +56,6 @@
 	readonly number: number;
 };
 
-/** Command to an engine; carries the fencing token of the lease under which it is given. */
-export type EngineCommand =
-	| {
-			readonly type: 'load';
-			readonly fencingToken: number;
-			readonly model: string;
-			readonly version: string;
-	  }
-	| {
-			readonly type: 'unload';
-			readonly fencingToken: number;
-			readonly model: string;
-	  }
-	| {
-			readonly type: 'role';
-			readonly fencingToken: number;
-			readonly role: string;
-	  };
-
 /** A model engine or a plain service beside which a sidecar runs. */
 export type Endpoint = {
 	/** Starts a call. Events are delivered until `end` or `error`. */
@@ -90,5 +71,4 @@
 	load(): Promise<LoadReport>;
 	/** Cache events after a number; engines publish them late and with gaps. */
 	cacheEvents(after: number): Promise<CacheEvent[]>;
-	command(command: EngineCommand): Promise<void>;
 };
--- a/src/interfaces/ports/errors.ts
+++ b/src/interfaces/ports/errors.ts
@@ -10,11 +10,6 @@
 	override name = 'TableUncertain';
 }
 
-/** An engine rejected a command because its fencing token is older than one it has seen. */
-export class CommandFenced extends VError {
-	override name = 'CommandFenced';
-}
-
 /** An endpoint could not be reached or answered with an error. */
 export class EndpointUnavailable extends VError {
 	override name = 'EndpointUnavailable';
--- a/src/interfaces/standins/engine-server.ts
+++ b/src/interfaces/standins/engine-server.ts
@@ -67,11 +67,6 @@
 					break;
 				}
 
-				case '/commands': {
-					sendJson(response, 200, {});
-					break;
-				}
-
 				default: {
 					sendJson(response, 404, {error: 'not found'});
 				}
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -1,6 +1,5 @@
 export * from './entry/index.js';
 export * from './gateway/index.js';
-export * from './lifecycle/index.js';
 export * from './membership/index.js';
 export * from './records/index.js';
 export * from './sidecar/index.js';
