Take the age of the configuration from two clocks

Ruled out: store calls that fail; none did. Change: the larger of the steady clock and the time of day counts.

--- a/src/daemons/gateway/clocks.ts
+++ b/src/daemons/gateway/clocks.ts
@@ -1,12 +1,7 @@
-import os from 'node:os';
 import type {Clocks} from '../../services/gateway/index.js';
 import {monotonicNow} from '../task.js';
 
-/** The process's clocks at this moment. */
+/** The process's clocks at this moment. Node.js reads no steady clock that counts suspensions but the uptime of the host, which on shared hosts is not that of the machine. */
 export function readClocks(): Clocks {
-	return {
-		steadyMs: monotonicNow(),
-		bootMs: os.uptime() * 1000,
-		wallMs: Date.now(),
-	};
+	return {steadyMs: monotonicNow(), wallMs: Date.now()};
 }
--- a/src/services/gateway/confirmation.ts
+++ b/src/services/gateway/confirmation.ts
@@ -2,16 +2,14 @@
 export type Clocks = {
 	/** Steady; stands still while the machine is suspended. */
 	readonly steadyMs: number;
-	/** Steady; goes on while the machine is suspended. */
-	readonly bootMs: number;
-	/** Time of day; may jump either way. */
+	/** Time of day; goes on while the machine is suspended, and may jump either way. */
 	readonly wallMs: number;
 };
 
 /**
- * Age of what a process believes. The largest difference of the three clocks
- * counts, so that neither a suspension nor a step of one clock makes an old
- * belief look young.
+ * Age of what a process believes. The larger difference of the two clocks counts,
+ * so that neither a suspension nor a step of the time of day makes an old
+ * belief look young; only both at once can.
  */
 export class Confirmation {
 	#at: Clocks | undefined;
@@ -24,11 +22,7 @@
 	/** Time since the last confirmation in milliseconds; infinite before the first. */
 	ageMs(now: Clocks): number {
 		return this.#at
-			? Math.max(
-					now.steadyMs - this.#at.steadyMs,
-					now.bootMs - this.#at.bootMs,
-					now.wallMs - this.#at.wallMs,
-				)
+			? Math.max(now.steadyMs - this.#at.steadyMs, now.wallMs - this.#at.wallMs)
 			: Number.POSITIVE_INFINITY;
 	}
 }
