Finish a planned stop only when all answers have left

Cause: a gateway that stops ended when no request was in progress; bytes of the last answers could still wait for slow callers and were lost with the process. Change: the gateway follows its callers' connections, closes idle ones in order and stops when none is left or the grace time ends. Before and after: the new test in gateway.test.ts failed before and passes after.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -31,6 +31,7 @@
 import type {Log} from '../log.js';
 import {monotonicNow} from '../task.js';
 import {GatewayAdmin} from './admin-server.js';
+import {CallerConnections} from './caller-connections.js';
 import {CallerOutput} from './caller-output.js';
 import {readClocks} from './clocks.js';
 import {ConnectionDirectory} from './connection-directory.js';
@@ -63,6 +64,9 @@
 /** Time after the request to stop for which idle connections stay open, in milliseconds: until then the platform still sends new ones. */
 const idleCloseDelayMs = 3000;
 
+/** Time between two looks at the connections that are left while stopping, in milliseconds. */
+const drainPollMs = 50;
+
 /** Time between the last answer's forced end and the end of the grace time, in milliseconds. */
 const stopMarginMs = 700;
 
@@ -121,6 +125,7 @@
 	readonly #options: GatewayOptions;
 	readonly #store = new DisposableStore();
 	readonly #server: Server;
+	readonly #callers: CallerConnections;
 	readonly #readiness: Server;
 	readonly #context: ExchangeContext;
 	readonly #endpoints: EndpointSet;
@@ -192,6 +197,7 @@
 		this.#followEndpoints(connections);
 		this.#watchTables();
 		this.#server = this.#createCallerServer();
+		this.#callers = new CallerConnections(this.#server);
 		this.#readiness = createServer((request, response) => {
 			const isReady = request.url === options.readinessPath && this.isReady;
 			response.writeHead(isReady ? 200 : 503).end();
@@ -246,13 +252,13 @@
 		log.info('draining', {requests: this.#exchanges.size});
 		void this.#roster.leave();
 		await delay(idleCloseDelayMs);
-		this.#server.closeIdleConnections();
+		this.#callers.closeIdle();
 		while (
-			this.#exchanges.size > 0 &&
+			this.#callers.size > 0 &&
 			monotonicNow() - startedAt < graceMs - stopMarginMs
 		) {
-			await delay(50);
-			this.#server.closeIdleConnections();
+			await delay(drainPollMs);
+			this.#callers.closeIdle();
 		}
 
 		log.info('stopped', {
