Let a stream that breaks off late wait for room elsewhere

Change: repeats wait up to 1.5 s and an answer that has begun goes first; the backlog up to which an engine gets requests falls with the tier and with how late the engine answers; Retry-After after no room is up to 3 s.

--- a/src/daemons/gateway/connections.ts
+++ b/src/daemons/gateway/connections.ts
@@ -8,7 +8,7 @@
 const connectTimeoutMs = 400;
 
 /** Longest idle time of a connection that may carry any request, in milliseconds; endpoints may drop older ones without notice. */
-const maxIdleMs = 4000;
+const maxIdleMs = 8000;
 
 /** Idle time after which a connection no longer carries a request that must not be repeated, in milliseconds. */
 const maxIdleOnceMs = 1000;
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -38,8 +38,12 @@
 /** Part of its objective after which a request that found no room is refused. */
 const maxWaitObjectivePart = 1;
 
-/** When a caller may come back after there was no room, as a part of the objective: bursts last for seconds. */
-const noRoomRetryObjectivePart = 1;
+/** Longest wait of a request that has been sent before, in milliseconds: its caller may have a part of the answer and gives up after some seconds without more. */
+const maxRepeatWaitMs = 1500;
+
+/** When a caller may come back after there was no room, in milliseconds, and as a part of its time left: bursts last for seconds, and a caller waits at most for a third of its time. */
+const noRoomRetryMs = 3000;
+const noRoomRetryPart = 1 / 3;
 
 /** Assignment to an endpoint, with the work noted there. */
 type Placed = {
@@ -188,15 +192,20 @@
 		Placed | Extract<Assignment, {type: 'refuse'}> | {type: 'abandoned'}
 	> {
 		const {room, sweep} = this.#context;
-		const {route, receivedAt, workspace} = this.#request;
-		const lateAt = receivedAt + route.objectiveMs;
+		const {route, receivedAt} = this.#request;
+		const isFirst = this.#sends === 0;
+		const lateAt = isFirst
+			? receivedAt + route.objectiveMs
+			: Number.POSITIVE_INFINITY;
 		const waitUntil = Math.min(
 			this.#expiresAt,
-			receivedAt + route.objectiveMs * maxWaitObjectivePart,
+			isFirst
+				? receivedAt + route.objectiveMs * maxWaitObjectivePart
+				: monotonicNow() + maxRepeatWaitMs,
 		);
 		return new Promise((resolve) => {
 			const waiting: Waiting = {
-				tier: workspace?.tier ?? route.tier,
+				tier: this.#tier,
 				arrivedAt: receivedAt,
 				lateAt,
 				tryPlace: (now) => {
@@ -225,7 +234,10 @@
 							resolve({
 								type: 'refuse',
 								reason: 'no room in time',
-								retryAfterMs: route.objectiveMs * noRoomRetryObjectivePart,
+								retryAfterMs: Math.min(
+									noRoomRetryMs,
+									this.#remainingMs() * noRoomRetryPart,
+								),
 							});
 							return true;
 						}
@@ -270,6 +282,7 @@
 				isOnce: route.repetition === 'once',
 				dataCentre,
 				objectiveMs: route.objectiveMs,
+				tier: this.#tier,
 			},
 			endpoints.serving(service.name, now),
 			now,
@@ -527,6 +540,16 @@
 		};
 	}
 
+	/** A workspace's own tier goes before that of the route. An answer that has begun goes on before others begin. */
+	get #tier(): number {
+		const {route, workspace} = this.#request;
+		if (this.#output.isBegun) {
+			return 0;
+		}
+
+		return workspace?.tier ?? route.tier;
+	}
+
 	#remainingMs(): number {
 		return Math.max(0, this.#expiresAt - monotonicNow());
 	}
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -39,8 +39,14 @@
 /** Requests beyond its slots that an endpoint may queue before it is passed over. */
 const queueFactor = 1.25;
 
-/** Part of its objective that a request may wait for prompts before it at an engine; beyond it waits at the gateway, where more urgent requests can pass it. */
-const backlogObjectivePart = 0.3;
+/**
+ * Backlog of an engine up to which it gets requests of the highest tier, in
+ * milliseconds: a part of the shortest objectives in use. Each lower tier stops
+ * a step earlier, so that its prompts never keep a higher one out.
+ */
+const maxBacklogMs = 450;
+const backlogStep = 0.25;
+const leastBacklogPart = 0.4;
 
 /** What placement needs to know of a request. */
 export type Placeable = {
@@ -57,6 +63,8 @@
 	readonly dataCentre: string;
 	/** Latency target, in milliseconds. */
 	readonly objectiveMs: number;
+	/** 0 is the highest. */
+	readonly tier: number;
 };
 
 /** Where a request goes, or why it goes nowhere. */
@@ -140,7 +148,8 @@
 
 	const {upstream, expectedMs, uncachedTokens, home} = best!;
 	const isBacklogged =
-		backlogMs(upstream, now) > request.objectiveMs * backlogObjectivePart;
+		backlogMs(upstream, now) * upstream.slowness(now) >
+		acceptedBacklogMs(request.tier);
 	const waitsForShared =
 		best!.pendingTokens >= minSharedTokens &&
 		request.waitedMs < request.objectiveMs * sharedWaitObjectivePart;
@@ -160,6 +169,11 @@
 	);
 }
 
+/** Backlog of an engine up to which it gets requests of a tier, in milliseconds. */
+function acceptedBacklogMs(tier: number): number {
+	return maxBacklogMs * Math.max(leastBacklogPart, 1 - backlogStep * tier);
+}
+
 /** Time that an engine needs for the prompts that it has still to read. */
 function backlogMs(upstream: Upstream, now: number): number {
 	return upstream.unreadTokens(now) / prefillTokensPerMs;
