--- a/src/services/gateway/placement.test.ts
+++ b/src/services/gateway/placement.test.ts
@@ -173,7 +173,9 @@
 	}
 
 	expect(sent > 0).toEqual(true);
-	expect(place(request(prompt('urgent', 'x')), [only!], 0).type).toEqual('send');
+	expect(place(request(prompt('urgent', 'x')), [only!], 0).type).toEqual(
+		'send',
+	);
 });
 
 // Guards against an overload that the count of unread prompts does not show: an engine that answers later than expected gets less.
