Keep prompts with the engine that holds them

Cause: an engine's slowness multiplied its cost, also where queues alone made it slow, and the preferred engine drew prompts that another engine already held; prompts moved and were read again. Change: slowness counts only for stragglers, beyond twice the mean; the preferred engine draws a prompt only while no engine holds its parts.

--- a/src/services/gateway/placement.test.ts
+++ b/src/services/gateway/placement.test.ts
@@ -189,3 +189,30 @@
 
 	expect(place(request(prompt('a', 'x')), [only!], 0).type).toEqual('wait');
 });
+
+// Guards against prompts that leave the engine that holds them because queues differ, and against a straggler that keeps them.
+test('a prompt leaves the engine that holds it only when that is a straggler', () => {
+	const all = upstreams(4);
+	const links = prompt('subject', 'one');
+	const [holder] = all;
+	holder!.answered(holder!.begin(links, 13_000, 0), links);
+	const next = request(prompt('subject', 'two'));
+	const leaves = () => {
+		const placed = place(next, all, 0);
+		return placed.type === 'send' && placed.upstream !== holder;
+	};
+
+	holder!.begin(prompt('busy', 'x'), 8000, 0);
+	for (const upstream of all) {
+		for (let sample = 0; sample < 20; sample++) {
+			upstream.timed(upstream === holder ? 3000 : 1800, 1000, 0);
+		}
+	}
+
+	expect(leaves()).toEqual(false);
+	for (let sample = 0; sample < 20; sample++) {
+		holder!.timed(10_000, 1000, 0);
+	}
+
+	expect(leaves()).toEqual(true);
+});
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -24,6 +24,9 @@
 /** Largest such factor. */
 const maxReadFactor = 5;
 
+/** Multiple of the mean slowness above which an engine counts as a straggler. Smaller differences are those of queues and must not move a prompt from the engine that holds its parts. */
+const stragglerFactor = 2;
+
 /** Least tokens for which a request waits until another one has made the engine read them. */
 const minSharedTokens = 1500;
 
@@ -215,6 +218,10 @@
 	now: number,
 ): Candidate[] {
 	const home = preferred(request.links, upstreams);
+	const isHeld = upstreams.some(
+		({prefixes}) =>
+			prefixes.expectedTokens(request.links, now) >= minSharedTokens,
+	);
 	const meanBacklogMs =
 		upstreams.reduce((sum, upstream) => sum + backlogMs(upstream, now), 0) /
 		upstreams.length;
@@ -222,6 +229,9 @@
 		maxReadFactor,
 		1 + meanBacklogMs / doublingBacklogMs,
 	);
+	const meanSlowness =
+		upstreams.reduce((sum, upstream) => sum + upstream.slowness(now), 0) /
+		upstreams.length;
 	return upstreams.map((upstream) => {
 		const cached = upstream.prefixes.cachedTokens(request.links);
 		const expected = upstream.prefixes.expectedTokens(request.links, now);
@@ -229,16 +239,18 @@
 			Math.max(0, prompt.promptTokens - expected) / prefillTokensPerMs;
 		const uncachedTokens = Math.max(0, prompt.promptTokens - cached);
 		const slowness = upstream.slowness(now);
+		const relative = slowness / meanSlowness;
+		const drag = relative > stragglerFactor ? relative : 1;
 		const baseMs =
 			engineBaseMs +
 			backlogMs(upstream, now) +
 			upstream.running(now) * perRunningMs;
-		const pull = upstream === home ? 1 - homePull : 1;
+		const pull = upstream === home && !isHeld ? 1 - homePull : 1;
 		return {
 			upstream,
 			expectedMs: (baseMs + uncachedTokens / prefillTokensPerMs) * slowness,
 			costMs:
-				(baseMs + readMs * readFactor * pull) * slowness +
+				(baseMs + readMs * readFactor * pull) * drag +
 				penaltyMs(request, upstream, now),
 			uncachedTokens,
 			pendingTokens: expected - cached,
