Split the gateway's daemon: admission is pure, copies of tables have a class

Change: admit() in src/services/gateway; PlatformCopy owns the copies of configuration and endpoints; the beliefs about an endpoint's health are updated by the upstream itself; types that exchanges share have a file of their own.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -1,34 +1,22 @@
 import type {Disposable} from '../../base/index.js';
-import type {
-	HttpFormat,
-	KeyHolder,
-	RequestHead,
-	Route,
-	Service,
-} from '../../interfaces/index.js';
 import {
 	nextStep,
 	patience,
 	place,
 	prefixLinks,
 	type Course,
-	type EndpointSet,
 	type NextStep,
 	type PrefixLink,
 	type Assignment,
-	type RetryAllowance,
 	type SendEnd,
 	type Upstream,
 	type Waiting,
-	type WaitingRoom,
 	type Work,
 } from '../../services/gateway/index.js';
-import type {Log} from '../log.js';
 import {monotonicNow} from '../task.js';
 import type {CallerOutput} from './caller-output.js';
-import type {ConnectionDirectory} from './connection-directory.js';
+import type {CallerRequest, ExchangeContext} from './exchange-context.js';
 import {sendOwnAnswer} from './own-answer.js';
-import type {GatewayMetrics} from './gateway-metrics.js';
 import {isAlive} from './liveness.js';
 import {Send, type HeldAnswer, type StreamPosition} from './send.js';
 
@@ -53,53 +41,6 @@
 	readonly work: Work;
 };
 
-/** A request as the gateway has read and resolved it. */
-export type CallerRequest = {
-	readonly method: string;
-	/** Path and query. */
-	readonly target: string;
-	readonly headers: readonly string[];
-	readonly body: Uint8Array;
-	readonly head: RequestHead;
-	readonly route: Route;
-	readonly service: Service;
-	readonly workspace: KeyHolder | undefined;
-	/** Moment at which its head had been read. */
-	readonly receivedAt: number;
-	/** Version of the configuration that it is handled by. */
-	readonly configurationVersion: number;
-};
-
-/** What exchanges share. */
-export type ExchangeContext = {
-	readonly dataCentre: string;
-	readonly format: HttpFormat;
-	readonly endpoints: EndpointSet;
-	readonly connections: ConnectionDirectory;
-	readonly allowance: RetryAllowance;
-	readonly gateways: () => number;
-	readonly log: Log;
-	readonly room: WaitingRoom;
-	/** Tells the other gateways what an engine reads. */
-	readonly noteReads: (
-		endpoint: string,
-		links: readonly PrefixLink[],
-		isDone: boolean,
-	) => void;
-	/** Places waiting requests, because there may be room. */
-	readonly sweep: () => void;
-	readonly metrics: GatewayMetrics;
-};
-
-/** How a request ended, for counters. */
-export type ExchangeSummary = {
-	readonly request: CallerRequest;
-	readonly outcome: string;
-	readonly sends: number;
-	readonly totalMs: number;
-	readonly firstByteMs: number | undefined;
-};
-
 /** One request of a caller: places it, follows its sends and answers it. */
 export class Exchange implements Disposable {
 	readonly #context: ExchangeContext;
@@ -354,58 +295,12 @@
 			upstream.timed(send.firstByteAt - startedAt, expectedMs, now);
 		}
 
-		switch (end.type) {
-			case 'unsent': {
-				this.#failedConnections++;
-				upstream.health.block(now);
-				break;
-			}
-
-			case 'rejected': {
-				upstream.health.failed(now);
-				break;
-			}
-
-			case 'answered': {
-				this.#mayHaveRun = true;
-				if (end.status < 500) {
-					upstream.health.succeeded(now);
-				} else {
-					upstream.health.failed(now);
-				}
-
-				break;
-			}
-
-			case 'delivered': {
-				this.#mayHaveRun = true;
-				upstream.health.succeeded(now);
-				break;
-			}
-
-			case 'broken': {
-				this.#mayHaveRun = true;
-				upstream.health.failed(now);
-				break;
-			}
-
-			case 'silent': {
-				this.#mayHaveRun = true;
-				if (now - upstream.lastHeardAt > now - startedAt) {
-					upstream.health.block(now);
-				} else {
-					upstream.health.failed(now);
-				}
-
-				break;
-			}
-
-			case 'expired':
-			case 'abandoned': {
-				this.#mayHaveRun ||= send.isSent;
-				break;
-			}
+		if (end.type === 'unsent') {
+			this.#failedConnections++;
 		}
+
+		this.#mayHaveRun ||= send.isSent && end.type !== 'rejected';
+		upstream.ended(end, startedAt, now);
 	}
 
 	#follow(end: SendEnd): NextStep {
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -14,16 +14,15 @@
 	ConfigurationChange,
 	EndpointChange,
 	HttpFormat,
-	KeyHolder,
+	RequestHead,
 	Roster,
 	WatchedTable,
 } from '../../interfaces/index.js';
 import {
-	Confirmation,
-	EndpointSet,
+	admit,
+	freshMs,
 	PeerLoads,
 	RetryAllowance,
-	RoutingTable,
 	WaitingRoom,
 	type RetryBounds,
 } from '../../services/gateway/index.js';
@@ -33,33 +32,15 @@
 import {GatewayAdmin} from './admin-server.js';
 import {CallerConnections} from './caller-connections.js';
 import {CallerOutput} from './caller-output.js';
-import {readClocks} from './clocks.js';
 import {ConnectionDirectory} from './connection-directory.js';
-import {Exchange, type ExchangeContext} from './exchange.js';
+import type {ExchangeContext} from './exchange-context.js';
+import {Exchange} from './exchange.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {sendOwnAnswer, type OwnAnswer} from './own-answer.js';
 import {PeerExchange} from './peer-exchange.js';
+import {PlatformCopy} from './platform-copy.js';
 import {readBody} from './request-body.js';
 import {RosterTask} from './roster-task.js';
-import {TableWatch} from './table-watch.js';
-
-/** Time that a feed of the configuration waits for a change, in milliseconds; also how often the copy is confirmed. */
-const configurationWaitMs = 1000;
-
-/** Time between two reads of the endpoints' feed, in milliseconds; a leaving endpoint must be known well within 2 s. */
-const endpointPauseMs = 700;
-
-/** Age of the configuration above which an unknown route or key may be a newer one, in milliseconds. */
-const freshMs = 2000;
-
-/** Part of the revocation bound for which keys are accepted without confirmation. */
-const keyAgePart = 0.8;
-
-/** When a caller may come back to another gateway, in milliseconds. */
-const elsewhereRetryAfterMs = 200;
-
-/** When a caller may come back to a gateway that is starting, in milliseconds. */
-const startRetryAfterMs = 500;
 
 /** Time after the request to stop for which idle connections stay open, in milliseconds: until then the platform still sends new ones. */
 const idleCloseDelayMs = 3000;
@@ -115,11 +96,6 @@
 	readonly admin?: {readonly address: string; readonly metricsPath: string};
 };
 
-/** Outcome of the checks on a request before it is placed. */
-type Admission =
-	| {readonly type: 'admitted'; readonly exchange: Exchange}
-	| {readonly type: 'rejected'; readonly answer: OwnAnswer};
-
 /** Entry process that sends requests straight to endpoints: owns the caller sockets and keeps copies of the platform's tables. */
 export class GatewayDaemon implements Disposable {
 	readonly #options: GatewayOptions;
@@ -128,19 +104,15 @@
 	readonly #callers: CallerConnections;
 	readonly #readiness: Server;
 	readonly #context: ExchangeContext;
-	readonly #endpoints: EndpointSet;
-	readonly #confirmation = new Confirmation();
+	readonly #platform: PlatformCopy;
 	readonly #roster: RosterTask;
 	readonly #peers: PeerExchange;
 	readonly #room = new WaitingRoom();
 	#sweepTimer: NodeJS.Timeout | undefined;
 	readonly #metrics: GatewayMetrics;
 	readonly #exchanges = new Set<Exchange>();
-	#routing: RoutingTable | undefined;
-	#hasEndpoints = false;
 	#isDraining = false;
 	#bounds: GatewayBounds;
-	readonly #unreadable = new Map<string, string>();
 
 	constructor(options: GatewayOptions) {
 		this.#options = options;
@@ -148,22 +120,22 @@
 		this.#metrics = new GatewayMetrics({
 			requestsInProgress: () => this.#exchanges.size,
 			requestsWaiting: () => this.#room.size,
-			configurationVersion: () => this.#routing?.configuration.version ?? 0,
-			configurationAgeMs: () => this.#configurationAgeMs(),
-			endpoints: () => this.#endpoints.all().length,
+			configurationVersion: () =>
+				this.#platform.routing?.configuration.version ?? 0,
+			configurationAgeMs: () => this.#platform.ageMs,
+			endpoints: () => this.#platform.endpoints.all().length,
 			gateways: () => this.#roster.count,
 			droppedLines: options.droppedLines,
 		});
 		const loads = new PeerLoads();
-		this.#endpoints = new EndpointSet(
-			(name) => this.#routing?.service(name),
-			loads,
+		this.#platform = this.#store.add(
+			new PlatformCopy({...options, loads, metrics: () => this.#metrics}),
 		);
 		this.#peers = this.#store.add(
 			new PeerExchange({
 				instance: options.instance,
 				address: options.peerAddress,
-				endpoints: this.#endpoints,
+				endpoints: this.#platform.endpoints,
 				loads,
 				log: options.log,
 				onDidHear: () => {
@@ -180,7 +152,7 @@
 		this.#context = {
 			dataCentre: options.dataCentre,
 			format: options.format,
-			endpoints: this.#endpoints,
+			endpoints: this.#platform.endpoints,
 			connections,
 			allowance: new RetryAllowance(options.retries),
 			gateways: () => this.#roster.count,
@@ -194,8 +166,12 @@
 			},
 			metrics: this.#metrics,
 		};
-		this.#followEndpoints(connections);
-		this.#watchTables();
+		this.#platform.endpoints.onDidLeave(({upstream}) => {
+			connections.forget(upstream);
+		});
+		this.#platform.onDidChangeRouting(({configuration}) => {
+			applyLimits(this.#server, configuration.limits);
+		});
 		this.#server = this.#createCallerServer();
 		this.#callers = new CallerConnections(this.#server);
 		this.#readiness = createServer((request, response) => {
@@ -216,9 +192,8 @@
 	get isReady(): boolean {
 		return (
 			!this.#isDraining &&
-			this.#routing !== undefined &&
-			this.#hasEndpoints &&
-			this.#configurationAgeMs() < freshMs * 1.25
+			this.#platform.isComplete &&
+			this.#platform.ageMs < freshMs * 1.25
 		);
 	}
 
@@ -227,6 +202,7 @@
 		await listen(this.#server, callerAddress);
 		await listen(this.#readiness, readinessAddress);
 		await this.#startAdmin();
+		this.#platform.start();
 		this.#peers.start();
 		this.#roster.start();
 		log.info('started', {caller: callerAddress});
@@ -291,12 +267,12 @@
 		return {
 			isReady: this.isReady,
 			isDraining: this.#isDraining,
-			configuration: this.#routing?.configuration.version,
-			configurationAgeMs: Math.round(this.#configurationAgeMs()),
+			configuration: this.#platform.routing?.configuration.version,
+			configurationAgeMs: Math.round(this.#platform.ageMs),
 			gateways: this.#roster.count,
 			requests: this.#exchanges.size,
 			waiting: this.#room.size,
-			endpoints: this.#endpoints.all().map((upstream) => ({
+			endpoints: this.#platform.endpoints.all().map((upstream) => ({
 				...upstream.listed,
 				ownRunning: upstream.ownRunning,
 				running: upstream.running(now),
@@ -335,140 +311,13 @@
 		return server;
 	}
 
-	#watchTables(): void {
-		const {configuration, endpoints, log} = this.#options;
-		const contact = (table: string) => (reason: string | undefined) => {
-			if (reason === undefined) {
-				log.info('store_regained', {table});
-			} else {
-				log.warn('store_lost', {
-					table,
-					reason,
-					configuration_age_ms: Math.round(this.#configurationAgeMs()),
-				});
-			}
-		};
-
-		const configurationWatch = this.#store.add(
-			new TableWatch<ConfigurationChange>({
-				table: configuration,
-				waitMs: configurationWaitMs,
-				pauseMs: 0,
-				onList: (changes) => {
-					for (const change of changes) {
-						this.#onConfiguration(change);
-					}
-				},
-				onChange: (change) => {
-					this.#onConfiguration(change);
-				},
-				onAnswer: (sentAt) => {
-					this.#metrics.storeCall('configuration', 'answered');
-					this.#confirmation.confirm(sentAt);
-				},
-				onFailure: () => {
-					this.#metrics.storeCall('configuration', 'failed');
-				},
-				onContact: contact('configuration'),
-			}),
-		);
-		const endpointWatch = this.#store.add(
-			new TableWatch<EndpointChange>({
-				table: endpoints,
-				waitMs: 0,
-				pauseMs: endpointPauseMs,
-				onList: (changes, isAfterOutage) => {
-					this.#noteUnreadable(changes);
-					this.#endpoints.replace(changes, monotonicNow(), isAfterOutage);
-					this.#hasEndpoints = true;
-				},
-				onChange: (change) => {
-					this.#noteUnreadable([change]);
-					this.#endpoints.apply(change, monotonicNow());
-				},
-				onAnswer: () => {
-					this.#metrics.storeCall('endpoints', 'answered');
-				},
-				onFailure: () => {
-					this.#metrics.storeCall('endpoints', 'failed');
-				},
-				onContact: contact('endpoints'),
-			}),
-		);
-		configurationWatch.start();
-		endpointWatch.start();
-	}
-
-	#onConfiguration(change: ConfigurationChange): void {
-		const {log} = this.#options;
-		switch (change.type) {
-			case 'unreadable': {
-				log.warn('configuration_unreadable', {reason: change.reason});
-				break;
-			}
-
-			case 'configuration': {
-				const {configuration} = change;
-				const known = this.#routing?.configuration.version ?? -1;
-				if (configuration.version <= known) {
-					break;
-				}
-
-				this.#routing = new RoutingTable(configuration);
-				applyLimits(this.#server, configuration.limits);
-				log.info('configuration', {
-					version: configuration.version,
-					before: known,
-					routes: configuration.routes.length,
-					workspaces: configuration.workspaces.length,
-				});
-				break;
-			}
-		}
-	}
-
-	#followEndpoints(connections: ConnectionDirectory): void {
-		const {log} = this.#options;
-		this.#endpoints.onDidAdd((upstream) => {
-			log.info('endpoint_added', {
-				endpoint: upstream.id,
-				service: upstream.listed.service,
-				address: upstream.listed.address,
-			});
-		});
-		this.#endpoints.onDidDrain((upstream) => {
-			log.info('endpoint_draining', {endpoint: upstream.id});
-		});
-		this.#endpoints.onDidLeave(({upstream, why}) => {
-			connections.forget(upstream);
-			log.info('endpoint_left', {endpoint: upstream.id, why});
-		});
-	}
-
-	/** One line for each damaged entry, not one for each time that it is read. */
-	#noteUnreadable(changes: readonly EndpointChange[]): void {
-		for (const change of changes) {
-			if (change.type !== 'unreadable') {
-				continue;
-			}
-
-			if (this.#unreadable.get(change.id) !== change.reason) {
-				this.#unreadable.set(change.id, change.reason);
-				this.#options.log.warn('endpoint_unreadable', {
-					endpoint: change.id,
-					reason: change.reason,
-				});
-			}
-		}
-	}
-
 	async #onRequest(
 		request: IncomingMessage,
 		response: ServerResponse,
 	): Promise<void> {
 		const receivedAt = monotonicNow();
 		const output = new CallerOutput(response);
-		const limits = this.#routing?.configuration.limits ?? startLimits;
+		const limits = this.#platform.routing?.configuration.limits ?? startLimits;
 		const body = await readBody(request, limits.maxBodyBytes);
 		if (this.#isDraining) {
 			output.closeAfterwards();
@@ -493,16 +342,44 @@
 			}
 		}
 
-		const admission = this.#admit(request, output, receivedAt, body.bytes);
+		const {method = 'GET', url = '/', rawHeaders} = request;
+		const head = this.#options.format.readRequest(rawHeaders);
+		const {routing, ageMs} = this.#platform;
+		const {revocationMs} = this.#bounds;
+		const admission = admit(request.headers.host ?? '', url, head, {
+			routing,
+			ageMs,
+			revocationMs,
+		});
 		switch (admission.type) {
 			case 'rejected': {
-				this.#reject(request, output, admission.answer);
+				this.#reject(head, output, admission);
+				break;
+			}
+
+			case 'deferred': {
+				this.#reject(head, output, {...admission, status: 503, closes: true});
 				break;
 			}
 
 			case 'admitted': {
-				const {exchange} = admission;
-				this.#exchanges.add(exchange);
+				const {route, service, workspace} = admission;
+				const exchange = new Exchange(
+					this.#context,
+					{
+						method,
+						target: url,
+						headers: rawHeaders,
+						body: body.bytes,
+						head,
+						route,
+						service,
+						workspace,
+						receivedAt,
+						configurationVersion: routing?.configuration.version ?? 0,
+					},
+					output,
+				);
 				response.once('close', () => {
 					if (!response.writableFinished) {
 						exchange.dispose();
@@ -516,6 +393,7 @@
 
 	/** A defect in the handling of one request must not end the process and all others. */
 	async #run(exchange: Exchange, output: CallerOutput): Promise<void> {
+		this.#exchanges.add(exchange);
 		try {
 			await exchange.run();
 		} catch (error) {
@@ -528,99 +406,17 @@
 		}
 	}
 
-	#reject(
-		request: IncomingMessage,
-		output: CallerOutput,
-		answer: OwnAnswer,
-	): void {
-		const head = this.#options.format.readRequest(request.rawHeaders);
+	#reject(head: RequestHead, output: CallerOutput, answer: OwnAnswer): void {
 		this.#options.log.info('rejected', {
 			request: head.requestId,
 			status: answer.status,
 			reason: answer.reason,
-			configuration: this.#routing?.configuration.version ?? '',
-			configuration_age_ms: Math.round(this.#configurationAgeMs()),
+			configuration: this.#platform.routing?.configuration.version ?? '',
+			configuration_age_ms: Math.round(this.#platform.ageMs),
 		});
 		this.#metrics.rejected(answer.status);
 		sendOwnAnswer(output, answer);
 	}
-
-	#admit(
-		request: IncomingMessage,
-		output: CallerOutput,
-		receivedAt: number,
-		body: Uint8Array,
-	): Admission {
-		const routing = this.#routing;
-		if (!routing) {
-			return rejected(503, 'no configuration yet', startRetryAfterMs);
-		}
-
-		const {method = 'GET', url = '/', rawHeaders} = request;
-		const ageMs = this.#configurationAgeMs();
-		const route = routing.route(request.headers.host ?? '', url);
-		if (!route) {
-			return ageMs > freshMs
-				? rejected(503, 'configuration may be old', elsewhereRetryAfterMs)
-				: {type: 'rejected', answer: {status: 404, reason: 'no such route'}};
-		}
-
-		const head = this.#options.format.readRequest(rawHeaders);
-		let workspace: KeyHolder | undefined;
-		if (routing.hasWorkspaces && !route.isPublic) {
-			workspace =
-				head.key === undefined ? undefined : routing.workspace(head.key);
-			if (ageMs > this.#bounds.revocationMs * keyAgePart) {
-				return rejected(503, 'keys cannot be checked', elsewhereRetryAfterMs);
-			}
-
-			if (!workspace) {
-				return ageMs > freshMs
-					? rejected(503, 'configuration may be old', elsewhereRetryAfterMs)
-					: {type: 'rejected', answer: {status: 401, reason: 'unknown key'}};
-			}
-		}
-
-		const service = routing.target(route, head.requestId);
-		if (!service) {
-			return rejected(503, 'route without service', startRetryAfterMs);
-		}
-
-		return {
-			type: 'admitted',
-			exchange: new Exchange(
-				this.#context,
-				{
-					method,
-					target: url,
-					headers: rawHeaders,
-					body,
-					head,
-					route,
-					service,
-					workspace,
-					receivedAt,
-					configurationVersion: routing.configuration.version,
-				},
-				output,
-			),
-		};
-	}
-
-	#configurationAgeMs(): number {
-		return this.#confirmation.ageMs(readClocks());
-	}
-}
-
-function rejected(
-	status: 503,
-	reason: string,
-	retryAfterMs: number,
-): Admission {
-	return {
-		type: 'rejected',
-		answer: {status, reason, retryAfterMs, closes: true},
-	};
 }
 
 function applyLimits(server: Server, limits: CallerLimits): void {
--- a/src/daemons/gateway/gateway-metrics.ts
+++ b/src/daemons/gateway/gateway-metrics.ts
@@ -1,5 +1,5 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
-import type {ExchangeSummary} from './exchange.js';
+import type {ExchangeSummary} from './exchange-context.js';
 
 /** Bounds of the latency histograms in seconds; they cover the objectives and deadlines of the routes in use. */
 const latencyBuckets = [
--- /dev/null
+++ b/src/daemons/gateway/platform-copy.ts
@@ -0,0 +1,197 @@
+import {DisposableStore, Emitter, type Disposable} from '../../base/index.js';
+import type {
+	ConfigurationChange,
+	EndpointChange,
+	WatchedTable,
+} from '../../interfaces/index.js';
+import {
+	Confirmation,
+	EndpointSet,
+	RoutingTable,
+	type PeerLoads,
+} from '../../services/gateway/index.js';
+import type {Log} from '../log.js';
+import {monotonicNow} from '../task.js';
+import {readClocks} from './clocks.js';
+import type {GatewayMetrics} from './gateway-metrics.js';
+import {TableWatch, type TableWatchOptions} from './table-watch.js';
+
+/** Time that a feed of the configuration waits for a change, in milliseconds; also how often the copy is confirmed. */
+const configurationWaitMs = 1000;
+
+/** Time between two reads of the endpoints' feed, in milliseconds; a leaving endpoint must be known well within 2 s. */
+const endpointPauseMs = 700;
+
+export type PlatformCopyOptions = {
+	readonly configuration: WatchedTable<ConfigurationChange>;
+	readonly endpoints: WatchedTable<EndpointChange>;
+	readonly loads: PeerLoads;
+	readonly metrics: () => GatewayMetrics;
+	readonly log: Log;
+};
+
+/** Copies of the operator's configuration and of the list of endpoints, kept up to date from the platform's store. */
+export class PlatformCopy implements Disposable {
+	readonly endpoints: EndpointSet;
+	readonly #options: PlatformCopyOptions;
+	readonly #store = new DisposableStore();
+	readonly #confirmation = new Confirmation();
+	/** Reason by id of each damaged entry that has been logged. */
+	readonly #unreadable = new Map<string, string>();
+	readonly #onDidChangeRouting = this.#store.add(new Emitter<RoutingTable>());
+	#routing: RoutingTable | undefined;
+	#hasEndpoints = false;
+
+	constructor(options: PlatformCopyOptions) {
+		this.#options = options;
+		this.endpoints = new EndpointSet(
+			(name) => this.#routing?.service(name),
+			options.loads,
+		);
+		this.#logEndpoints();
+	}
+
+	/** A newer configuration is in force. */
+	readonly onDidChangeRouting = this.#onDidChangeRouting.event;
+
+	/** The newest configuration; undefined until one has been read. */
+	get routing(): RoutingTable | undefined {
+		return this.#routing;
+	}
+
+	/** Both tables have been read. */
+	get isComplete(): boolean {
+		return this.#routing !== undefined && this.#hasEndpoints;
+	}
+
+	/** Time since the configuration was last known to be current, in milliseconds. */
+	get ageMs(): number {
+		return this.#confirmation.ageMs(readClocks());
+	}
+
+	start(): void {
+		this.#watch('configuration', {
+			table: this.#options.configuration,
+			waitMs: configurationWaitMs,
+			pauseMs: 0,
+			onList: (changes) => {
+				for (const change of changes) {
+					this.#onConfiguration(change);
+				}
+			},
+			onChange: (change) => {
+				this.#onConfiguration(change);
+			},
+			onAnswer: (sentAt) => {
+				this.#confirmation.confirm(sentAt);
+			},
+		});
+		this.#watch('endpoints', {
+			table: this.#options.endpoints,
+			waitMs: 0,
+			pauseMs: endpointPauseMs,
+			onList: (changes, isAfterOutage) => {
+				this.#logUnreadable(changes);
+				this.endpoints.replace(changes, monotonicNow(), isAfterOutage);
+				this.#hasEndpoints = true;
+			},
+			onChange: (change) => {
+				this.#logUnreadable([change]);
+				this.endpoints.apply(change, monotonicNow());
+			},
+			onAnswer: () => undefined,
+		});
+	}
+
+	dispose(): void {
+		this.#store.dispose();
+	}
+
+	/** Follows one table, with counters and a line when its contact is lost or regained. */
+	#watch<Change>(
+		table: string,
+		options: Omit<TableWatchOptions<Change>, 'onFailure' | 'onContact'>,
+	): void {
+		const {log, metrics} = this.#options;
+		const watch = this.#store.add(
+			new TableWatch<Change>({
+				...options,
+				onAnswer(sentAt) {
+					metrics().storeCall(table, 'answered');
+					options.onAnswer(sentAt);
+				},
+				onFailure() {
+					metrics().storeCall(table, 'failed');
+				},
+				onContact: (reason) => {
+					if (reason === undefined) {
+						log.info('store_regained', {table});
+					} else {
+						const configuration_age_ms = Math.round(this.ageMs);
+						log.warn('store_lost', {table, reason, configuration_age_ms});
+					}
+				},
+			}),
+		);
+		watch.start();
+	}
+
+	#onConfiguration(change: ConfigurationChange): void {
+		const {log} = this.#options;
+		switch (change.type) {
+			case 'unreadable': {
+				log.warn('configuration_unreadable', {reason: change.reason});
+				break;
+			}
+
+			case 'configuration': {
+				const {configuration} = change;
+				const known = this.#routing?.configuration.version ?? -1;
+				if (configuration.version <= known) {
+					break;
+				}
+
+				this.#routing = new RoutingTable(configuration);
+				this.#onDidChangeRouting.fire(this.#routing);
+				log.info('configuration', {
+					version: configuration.version,
+					before: known,
+					routes: configuration.routes.length,
+					workspaces: configuration.workspaces.length,
+				});
+				break;
+			}
+		}
+	}
+
+	#logEndpoints(): void {
+		const {log} = this.#options;
+		this.endpoints.onDidAdd((upstream) => {
+			log.info('endpoint_added', {
+				endpoint: upstream.id,
+				service: upstream.listed.service,
+				address: upstream.listed.address,
+			});
+		});
+		this.endpoints.onDidDrain((upstream) => {
+			log.info('endpoint_draining', {endpoint: upstream.id});
+		});
+		this.endpoints.onDidLeave(({upstream, why}) => {
+			log.info('endpoint_left', {endpoint: upstream.id, why});
+		});
+	}
+
+	/** One line for each damaged entry, not one for each time that it is read. */
+	#logUnreadable(changes: readonly EndpointChange[]): void {
+		for (const change of changes) {
+			if (
+				change.type === 'unreadable' &&
+				this.#unreadable.get(change.id) !== change.reason
+			) {
+				const {id: endpoint, reason} = change;
+				this.#unreadable.set(endpoint, reason);
+				this.#options.log.warn('endpoint_unreadable', {endpoint, reason});
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/services/gateway/admission.test.ts
@@ -0,0 +1,78 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import type {RequestHead, Route} from '../../interfaces/ports/index.js';
+import {admit} from './admission.js';
+import {RoutingTable} from './routing-table.js';
+
+const route: Route = {
+	name: 'keyed',
+	host: 'h',
+	pathPrefix: '/keyed/',
+	targets: [{service: 's', weight: 1}],
+	repetition: 'idempotent',
+	isStream: false,
+	timeoutMs: 1000,
+	objectiveMs: 100,
+	gapTargetMs: undefined,
+	maxSends: 2,
+	tier: 0,
+	isPublic: false,
+};
+
+const routing = new RoutingTable({
+	version: 1,
+	routes: [
+		route,
+		{...route, name: 'open', pathPrefix: '/open/', isPublic: true},
+	],
+	services: [{name: 's', maxConnections: 1, engine: undefined}],
+	workspaces: [{name: 'w', keys: ['k'], tier: undefined}],
+	limits: {
+		maxHeaderBytes: 1,
+		maxBodyBytes: 1,
+		headerTimeoutMs: 1,
+		idleTimeoutMs: 1,
+	},
+});
+
+function head(key?: string): RequestHead {
+	return {
+		requestId: 'r',
+		deadlineMs: undefined,
+		key,
+		lastEventId: undefined,
+		prompt: undefined,
+	};
+}
+
+function outcome(target: string, key: string | undefined, ageMs: number) {
+	const view = {routing, ageMs, revocationMs: 5000};
+	const admission = admit('h', target, head(key), view);
+	return admission.type === 'rejected' ? admission.status : admission.type;
+}
+
+// Guards against a proper request that is rejected for good because this gateway has an old configuration.
+test('only a young configuration rejects an unknown route or key', () => {
+	expect(outcome('/none/', 'k', 1000)).toEqual(404);
+	expect(outcome('/none/', 'k', 3000)).toEqual('deferred');
+	expect(outcome('/keyed/', 'x', 1000)).toEqual(401);
+	expect(outcome('/keyed/', undefined, 1000)).toEqual(401);
+	expect(outcome('/keyed/', 'x', 3000)).toEqual('deferred');
+});
+
+// Guards against a key that is accepted after it may have been taken away, and against an outage that stops public routes.
+test('keys are accepted for a part of the revocation bound, public routes always', () => {
+	expect(outcome('/keyed/', 'k', 3900)).toEqual('admitted');
+	expect(outcome('/keyed/', 'k', 4100)).toEqual('deferred');
+	expect(outcome('/open/', undefined, 1_000_000)).toEqual('admitted');
+});
+
+// Guards against a gateway that has just started and tells callers that their routes do not exist.
+test('without a configuration every request is deferred', () => {
+	const admission = admit('h', '/keyed/', head('k'), {
+		routing: undefined,
+		ageMs: Number.POSITIVE_INFINITY,
+		revocationMs: 5000,
+	});
+	expect(admission.type).toEqual('deferred');
+});
--- a/src/services/gateway/index.ts
+++ b/src/services/gateway/index.ts
@@ -1,3 +1,4 @@
+export * from './admission.js';
 export * from './confirmation.js';
 export * from './endpoint-set.js';
 export * from './event-splitter.js';
--- a/src/services/gateway/next-step.ts
+++ b/src/services/gateway/next-step.ts
@@ -78,7 +78,7 @@
 const disconnectedRetryAfterMs = 300;
 
 /** First status of failures on the endpoint's side. */
-const firstServerError = 500;
+export const firstServerError = 500;
 
 /**
  * Decides what follows the end of a send. `takeRetry` draws on the shared
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -4,6 +4,7 @@
 	StatedLoad,
 } from '../../interfaces/index.js';
 import {Health} from './health.js';
+import {firstServerError, type SendEnd} from './next-step.js';
 import type {PeerLoads} from './peer-loads.js';
 import {PrefixMemory, type PrefixLink} from './prefix-memory.js';
 
@@ -88,6 +89,52 @@
 		this.#works.delete(work);
 	}
 
+	/** Updates what is believed of the endpoint's health by the end of a send. */
+	ended(end: SendEnd, startedAt: number, now: number): void {
+		switch (end.type) {
+			case 'unsent': {
+				this.health.block(now);
+				break;
+			}
+
+			case 'answered': {
+				if (end.status < firstServerError) {
+					this.health.succeeded(now);
+				} else {
+					this.health.failed(now);
+				}
+
+				break;
+			}
+
+			case 'delivered': {
+				this.health.succeeded(now);
+				break;
+			}
+
+			case 'rejected':
+			case 'broken': {
+				this.health.failed(now);
+				break;
+			}
+
+			case 'silent': {
+				if (this.#lastHeardAt < startedAt) {
+					this.health.block(now);
+				} else {
+					this.health.failed(now);
+				}
+
+				break;
+			}
+
+			case 'expired':
+			case 'abandoned': {
+				break;
+			}
+		}
+	}
+
 	/** Notes the load that the endpoint states in an answer. */
 	stated(load: StatedLoad, now: number): void {
 		this.#stated = {load, ownRunning: this.ownRunning, at: now};
