Enter the roster again when the own row has gone

Cause: a call to the store whose answer is lost may be done seconds later; the removal of its row by a stopping gateway could take away the row of its next process, which then heard no load reports. Change: a gateway that does not find its address on the roster enters it again.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -144,9 +144,14 @@
 			}),
 		);
 		this.#roster = this.#store.add(
-			new RosterTask(options.roster, options.log, (addresses) => {
-				this.#peers.setPeers(addresses);
-			}),
+			new RosterTask(
+				options.roster,
+				options.peerAddress,
+				options.log,
+				(addresses) => {
+					this.#peers.setPeers(addresses);
+				},
+			),
 		);
 		const connections = this.#store.add(new ConnectionDirectory());
 		this.#context = {
--- a/src/daemons/gateway/roster-task.ts
+++ b/src/daemons/gateway/roster-task.ts
@@ -23,15 +23,18 @@
 	#reads = 0;
 	#isStopped = false;
 	#timer: NodeJS.Timeout | undefined;
-
+	/** Address of this gateway on the roster. */
+	readonly #address: string;
 	readonly #onDidRead: (addresses: readonly string[]) => void;
 
 	constructor(
 		roster: Roster,
+		address: string,
 		log: Log,
 		onDidRead: (addresses: readonly string[]) => void,
 	) {
 		this.#roster = roster;
+		this.#address = address;
 		this.#log = log;
 		this.#onDidRead = onDidRead;
 	}
@@ -72,6 +75,13 @@
 			const addresses = await this.#roster.addresses();
 			this.#reads++;
 			this.#onDidRead(addresses);
+			if (!addresses.includes(this.#address)) {
+				// A write of an earlier process whose answer was lost may take effect late.
+				this.#hasEntered = false;
+				this.#log.warn('roster_row_missing', {address: this.#address});
+				waitMs = retryMs;
+			}
+
 			const count = Math.max(1, addresses.length);
 			if (count !== this.#count) {
 				this.#log.info('gateways', {count, before: this.#count});
