--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -92,6 +92,8 @@
 	#heldBytes = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#silentSince = 0;
+	/** Moment of the last check, or of the beginning of the silence; compared with what was heard since, as timers may fire a little early. */
+	#checkedAt = 0;
 	#silenceMs = 0;
 
 	constructor(options: SendOptions) {
@@ -349,6 +351,7 @@
 	#watch(ms: number): void {
 		clearTimeout(this.#timer);
 		this.#silentSince = monotonicNow();
+		this.#checkedAt = this.#silentSince;
 		this.#silenceMs = ms;
 		this.#schedule();
 	}
@@ -376,8 +379,9 @@
 	/** Asks the endpoint unless it has been heard on another connection meanwhile; twice, as the first packet of a connection may be lost. */
 	async #check(): Promise<void> {
 		const since = this.#silentSince;
-		const {upstream, checkMs = 0, isAlive} = this.#options;
-		const isHeard = monotonicNow() - upstream.lastHeardAt < checkMs;
+		const {upstream, isAlive} = this.#options;
+		const isHeard = upstream.lastHeardAt > this.#checkedAt;
+		this.#checkedAt = monotonicNow();
 		const isDead = !isHeard && !(await isAlive()) && !(await isAlive());
 		if (since !== this.#silentSince) {
 			return;
