Defer late requests of a gateway that stops

Change: from 2.5 s after the request to stop, a request that could outlast the process is answered 503 with a time to come back; it has not run.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -45,6 +45,9 @@
 /** Time after the request to stop for which idle connections stay open, in milliseconds: until then the platform still sends new ones. */
 const idleCloseDelayMs = 3000;
 
+/** Time after the request to stop for which every request is taken, in milliseconds: the platform needs two missed questions, a second apart, to send callers elsewhere. */
+const lastAcceptMs = 2500;
+
 /** Time between two looks at the connections that are left while stopping, in milliseconds. */
 const drainPollMs = 50;
 
@@ -112,6 +115,7 @@
 	readonly #metrics: GatewayMetrics;
 	readonly #exchanges = new Set<Exchange>();
 	#isDraining = false;
+	#drainedAt = 0;
 	#bounds: GatewayBounds;
 
 	constructor(options: GatewayOptions) {
@@ -230,6 +234,7 @@
 		const {graceMs} = this.#bounds;
 		const startedAt = monotonicNow();
 		this.#isDraining = true;
+		this.#drainedAt = startedAt;
 		log.info('draining', {requests: this.#exchanges.size});
 		void this.#roster.leave();
 		await delay(idleCloseDelayMs);
@@ -252,6 +257,14 @@
 		this.#store.dispose();
 	}
 
+	/** Time until the process ends, once callers have had time to go elsewhere; a request that needs longer would be cut. */
+	#endsInMs(): number | undefined {
+		const elapsedMs = monotonicNow() - this.#drainedAt;
+		return this.#isDraining && elapsedMs > lastAcceptMs
+			? this.#bounds.graceMs - stopMarginMs - elapsedMs
+			: undefined;
+	}
+
 	async #startAdmin(): Promise<void> {
 		const {admin} = this.#options;
 		if (admin) {
@@ -355,6 +368,7 @@
 			routing,
 			ageMs,
 			revocationMs,
+			endsInMs: this.#endsInMs(),
 		});
 		switch (admission.type) {
 			case 'rejected': {
--- a/src/services/gateway/admission.test.ts
+++ b/src/services/gateway/admission.test.ts
@@ -46,7 +46,7 @@
 }
 
 function outcome(target: string, key: string | undefined, ageMs: number) {
-	const view = {routing, ageMs, revocationMs: 5000};
+	const view = {routing, ageMs, revocationMs: 5000, endsInMs: undefined};
 	const admission = admit('h', target, head(key), view);
 	return admission.type === 'rejected' ? admission.status : admission.type;
 }
@@ -73,6 +73,16 @@
 		routing: undefined,
 		ageMs: Number.POSITIVE_INFINITY,
 		revocationMs: 5000,
+		endsInMs: undefined,
 	});
 	expect(admission.type).toEqual('deferred');
 });
+
+// Guards against a request that is taken shortly before a planned stop ends and is cut by it.
+test('a gateway that ends soon defers what may take longer', () => {
+	const view = {routing, ageMs: 0, revocationMs: 5000};
+	const at = (endsInMs: number) =>
+		admit('h', '/keyed/', head('k'), {...view, endsInMs}).type;
+	expect(at(1500)).toEqual('admitted');
+	expect(at(500)).toEqual('deferred');
+});
--- a/src/services/gateway/admission.ts
+++ b/src/services/gateway/admission.ts
@@ -26,6 +26,8 @@
 	readonly ageMs: number;
 	/** Time after which a removed key must no longer be accepted, in milliseconds. */
 	readonly revocationMs: number;
+	/** Time until the process ends, in milliseconds, once a stop has been asked for longer ago than its neighbours need to notice. */
+	readonly endsInMs: number | undefined;
 };
 
 /** Whether a request may be placed, and why not. */
@@ -57,7 +59,7 @@
 	host: string,
 	target: string,
 	head: RequestHead,
-	{routing, ageMs, revocationMs}: ConfigurationView,
+	{routing, ageMs, revocationMs, endsInMs}: ConfigurationView,
 ): Admission {
 	if (!routing) {
 		return deferred('no configuration yet', startRetryAfterMs);
@@ -81,6 +83,10 @@
 		}
 	}
 
+	if (endsInMs !== undefined && endsInMs < route.timeoutMs) {
+		return deferred('stopping', elsewhereRetryAfterMs);
+	}
+
 	const service = routing.target(route, head.requestId);
 	return service
 		? {type: 'admitted', route, service, workspace}
