Stop accepting before a stopping gateway ends

Change: the gateway stops listening when no caller is left, and then waits for those that came meanwhile.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -238,15 +238,11 @@
 		log.info('draining', {requests: this.#exchanges.size});
 		void this.#roster.leave();
 		await delay(idleCloseDelayMs);
-		this.#callers.closeIdle();
-		while (
-			this.#callers.size > 0 &&
-			monotonicNow() - startedAt < graceMs - stopMarginMs
-		) {
-			await delay(drainPollMs);
-			this.#callers.closeIdle();
-		}
-
+		const endsAt = startedAt + graceMs - stopMarginMs;
+		await this.#closeCallers(endsAt);
+		// A connection that is accepted now would be cut when the process ends.
+		this.#server.close();
+		await this.#closeCallers(endsAt);
 		log.info('stopped', {
 			requests: this.#exchanges.size,
 			ms: Math.round(monotonicNow() - startedAt),
@@ -257,6 +253,15 @@
 		this.#store.dispose();
 	}
 
+	/** Closes connections as they become idle, until none is left or the time is over. */
+	async #closeCallers(endsAt: number): Promise<void> {
+		this.#callers.closeIdle();
+		while (this.#callers.size > 0 && monotonicNow() < endsAt) {
+			await delay(drainPollMs);
+			this.#callers.closeIdle();
+		}
+	}
+
 	/** Time until the process ends, once callers have had time to go elsewhere; a request that needs longer would be cut. */
 	#endsInMs(): number | undefined {
 		const elapsedMs = monotonicNow() - this.#drainedAt;
