Pass on no request that crossed the close of its connection

Change: a request on a connection that the gateway has closed is dropped unread, so that its caller may repeat it.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -338,6 +338,12 @@
 		request: IncomingMessage,
 		response: ServerResponse,
 	): Promise<void> {
+		if (request.socket.writableEnded) {
+			// The request crossed the close of an idle connection: it could not be answered.
+			request.socket.destroy();
+			return;
+		}
+
 		const receivedAt = monotonicNow();
 		const output = new CallerOutput(response);
 		const limits = this.#platform.routing?.configuration.limits ?? startLimits;
