Let engines have a backlog of 850 ms

Cause: with the book kept in one place an engine got the next prompt only when it had less than 225 ms (tier 2) of reading left by the gateways' count. The count falls only with the first token and a report, 150 to 200 ms after the engine has read, so engines stood idle for a part of each prompt.

Change: the accepted backlog rises from 450 to 850 ms.

--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -47,7 +47,7 @@
  * milliseconds: a part of the shortest objectives in use. Each lower tier stops
  * a step earlier, so that its prompts never keep a higher one out.
  */
-const maxBacklogMs = 450;
+const maxBacklogMs = 850;
 const backlogStep = 0.25;
 const leastBacklogPart = 0.4;
 
