Place the newest punctual request first, and look at waiting requests less often

Beyond capacity the earliest request went first, so that most were answered just too late.

Engines and gateways rank by integer hashes.

--- a/src/base/rendezvous.test.ts
+++ b/src/base/rendezvous.test.ts
@@ -1,6 +1,6 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
-import {rendezvous} from './rendezvous.js';
+import {hash32, mix32, rendezvous} from './rendezvous.js';
 
 const ids = Array.from({length: 8}, (_, n) => `endpoint-${n}`);
 
@@ -29,3 +29,19 @@
 		expect(counts.get(id)!).toBeLessThan(1200);
 	}
 });
+
+// Guards against keys that mostly rank the same ids first.
+test('mixed hashes spread keys evenly', () => {
+	const ids = Array.from({length: 20}, (_, index) => hash32(`id-${index}`));
+	const first = new Map<number, number>();
+	for (let key = 0; key < 4000; key++) {
+		const hash = hash32(`key-${key}`);
+		const [best] = ids.toSorted((a, b) => mix32(hash, b) - mix32(hash, a));
+		first.set(best!, (first.get(best!) ?? 0) + 1);
+	}
+
+	// 200 each on average; five standard deviations of 14.
+	for (const id of ids) {
+		expect(Math.abs((first.get(id) ?? 0) - 200) < 70).toEqual(true);
+	}
+});
--- a/src/base/rendezvous.ts
+++ b/src/base/rendezvous.ts
@@ -15,6 +15,16 @@
 	/* eslint-enable no-bitwise */
 }
 
+/** Mixes two hashes into one, evenly spread; cheap enough to rank every endpoint for every request. */
+export function mix32(a: number, b: number): number {
+	/* eslint-disable no-bitwise */
+	let hash = Math.imul(a ^ (b >>> 15), 0x85_eb_ca_6b) ^ b;
+	hash = Math.imul(hash ^ (hash >>> 13), 0xc2_b2_ae_35);
+	hash = Math.imul(hash ^ (hash >>> 16), 0x85_eb_ca_6b);
+	return (hash ^ (hash >>> 13)) >>> 0;
+	/* eslint-enable no-bitwise */
+}
+
 /**
  * The `count` ids that rank highest for a key by rendezvous hashing
  * (Thaler and Ravishankar 1998): when an id joins or leaves, only its own keys move.
--- a/src/daemons/gateway/exchange-context.ts
+++ b/src/daemons/gateway/exchange-context.ts
@@ -8,12 +8,12 @@
 import type {
 	EndpointSet,
 	RetryAllowance,
-	WaitingRoom,
 } from '../../services/gateway/index.js';
 import type {Log} from '../log.js';
 import type {ConnectionDirectory} from './connection-directory.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {PeerExchange} from './peer-exchange.js';
+import type {WaitingTask} from './waiting-task.js';
 
 /** A request as the gateway has read and resolved it. */
 export type CallerRequest = {
@@ -41,10 +41,8 @@
 	readonly allowance: RetryAllowance;
 	readonly gateways: () => number;
 	readonly log: Log;
-	readonly room: WaitingRoom;
+	readonly room: WaitingTask;
 	readonly peers: PeerExchange;
-	/** Places waiting requests, because there may be room. */
-	readonly sweep: () => void;
 	readonly metrics: GatewayMetrics;
 };
 
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -26,6 +26,9 @@
 /** Part of its objective after which a request that found no room is refused. */
 const maxWaitObjectivePart = 1;
 
+/** Part of its objective after which a waiting request can hardly meet it: an engine near capacity needs the rest until its first token. */
+const lateObjectivePart = 0.5;
+
 /** Longest wait of a request that has been sent before, in milliseconds: its caller may have a part of the answer and gives up after some seconds without more. */
 const maxRepeatWaitMs = 1500;
 
@@ -134,11 +137,11 @@
 	async #placeInTurn(): Promise<
 		Placed | Extract<Assignment, {type: 'refuse'}> | {type: 'abandoned'}
 	> {
-		const {room, sweep} = this.#context;
+		const {room} = this.#context;
 		const {route, receivedAt} = this.#request;
 		const isFirst = this.#sends === 0;
 		const lateAt = isFirst
-			? receivedAt + route.objectiveMs
+			? receivedAt + route.objectiveMs * lateObjectivePart
 			: Number.POSITIVE_INFINITY;
 		const waitUntil = Math.min(
 			this.#expiresAt,
@@ -173,8 +176,7 @@
 								.then((hasRoom) => {
 									if (!hasRoom) {
 										this.#denials++;
-										room.add(waiting);
-										sweep();
+										room.enter(waiting);
 									} else if (this.#isAbandoned) {
 										resolve({type: 'abandoned'});
 									} else {
@@ -207,8 +209,7 @@
 					}
 				},
 			};
-			room.add(waiting);
-			sweep();
+			room.enter(waiting);
 		});
 	}
 
@@ -256,7 +257,7 @@
 
 	async #perform(placed: Placed): Promise<SendEnd> {
 		const {upstream, expectedMs, work} = placed;
-		const {format, connections, peers, sweep} = this.#context;
+		const {format, connections, peers, room} = this.#context;
 		const {method, target, headers, body, head, route, workspace} =
 			this.#request;
 		const canSendAgain = this.#sends + 1 < route.maxSends;
@@ -277,7 +278,7 @@
 		send.onDidAnswer = () => {
 			upstream.answered(work, this.#links);
 			peers.noteReads(upstream, this.#links.slice(0, -1), true);
-			sweep();
+			room.sweepSoon();
 		};
 
 		send.start({
@@ -297,7 +298,7 @@
 		const end = await send.ended;
 		upstream.end(work);
 		this.#note(send, end, placed, startedAt);
-		sweep();
+		room.sweepSoon();
 		return end;
 	}
 
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -23,7 +23,6 @@
 	freshMs,
 	PeerLoads,
 	RetryAllowance,
-	WaitingRoom,
 	type RetryBounds,
 } from '../../services/gateway/index.js';
 import {listen} from '../listen.js';
@@ -41,6 +40,7 @@
 import {PlatformCopy} from './platform-copy.js';
 import {readBody} from './request-body.js';
 import {RosterTask} from './roster-task.js';
+import {WaitingTask} from './waiting-task.js';
 
 /** Time after the request to stop for which idle connections stay open, in milliseconds: until then the platform still sends new ones. */
 const idleCloseDelayMs = 3000;
@@ -57,9 +57,6 @@
 /** Time for which a connection stays open beyond the idle time that callers are told, in milliseconds. */
 const idleMarginMs = 2000;
 
-/** Time after which waiting requests are looked at again, in milliseconds. */
-const sweepPeriodMs = 40;
-
 /** Headers before the configuration is known, in bytes; also the library's own bound. */
 const maxHeaderBytes = 64 * 1024;
 
@@ -110,8 +107,7 @@
 	readonly #platform: PlatformCopy;
 	readonly #roster: RosterTask;
 	readonly #peers: PeerExchange;
-	readonly #room = new WaitingRoom();
-	#sweepTimer: NodeJS.Timeout | undefined;
+	readonly #room = this.#store.add(new WaitingTask());
 	readonly #metrics: GatewayMetrics;
 	readonly #exchanges = new Set<Exchange>();
 	#isDraining = false;
@@ -143,7 +139,7 @@
 				loads,
 				log: options.log,
 				onDidHear: () => {
-					this.#sweep();
+					this.#room.sweepSoon();
 				},
 			}),
 		);
@@ -168,9 +164,6 @@
 			log: options.log,
 			room: this.#room,
 			peers: this.#peers,
-			sweep: () => {
-				this.#sweep();
-			},
 			metrics: this.#metrics,
 		};
 		this.#platform.endpoints.onDidLeave(({upstream}) => {
@@ -306,17 +299,6 @@
 		};
 	}
 
-	/** Places waiting requests; comes back while some are left, because load falls also without an event here. */
-	#sweep(): void {
-		this.#room.sweep(monotonicNow());
-		if (this.#room.size > 0 && this.#sweepTimer === undefined) {
-			this.#sweepTimer = setTimeout(() => {
-				this.#sweepTimer = undefined;
-				this.#sweep();
-			}, sweepPeriodMs);
-		}
-	}
-
 	#createCallerServer(): Server {
 		const server = createServer(
 			{
--- a/src/services/gateway/peer-loads.ts
+++ b/src/services/gateway/peer-loads.ts
@@ -1,3 +1,5 @@
+import {hash32} from '../../base/index.js';
+
 /** Age above which a peer's report is ignored, in milliseconds: several reports have been lost, or the peer is down. */
 const staleMs = 1000;
 
@@ -53,6 +55,7 @@
 	#reserved: Array<{readonly reservation: Reservation; readonly at: number}> =
 		[];
 
+	readonly #nameHashes = new Map<string, number>();
 	#sums = new Map<number, {running: number; unreadTokens: number}>();
 	#summedAt = Number.NEGATIVE_INFINITY;
 
@@ -69,6 +72,10 @@
 		}
 
 		this.#heard.set(report.gateway, {report, at: now});
+		if (!known) {
+			this.#nameHashes.set(report.gateway, hash32(report.gateway));
+		}
+
 		this.#reserved = this.#reserved.filter(
 			({reservation: {gateway, number}}) =>
 				gateway !== report.gateway || number > report.settled,
@@ -89,10 +96,10 @@
 		return this.#heard.size;
 	}
 
-	/** Names of the gateways heard of lately, without this one. */
-	names(now: number): string[] {
+	/** Names of the gateways heard of lately, without this one, and their hashes. */
+	nameHashes(now: number): ReadonlyMap<string, number> {
 		this.#sum(now);
-		return [...this.#heard.keys()];
+		return this.#nameHashes;
 	}
 
 	/** Work of all other gateways at an endpoint. */
@@ -112,6 +119,7 @@
 		for (const [gateway, {report, at}] of this.#heard) {
 			if (now - at > staleMs) {
 				this.#heard.delete(gateway);
+				this.#nameHashes.delete(gateway);
 				continue;
 			}
 
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -1,4 +1,4 @@
-import {hash32} from '../../base/index.js';
+import {mix32} from '../../base/index.js';
 import type {Prompt} from '../../interfaces/index.js';
 import type {PrefixLink} from './prefix-memory.js';
 import type {Upstream} from './upstream.js';
@@ -303,7 +303,7 @@
 	let best: Upstream | undefined;
 	let bestRank = -1;
 	for (const upstream of upstreams) {
-		const rank = hash32(`${shared.hash}\n${upstream.id}`);
+		const rank = mix32(shared.hash, upstream.key);
 		if (rank > bestRank) {
 			best = upstream;
 			bestRank = rank;
--- a/src/services/gateway/room-book.ts
+++ b/src/services/gateway/room-book.ts
@@ -1,4 +1,4 @@
-import {rendezvous} from '../../base/index.js';
+import {hash32, mix32} from '../../base/index.js';
 import type {EndpointSet} from './endpoint-set.js';
 import type {PeerLoads, Reservation} from './peer-loads.js';
 import {isBacklogged, timeToRoomMs} from './placement.js';
@@ -37,12 +37,13 @@
  * engine free at the same moment and fill it several times over.
  */
 export class RoomBook {
-	readonly #gateway: string;
+	/** Hash of this gateway's name. */
+	readonly #ownHash: number;
 	readonly #endpoints: EndpointSet;
 	readonly #loads: PeerLoads;
 
 	constructor(gateway: string, endpoints: EndpointSet, loads: PeerLoads) {
-		this.#gateway = gateway;
+		this.#ownHash = hash32(gateway);
 		this.#endpoints = endpoints;
 		this.#loads = loads;
 	}
@@ -53,13 +54,21 @@
 		uncachedTokens: number,
 		now: number,
 	): string | undefined {
-		const others = this.#loads.names(now);
-		if (uncachedTokens < minAskTokens || others.length === 0) {
+		if (uncachedTokens < minAskTokens) {
 			return undefined;
 		}
 
-		const [keeper] = rendezvous(upstream.id, [this.#gateway, ...others], 1);
-		return keeper === this.#gateway ? undefined : keeper;
+		let keeper: string | undefined;
+		let bestRank = mix32(this.#ownHash, upstream.key);
+		for (const [name, hash] of this.#loads.nameHashes(now)) {
+			const rank = mix32(hash, upstream.key);
+			if (rank > bestRank) {
+				keeper = name;
+				bestRank = rank;
+			}
+		}
+
+		return keeper;
 	}
 
 	/** Decides about room and notes what is granted. An engine that is not listed here yet has no book, and the asking gateway's own view stands. */
--- a/src/services/gateway/waiting-room.ts
+++ b/src/services/gateway/waiting-room.ts
@@ -3,7 +3,7 @@
 	/** 0 goes first. */
 	readonly tier: number;
 	readonly arrivedAt: number;
-	/** Moment after which it can no longer meet its objective; it then goes behind those that can. */
+	/** Moment after which it can hardly meet its objective; it then goes behind those that can. */
 	readonly lateAt: number;
 	/** Tries to place the request; returns false when it has to go on waiting. */
 	readonly tryPlace: (now: number) => boolean;
@@ -11,9 +11,11 @@
 
 /**
  * Requests of one gateway that wait for room. Those that can still meet their
- * objective go first, among them the more urgent, among them the earlier.
- * Answers load beyond capacity: prompts that wait here do not crowd out what
- * engines have cached, and an urgent request passes those that came before it.
+ * objective go first, among them the more urgent, among them the newer: beyond
+ * capacity the earliest are those that are late in any case by the time that
+ * they are answered, and serving them first makes all others late as well.
+ * Those that are late go by urgency, the earlier first. Prompts that wait here
+ * do not crowd out what engines have cached.
  */
 export class WaitingRoom {
 	readonly #waiting = new Set<Waiting>();
@@ -32,12 +34,14 @@
 
 	/** Places as many as there is room for, in order. */
 	sweep(now: number): void {
-		const ordered = [...this.#waiting].toSorted(
-			(a, b) =>
-				Number(now > a.lateAt) - Number(now > b.lateAt) ||
+		const ordered = [...this.#waiting].toSorted((a, b) => {
+			const isLate = now > a.lateAt;
+			return (
+				Number(isLate) - Number(now > b.lateAt) ||
 				a.tier - b.tier ||
-				a.arrivedAt - b.arrivedAt,
-		);
+				(isLate ? a.arrivedAt - b.arrivedAt : b.arrivedAt - a.arrivedAt)
+			);
+		});
 		for (const waiting of ordered) {
 			if (waiting.tryPlace(now)) {
 				this.#waiting.delete(waiting);
