Refuse a request whose time ends while room is asked for

Cause: a request that got room after its time was over began a send with no time left and without the timer that ends it.

Change: a request looks at its time and its caller before each placement and after each answer about room. Answers about room are counted by kind.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -160,6 +160,11 @@
 						return true;
 					}
 
+					if (now >= this.#expiresAt) {
+						resolve(noRoom(0));
+						return true;
+					}
+
 					const assignment = this.#place(now);
 					switch (assignment.type) {
 						case 'send': {
@@ -176,11 +181,12 @@
 								.then((hasRoom) => {
 									if (!hasRoom) {
 										this.#denials++;
-										room.enter(waiting);
-									} else if (this.#isAbandoned) {
-										resolve({type: 'abandoned'});
-									} else {
+									}
+
+									if (hasRoom && !this.#isOver) {
 										resolve(this.#begin(assignment));
+									} else {
+										room.enter(waiting);
 									}
 								});
 							return true;
@@ -196,14 +202,14 @@
 								return false;
 							}
 
-							resolve({
-								type: 'refuse',
-								reason: 'no room in time',
-								retryAfterMs: Math.min(
-									noRoomRetryMs,
-									this.#remainingMs() * noRoomRetryPart,
+							resolve(
+								noRoom(
+									Math.min(
+										noRoomRetryMs,
+										this.#remainingMs() * noRoomRetryPart,
+									),
 								),
-							});
+							);
 							return true;
 						}
 					}
@@ -470,6 +476,11 @@
 		return workspace?.tier ?? route.tier;
 	}
 
+	/** Nobody waits for the answer any more. */
+	get #isOver(): boolean {
+		return this.#isAbandoned || this.#remainingMs() === 0;
+	}
+
 	#remainingMs(): number {
 		return Math.max(0, this.#expiresAt - monotonicNow());
 	}
@@ -484,6 +495,10 @@
 	}
 }
 
+function noRoom(retryAfterMs: number): Extract<Assignment, {type: 'refuse'}> {
+	return {type: 'refuse', reason: 'no room in time', retryAfterMs};
+}
+
 function spread(ms: number): number {
 	return ms * (1 + retryAfterSpread * (Math.random() - 0.5));
 }
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -138,6 +138,7 @@
 				endpoints: this.#platform.endpoints,
 				loads,
 				log: options.log,
+				metrics: this.#metrics,
 				onDidHear: () => {
 					this.#room.sweepSoon();
 				},
--- a/src/daemons/gateway/gateway-metrics.ts
+++ b/src/daemons/gateway/gateway-metrics.ts
@@ -38,6 +38,12 @@
 		['service'],
 	);
 
+	readonly #roomAnswers = this.#counter(
+		'room_answers_total',
+		'Answers of other gateways whether an engine has room',
+		['answer'],
+	);
+
 	readonly #rejections = this.#counter(
 		'rejections_total',
 		'Requests that were answered before they were placed',
@@ -90,6 +96,10 @@
 		this.#repeats.inc({service});
 	}
 
+	roomAnswered(answer: string): void {
+		this.#roomAnswers.inc({answer});
+	}
+
 	rejected(status: number): void {
 		this.#rejections.inc({status});
 	}
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -12,6 +12,7 @@
 import {splitAddress} from '../listen.js';
 import type {Log} from '../log.js';
 import {monotonicNow} from '../task.js';
+import type {GatewayMetrics} from './gateway-metrics.js';
 import {decodeMessage, encodeMessage} from './peer-messages.js';
 
 /** Time between two reports of a changed load, in milliseconds, for each peer; bounds what a gateway receives to some hundred reports a second. */
@@ -40,6 +41,7 @@
 	readonly endpoints: EndpointSet;
 	readonly loads: PeerLoads;
 	readonly log: Log;
+	readonly metrics: GatewayMetrics;
 	/** A report has changed what is known of the endpoints' load. */
 	readonly onDidHear: () => void;
 };
@@ -149,6 +151,7 @@
 			this.#asks.set(number, {number, timer, resolve});
 		});
 		upstream.settleAsk(uncachedTokens);
+		this.#options.metrics.roomAnswered(answer.type);
 		return this.#book.heed(upstream, answer, monotonicNow());
 	}
 
