End only one request when a question about room fails

Cause: an error while a question is sent or its answer handled, such as a closed socket at the end of the process, was an unhandled rejection, which ends the process and all its requests.

Change: it fails the exchange, which logs it and closes that answer. The question has a method of its own.

No test: found in reading; no run has shown it.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -17,6 +17,7 @@
 import type {CallerOutput} from './caller-output.js';
 import type {CallerRequest, ExchangeContext} from './exchange-context.js';
 import {sendOwnAnswer} from './own-answer.js';
+import type {Keeper} from './peer-exchange.js';
 import {isAlive} from './liveness.js';
 import {Send, type HeldAnswer, type StreamPosition} from './send.js';
 
@@ -137,7 +138,7 @@
 	async #placeInTurn(): Promise<
 		Placed | Extract<Assignment, {type: 'refuse'}> | {type: 'abandoned'}
 	> {
-		const {room} = this.#context;
+		const {room, peers} = this.#context;
 		const {route, receivedAt} = this.#request;
 		const isFirst = this.#sends === 0;
 		const lateAt = isFirst
@@ -149,7 +150,7 @@
 				? receivedAt + route.objectiveMs * maxWaitObjectivePart
 				: monotonicNow() + maxRepeatWaitMs,
 		);
-		return new Promise((resolve) => {
+		return new Promise((resolve, reject) => {
 			const waiting: Waiting = {
 				tier: this.#tier,
 				arrivedAt: receivedAt,
@@ -169,26 +170,21 @@
 					switch (assignment.type) {
 						case 'send': {
 							const {upstream, uncachedTokens} = assignment;
-							const {peers} = this.#context;
 							const keeper = peers.keeper(upstream, uncachedTokens);
-							if (!keeper) {
+							if (keeper) {
+								this.#askRoom(keeper, assignment)
+									.then((placed) => {
+										if (placed) {
+											resolve(placed);
+										} else {
+											room.enter(waiting);
+										}
+									})
+									.catch(reject);
+							} else {
 								resolve(this.#begin(assignment));
-								return true;
 							}
 
-							void peers
-								.ask(keeper, upstream, uncachedTokens, this.#tier)
-								.then((hasRoom) => {
-									if (!hasRoom) {
-										this.#denials++;
-									}
-
-									if (hasRoom && !this.#isOver) {
-										resolve(this.#begin(assignment));
-									} else {
-										room.enter(waiting);
-									}
-								});
 							return true;
 						}
 
@@ -219,6 +215,25 @@
 		});
 	}
 
+	/** Places the request if the engine has room and somebody still waits for the answer. */
+	async #askRoom(
+		keeper: Keeper,
+		assignment: Extract<Assignment, {type: 'send'}>,
+	): Promise<Placed | undefined> {
+		const {upstream, uncachedTokens} = assignment;
+		const hasRoom = await this.#context.peers.ask(
+			keeper,
+			upstream,
+			uncachedTokens,
+			this.#tier,
+		);
+		if (!hasRoom) {
+			this.#denials++;
+		}
+
+		return hasRoom && !this.#isOver ? this.#begin(assignment) : undefined;
+	}
+
 	#begin(assignment: Extract<Assignment, {type: 'send'}>): Placed {
 		const {upstream, expectedMs, uncachedTokens, home} = assignment;
 		const {head} = this.#request;
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -46,6 +46,9 @@
 	readonly onDidHear: () => void;
 };
 
+/** Where the gateway that keeps an engine's book hears the others. */
+export type Keeper = {readonly address: string; readonly port: number};
+
 type Ask = {
 	readonly number: number;
 	readonly timer: NodeJS.Timeout;
@@ -62,7 +65,7 @@
 	readonly #socket: Socket;
 	readonly #incarnation = Date.now();
 	/** Addresses from which the gateways were heard, by name. */
-	readonly #addresses = new Map<string, RemoteInfo>();
+	readonly #addresses = new Map<string, Keeper>();
 	readonly #asks = new Map<number, Ask>();
 	#peers: readonly string[] = [];
 	#sequence = 0;
@@ -117,14 +120,14 @@
 	}
 
 	/** Where to ask for room at an engine; undefined when the own view stands. */
-	keeper(upstream: Upstream, uncachedTokens: number): RemoteInfo | undefined {
+	keeper(upstream: Upstream, uncachedTokens: number): Keeper | undefined {
 		const name = this.#book.keeper(upstream, uncachedTokens, monotonicNow());
 		return name === undefined ? undefined : this.#addresses.get(name);
 	}
 
 	/** Asks the gateway that keeps an engine's book for room; resolves to false when there is none. */
 	async ask(
-		{address, port}: RemoteInfo,
+		{address, port}: Keeper,
 		upstream: Upstream,
 		uncachedTokens: number,
 		tier: number,
