Give engines prompts by a plan

Cause: an engine got prompts up to a backlog of 850 ms, whatever its requests need, and as fast as it read them. A gateway knew what the keeper of an engine's book had granted only through reports.

Change: a pure plan for each engine (reading-plan.ts) of what it has to read and of what the pace of its answers allows; both limits follow from the requests seen (service-demand.ts); gateways that keep books tell what is planned; an engine without room costs the time until it has some. The length hint is read.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -84,8 +84,19 @@
 
 	/** Handles the request to its end; never rejects. */
 	async run(): Promise<void> {
-		const {allowance} = this.#context;
-		allowance.request(this.#request.service.name, monotonicNow());
+		const {allowance, endpoints} = this.#context;
+		const {service, route, head} = this.#request;
+		const now = monotonicNow();
+		allowance.request(service.name, now);
+		endpoints.demand(service.name).note(
+			{
+				tier: this.#tier,
+				objectiveMs: route.objectiveMs,
+				timeoutMs: route.timeoutMs,
+				outputTokens: head.prompt?.outputTokens ?? 0,
+			},
+			now,
+		);
 		const expiry = setTimeout(() => {
 			this.#send?.cancel({type: 'expired'});
 		}, this.#remainingMs());
@@ -181,10 +192,15 @@
 										}
 									})
 									.catch(reject);
-							} else {
-								resolve(this.#begin(assignment));
+								return true;
 							}
 
+							if (!peers.take(upstream, uncachedTokens, this.#tier)) {
+								this.#denials++;
+								return false;
+							}
+
+							resolve(this.#begin(assignment));
 							return true;
 						}
 
@@ -443,6 +459,7 @@
 			outcome,
 			reason: 'reason' in step ? step.reason : '',
 			sends: this.#sends,
+			denials: this.#denials,
 			total_ms: Math.round(summary.totalMs),
 			first_byte_ms: Math.round(summary.firstByteMs ?? -1),
 			last_event: this.#position.lastEventId ?? '',
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -125,6 +125,11 @@
 		return name === undefined ? undefined : this.#addresses.get(name);
 	}
 
+	/** Takes room for a prompt where no other gateway has to be asked; returns false when there is none. */
+	take(upstream: Upstream, uncachedTokens: number, tier: number): boolean {
+		return this.#book.take(upstream, uncachedTokens, tier, monotonicNow());
+	}
+
 	/** Asks the gateway that keeps an engine's book for room; resolves to false when there is none. */
 	async ask(
 		{address, port}: Keeper,
@@ -155,7 +160,7 @@
 		});
 		upstream.settleAsk(uncachedTokens);
 		this.#options.metrics.roomAnswered(answer.type);
-		return this.#book.heed(upstream, answer, monotonicNow());
+		return this.#book.heed(upstream, uncachedTokens, answer, monotonicNow());
 	}
 
 	dispose(): void {
@@ -199,7 +204,9 @@
 			}));
 		const text = JSON.stringify(loads);
 		const now = monotonicNow();
+		const kept = this.#book.kept(now);
 		if (
+			kept.length === 0 &&
 			this.#reads.length === 0 &&
 			text === this.#lastLoads &&
 			now - this.#lastSentAt < repeatMs
@@ -218,6 +225,7 @@
 			settled: this.#settled,
 			loads,
 			reads: this.#reads,
+			kept,
 		});
 		this.#reads = [];
 		for (const peer of this.#peers) {
@@ -258,6 +266,7 @@
 				if (this.#options.loads.receive(message, now)) {
 					this.#addresses.set(message.gateway, from);
 					this.#options.endpoints.noteReads(message.reads, now);
+					this.#options.endpoints.noteKept(message.kept, now);
 					this.#options.onDidHear();
 				}
 
--- a/src/daemons/gateway/peer-messages.ts
+++ b/src/daemons/gateway/peer-messages.ts
@@ -21,6 +21,8 @@
 		z.array(z.tuple([z.number(), z.number(), z.number()])),
 		/** Endpoint, hash, tokens, 1 when read and 0 when begun. */
 		z.array(z.tuple([z.number(), z.number(), z.number(), z.number()])),
+		/** Endpoint, time to read its prompts, the same at the pace of its answers. */
+		z.array(z.tuple([z.number(), z.number(), z.number()])),
 	]),
 	/** Gateway, number, endpoint, unread tokens, tier. */
 	z.tuple([
@@ -33,7 +35,7 @@
 	]),
 	/** Number of the ask. */
 	z.tuple([z.literal(kinds.granted), z.number()]),
-	/** Number of the ask, unread tokens, time until there may be room in milliseconds. */
+	/** Number of the ask, time to read the engine's prompts, the same at the pace of its answers. */
 	z.tuple([z.literal(kinds.denied), z.number(), z.number(), z.number()]),
 ]);
 
@@ -68,7 +70,8 @@
 function toWire(message: PeerMessage): z.infer<typeof wireMessage> {
 	switch (message.type) {
 		case 'report': {
-			const {gateway, sequence, incarnation, settled, loads, reads} = message;
+			const {gateway, sequence, incarnation, settled, loads, reads, kept} =
+				message;
 			return [
 				kinds.report,
 				gateway,
@@ -86,6 +89,11 @@
 					tokens,
 					Number(isDone),
 				]),
+				kept.map(({endpoint, leftMs, pacedMs}) => [
+					endpoint,
+					Math.round(leftMs),
+					Math.round(pacedMs),
+				]),
 			];
 		}
 
@@ -101,8 +109,8 @@
 				: [
 						kinds.denied,
 						number,
-						Math.round(answer.unreadTokens),
-						Math.round(answer.waitMs),
+						Math.round(answer.backlog.leftMs),
+						Math.round(answer.backlog.pacedMs),
 					];
 		}
 	}
@@ -111,7 +119,8 @@
 function fromWire(wire: z.infer<typeof wireMessage>): PeerMessage {
 	switch (wire[0]) {
 		case kinds.report: {
-			const [, gateway, sequence, incarnation, settled, loads, reads] = wire;
+			const [, gateway, sequence, incarnation, settled, loads, reads, kept] =
+				wire;
 			return {
 				type: 'report',
 				gateway,
@@ -129,6 +138,11 @@
 					tokens,
 					isDone: done === 1,
 				})),
+				kept: kept.map(([endpoint, leftMs, pacedMs]) => ({
+					endpoint,
+					leftMs,
+					pacedMs,
+				})),
 			};
 		}
 
@@ -143,11 +157,11 @@
 		}
 
 		case kinds.denied: {
-			const [, number, unreadTokens, waitMs] = wire;
+			const [, number, leftMs, pacedMs] = wire;
 			return {
 				type: 'answer',
 				number,
-				answer: {type: 'denied', unreadTokens, waitMs},
+				answer: {type: 'denied', backlog: {leftMs, pacedMs}},
 			};
 		}
 	}
--- a/src/interfaces/ports/http-format.ts
+++ b/src/interfaces/ports/http-format.ts
@@ -11,8 +11,8 @@
 export type Prompt = {
 	readonly model: string;
 	readonly promptTokens: number;
-	/** Most tokens that the answer may have. */
-	readonly maxOutputTokens: number;
+	/** Tokens that the answer is expected to have; often far off. */
+	readonly outputTokens: number;
 	/** In order; the last one belongs to the request itself or to its session. */
 	readonly parts: readonly PromptPart[];
 };
--- a/src/services/gateway/endpoint-set.ts
+++ b/src/services/gateway/endpoint-set.ts
@@ -4,7 +4,8 @@
 	ListedEndpoint,
 	Service,
 } from '../../interfaces/index.js';
-import type {PeerLoads, ReadNotice} from './peer-loads.js';
+import type {KeptBacklog, PeerLoads, ReadNotice} from './peer-loads.js';
+import {ServiceDemand} from './service-demand.js';
 import {Upstream} from './upstream.js';
 
 /**
@@ -20,6 +21,7 @@
 export class EndpointSet {
 	readonly #upstreams = new Map<string, Upstream>();
 	readonly #byKey = new Map<number, Upstream>();
+	readonly #demands = new Map<string, ServiceDemand>();
 	/** Moment until which an entry that is missing from the list is still used. */
 	readonly #missing = new Map<string, number>();
 	readonly #onDidAdd = new Emitter<Upstream>();
@@ -53,6 +55,17 @@
 		return serving;
 	}
 
+	/** What the requests to a service need. */
+	demand(service: string): ServiceDemand {
+		let demand = this.#demands.get(service);
+		if (!demand) {
+			demand = new ServiceDemand();
+			this.#demands.set(service, demand);
+		}
+
+		return demand;
+	}
+
 	/** Finds an upstream by its key. */
 	byKey(key: number): Upstream | undefined {
 		return this.#byKey.get(key);
@@ -119,6 +132,13 @@
 		}
 	}
 
+	/** Takes over what the gateways that keep the engines' books say. */
+	noteKept(kept: readonly KeptBacklog[], now: number): void {
+		for (const {endpoint, ...backlog} of kept) {
+			this.#byKey.get(endpoint)?.plan.assume(backlog, now);
+		}
+	}
+
 	/** All upstreams. */
 	all(): Upstream[] {
 		return [...this.#upstreams.values()];
@@ -139,7 +159,13 @@
 
 		this.#leave(endpoint.id, 'restarted');
 		const service = this.#serviceOf(endpoint.service);
-		const upstream = new Upstream(endpoint, now, service, this.#peers);
+		const upstream = new Upstream(
+			endpoint,
+			now,
+			service,
+			this.#peers,
+			this.demand(endpoint.service),
+		);
 		this.#upstreams.set(endpoint.id, upstream);
 		this.#byKey.set(upstream.key, upstream);
 		this.#onDidAdd.fire(upstream);
--- /dev/null
+++ b/src/services/gateway/heavy-load.test.ts
@@ -0,0 +1,325 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {EndpointSet} from './endpoint-set.js';
+import {PeerLoads} from './peer-loads.js';
+import {place} from './placement.js';
+import {prefixLinks} from './prefix-memory.js';
+import {RoomBook} from './room-book.js';
+import type {DemandSample} from './service-demand.js';
+import type {Work} from './upstream.js';
+import {WaitingRoom} from './waiting-room.js';
+
+/** Tokens that an engine reads between two tokens of its answers. */
+const chunkTokens = 1024;
+
+/** Time between two reports of a gateway, in milliseconds. */
+const reportMs = 60;
+
+const engines = ['e0', 'e1', 'e2', 'e3', 'e4', 'e5'];
+const service = {
+	name: 's',
+	maxConnections: 100,
+	engine: {slots: 64, kvTokens: 475_000},
+};
+
+type Kind = DemandSample & {readonly perSecond: number};
+
+const chat: Kind = {
+	tier: 0,
+	objectiveMs: 300,
+	timeoutMs: 12_000,
+	outputTokens: 290,
+	perSecond: 12,
+};
+const draft: Kind = {
+	tier: 2,
+	objectiveMs: 2500,
+	timeoutMs: 15_000,
+	outputTokens: 380,
+	perSecond: 30,
+};
+
+/** One request of a caller on its way. */
+type Call = {
+	readonly kind: Kind;
+	readonly tokens: number;
+	readonly arrivedAt: number;
+	readonly onFirst: () => void;
+	readonly onEnd: () => void;
+	firstAt: number | undefined;
+	endedAt: number | undefined;
+	isRefused: boolean;
+	unread: number;
+	left: number;
+};
+
+/** Engine that reads its prompts in order, one chunk between two tokens of all answers. */
+class Engine {
+	readonly #reading: Call[] = [];
+	readonly #running = new Set<Call>();
+	#stepEndsAt = 0;
+
+	accept(call: Call): void {
+		this.#reading.push(call);
+	}
+
+	advance(now: number): void {
+		if (now < this.#stepEndsAt) {
+			return;
+		}
+
+		for (const call of this.#running) {
+			call.left--;
+			if (call.left === 0) {
+				call.endedAt = now;
+				this.#running.delete(call);
+				call.onEnd();
+			}
+		}
+
+		let budget = chunkTokens;
+		while (budget > 0 && this.#reading.length > 0) {
+			const call = this.#reading[0]!;
+			const tokens = Math.min(budget, call.unread);
+			call.unread -= tokens;
+			budget -= tokens;
+			if (call.unread === 0) {
+				this.#reading.shift();
+				call.firstAt = now;
+				this.#running.add(call);
+				call.onFirst();
+			}
+		}
+
+		this.#stepEndsAt =
+			now + 3 + this.#running.size * 0.12 + (chunkTokens - budget) / 48;
+	}
+}
+
+class Gateway {
+	readonly loads = new PeerLoads();
+	readonly endpoints = new EndpointSet(() => service, this.loads);
+	readonly book: RoomBook;
+	readonly #room = new WaitingRoom();
+	readonly #name: string;
+	#sequence = 0;
+
+	constructor(
+		name: string,
+		readonly send: (engine: string, call: Call) => void,
+		readonly bookOf: (name: string) => RoomBook,
+	) {
+		this.#name = name;
+		for (const id of engines) {
+			this.endpoints.apply(
+				{
+					type: 'listed',
+					endpoint: {
+						id,
+						service: 's',
+						address: '10.0.0.1:80',
+						dataCentre: 'd',
+						isDraining: false,
+						slots: 64,
+						startedAt: 1,
+						warmUpMs: 0,
+					},
+				},
+				0,
+			);
+		}
+
+		this.book = new RoomBook(name, this.endpoints, this.loads);
+	}
+
+	receive(kind: Kind, tokens: number, now: number): Call {
+		this.endpoints.demand('s').note(kind, now);
+		const id = String(now);
+		const links = prefixLinks([{id, tokens}]);
+		let end: () => void = () => undefined;
+		let first: () => void = () => undefined;
+		const call: Call = {
+			kind,
+			tokens,
+			arrivedAt: now,
+			onFirst() {
+				first();
+			},
+			onEnd() {
+				end();
+			},
+			firstAt: undefined,
+			endedAt: undefined,
+			isRefused: false,
+			unread: tokens,
+			left: kind.outputTokens,
+		};
+		this.#room.add({
+			tier: kind.tier,
+			arrivedAt: now,
+			lateAt: now + kind.objectiveMs / 2,
+			tryPlace: (at) => {
+				const assignment = place(
+					{
+						prompt: {
+							model: 'm',
+							promptTokens: tokens,
+							outputTokens: 1,
+							parts: [],
+						},
+						links,
+						waitedMs: at - now,
+						tried: new Set(),
+						isOnce: false,
+						dataCentre: 'd',
+						...kind,
+					},
+					this.endpoints.serving('s', at),
+					at,
+				);
+				if (assignment.type !== 'send') {
+					call.isRefused = at >= now + kind.objectiveMs;
+					return call.isRefused;
+				}
+
+				const {upstream} = assignment;
+				const keeper = this.book.keeper(upstream, tokens, at);
+				if (keeper === undefined) {
+					if (!this.book.take(upstream, tokens, kind.tier, at)) {
+						return false;
+					}
+				} else {
+					this.#sequence++;
+					const answer = this.bookOf(keeper).decide(
+						{
+							gateway: this.#name,
+							number: this.#sequence,
+							endpoint: upstream.key,
+							unreadTokens: tokens,
+							tier: kind.tier,
+						},
+						at,
+					);
+					if (!this.book.heed(upstream, tokens, answer, at)) {
+						return false;
+					}
+				}
+
+				const work: Work = upstream.begin(links, tokens, at);
+				first = () => {
+					upstream.answered(work, links);
+				};
+
+				end = () => {
+					upstream.end(work);
+				};
+
+				this.send(upstream.id, call);
+				return true;
+			},
+		});
+		return call;
+	}
+
+	sweep(now: number): void {
+		this.#room.sweep(now);
+	}
+
+	report(others: readonly Gateway[], now: number): void {
+		this.#sequence++;
+		const report = {
+			gateway: this.#name,
+			sequence: this.#sequence,
+			incarnation: 1,
+			settled: this.#sequence,
+			loads: this.endpoints.all().map((upstream) => ({
+				endpoint: upstream.key,
+				running: upstream.ownRunning,
+				unreadTokens: upstream.ownUnreadTokens(),
+			})),
+			reads: [],
+			kept: this.book.kept(now),
+		};
+		for (const other of others) {
+			if (other !== this) {
+				other.loads.receive(report, now);
+				other.endpoints.noteKept(report.kept, now);
+			}
+		}
+	}
+}
+
+/** Sizes of prompts in turn, many short ones and few very long ones. */
+const draftTokens = [
+	3000, 5000, 2500, 9000, 4000, 30_000, 6000, 3500, 12_000, 7000,
+];
+const chatTokens = [500, 700, 600, 900, 550];
+
+/** Plays 20 s of chats and of drafts at three times what the engines read. */
+function playHeavyLoad(): Call[] {
+	const byId = new Map(engines.map((id) => [id, new Engine()]));
+	const gateways: Gateway[] = ['g0', 'g1', 'g2'].map(
+		(name) =>
+			new Gateway(
+				name,
+				(engine, call) => {
+					byId.get(engine)!.accept(call);
+				},
+				(keeper) => gateways[Number(keeper.slice(1))]!.book,
+			),
+	);
+	const calls: Call[] = [];
+	for (let now = 0; now < 20_000; now++) {
+		for (const [kind, sizes] of [
+			[chat, chatTokens],
+			[draft, draftTokens],
+		] as const) {
+			if (now % Math.round(1000 / kind.perSecond) === 0) {
+				const tokens = sizes[calls.length % sizes.length]!;
+				calls.push(gateways[calls.length % 3]!.receive(kind, tokens, now));
+			}
+		}
+
+		for (const [index, gateway] of gateways.entries()) {
+			if (now % reportMs === index * 20) {
+				gateway.report(gateways, now);
+			}
+
+			if (now % 10 === index) {
+				gateway.sweep(now);
+			}
+		}
+
+		for (const engine of byId.values()) {
+			engine.advance(now);
+		}
+	}
+
+	return calls;
+}
+
+function share(calls: readonly Call[], holds: (call: Call) => boolean): number {
+	return calls.filter((call) => holds(call)).length / calls.length;
+}
+
+// Guards against quick questions that wait behind long prompts, and against answers that begin and cannot end in time, when long prompts come beyond capacity.
+test('beyond capacity quick questions are in time and answers that begin also end', () => {
+	const calls = playHeavyLoad();
+	const chats = calls.filter(({kind}) => kind === chat);
+	const isInTime = ({firstAt, arrivedAt, kind}: Call) =>
+		firstAt !== undefined && firstAt - arrivedAt <= kind.objectiveMs;
+	expect(share(chats, isInTime)).toBeGreaterThan(0.9);
+	// Those of the last seconds are still being answered.
+	const begun = calls.filter(
+		({firstAt, arrivedAt}) => firstAt !== undefined && arrivedAt < 8000,
+	);
+	expect(
+		share(
+			begun,
+			({endedAt, arrivedAt, kind}) =>
+				endedAt !== undefined && endedAt - arrivedAt <= kind.timeoutMs,
+		),
+	).toBeGreaterThan(0.95);
+	const drafts = calls.filter(({kind}) => kind === draft);
+	expect(share(drafts, isInTime)).toBeGreaterThan(0.25);
+});
--- a/src/services/gateway/peer-loads.test.ts
+++ b/src/services/gateway/peer-loads.test.ts
@@ -15,6 +15,7 @@
 		loads: [{endpoint: 7, running: 1, unreadTokens}],
 		settled: 0,
 		reads: [],
+		kept: [],
 	};
 }
 
--- a/src/services/gateway/peer-loads.ts
+++ b/src/services/gateway/peer-loads.ts
@@ -1,4 +1,5 @@
 import {hash32} from '../../base/index.js';
+import type {Backlog} from './reading-plan.js';
 
 /** Age above which a peer's report is ignored, in milliseconds: several reports have been lost, or the peer is down. */
 const staleMs = 1000;
@@ -23,6 +24,12 @@
 	readonly isDone: boolean;
 };
 
+/** What an engine has still to read, as the gateway that keeps its book knows. */
+export type KeptBacklog = Backlog & {
+	/** Key of the endpoint. */
+	readonly endpoint: number;
+};
+
 /** What one gateway tells the others. */
 export type PeerReport = {
 	readonly gateway: string;
@@ -35,6 +42,8 @@
 	readonly settled: number;
 	/** Since the last report. */
 	readonly reads: readonly ReadNotice[];
+	/** Engines whose books the gateway keeps. */
+	readonly kept: readonly KeptBacklog[];
 };
 
 /** Room at an endpoint that a gateway has been granted, until its reports include the request. */
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -1,6 +1,7 @@
 import {mix32} from '../../base/index.js';
 import type {Prompt} from '../../interfaces/index.js';
 import type {PrefixLink} from './prefix-memory.js';
+import type {Backlog} from './reading-plan.js';
 import type {Upstream} from './upstream.js';
 
 /** Prompt tokens that a loaded engine reads in a millisecond: published figures of the engines in use lie between 50 and 65, and each chunk of 1024 tokens takes a decoding step as well. */
@@ -43,14 +44,23 @@
 const queueFactor = 1.25;
 
 /**
- * Backlog of an engine up to which it gets requests of the highest tier, in
- * milliseconds: a part of the shortest objectives in use. Each lower tier stops
- * a step earlier, so that its prompts never keep a higher one out.
+ * Backlog of an engine up to which it gets requests of the highest tier, as a
+ * part of the tightest objective in use. Each lower tier stops a step earlier,
+ * so that its prompts never keep a higher one out.
  */
-const maxBacklogMs = 850;
+const backlogObjectivePart = 0.7;
 const backlogStep = 0.25;
 const leastBacklogPart = 0.4;
 
+/** Objective that is assumed while no requests have been seen, in milliseconds. */
+const defaultObjectiveMs = 1200;
+
+/** Part of the tightest objective that a short prompt takes to read at most: it delays running answers so little that their pace does not hold it back. */
+const shortObjectivePart = 0.15;
+
+/** Age of what reports say about unread prompts, in milliseconds: a prompt counts until its first token has been reported. */
+const reportLagMs = 350;
+
 /** What placement needs to know of a request. */
 export type Placeable = {
 	/** Absent when the service is no model engine. */
@@ -153,8 +163,8 @@
 	const waitsForShared =
 		best!.pendingTokens >= minSharedTokens &&
 		request.waitedMs < request.objectiveMs * sharedWaitObjectivePart;
-	return upstream.isClosed(now) ||
-		isBacklogged(upstream, request.tier, now) ||
+	return upstream.closedMs(now) > 0 ||
+		timeToRoomMs(upstream, request.tier, uncachedTokens, now) > 0 ||
 		waitsForShared
 		? {type: 'wait'}
 		: {type: 'send', upstream, expectedMs, uncachedTokens, home};
@@ -171,29 +181,39 @@
 	);
 }
 
-/** Whether an engine has so much to read that a request of a tier waits rather than go there. */
-export function isBacklogged(
-	upstream: Upstream,
-	tier: number,
-	now: number,
-): boolean {
-	return timeToRoomMs(upstream, tier, now) > 0;
+/** What an engine has still to read: as planned, or as reports say when it falls far behind its plan. */
+export function backlogOf(upstream: Upstream, now: number): Backlog {
+	const {leftMs, pacedMs} = upstream.plan.backlog(now);
+	const reportedMs = backlogMs(upstream, now) * upstream.slowness(now);
+	return {leftMs: Math.max(leftMs, reportedMs - reportLagMs), pacedMs};
 }
 
-/** Time until an engine will have room for a request of a tier, in milliseconds; not positive when it has. */
+/** Time until an engine will have room for a prompt of a tier, in milliseconds; not positive when it has. */
 export function timeToRoomMs(
 	upstream: Upstream,
 	tier: number,
+	uncachedTokens: number,
 	now: number,
 ): number {
-	return (
-		backlogMs(upstream, now) * upstream.slowness(now) - acceptedBacklogMs(tier)
+	const {leftMs, pacedMs} = backlogOf(upstream, now);
+	const objectiveMs =
+		upstream.demand.tightestObjectiveMs(tier, now) ?? defaultObjectiveMs;
+	const acceptedMs = acceptedBacklogMs(objectiveMs, tier);
+	const isShort =
+		uncachedTokens / prefillTokensPerMs <= objectiveMs * shortObjectivePart;
+	return Math.max(
+		leftMs - acceptedMs,
+		isShort ? Number.NEGATIVE_INFINITY : pacedMs - acceptedMs,
 	);
 }
 
 /** Backlog of an engine up to which it gets requests of a tier, in milliseconds. */
-function acceptedBacklogMs(tier: number): number {
-	return maxBacklogMs * Math.max(leastBacklogPart, 1 - backlogStep * tier);
+function acceptedBacklogMs(objectiveMs: number, tier: number): number {
+	return (
+		objectiveMs *
+		backlogObjectivePart *
+		Math.max(leastBacklogPart, 1 - backlogStep * tier)
+	);
 }
 
 /** Time that an engine needs for the prompts that it has still to read. */
@@ -270,6 +290,8 @@
 			expectedMs: (baseMs + uncachedTokens / prefillTokensPerMs) * slowness,
 			costMs:
 				(baseMs + readMs * readFactor * pull) * drag +
+				Math.max(0, timeToRoomMs(upstream, request.tier, uncachedTokens, now)) +
+				upstream.closedMs(now) +
 				penaltyMs(request, upstream, now),
 			uncachedTokens,
 			pendingTokens: expected - cached,
--- a/src/services/gateway/room-book.ts
+++ b/src/services/gateway/room-book.ts
@@ -1,15 +1,15 @@
 import {hash32, mix32} from '../../base/index.js';
 import type {EndpointSet} from './endpoint-set.js';
-import type {PeerLoads, Reservation} from './peer-loads.js';
-import {isBacklogged, timeToRoomMs} from './placement.js';
+import type {KeptBacklog, PeerLoads, Reservation} from './peer-loads.js';
+import {backlogOf, timeToRoomMs} from './placement.js';
+import type {Backlog} from './reading-plan.js';
 import type {Upstream} from './upstream.js';
 
 /** Least prompt tokens for which room is asked; smaller prompts are read before an answer matters. */
 const minAskTokens = 500;
 
-/** Bounds of the time until a gateway asks again for room at an engine, in milliseconds: a path takes 1 ms, and the longest is a part of the shortest objectives in use. */
-const minWaitMs = 40;
-const maxWaitMs = 300;
+/** Time until a gateway asks again for room at an engine when nobody has answered, in milliseconds: a path takes 1 ms. */
+const unansweredWaitMs = 40;
 
 /** A gateway's question whether an engine has room for a prompt. */
 export type RoomAsk = Reservation & {
@@ -19,13 +19,7 @@
 
 export type RoomAnswer =
 	| {readonly type: 'granted'}
-	| {
-			readonly type: 'denied';
-			/** Prompt tokens that the engine has still to read. */
-			readonly unreadTokens: number;
-			/** Time until there may be room, in milliseconds. */
-			readonly waitMs: number;
-	  }
+	| {readonly type: 'denied'; readonly backlog: Backlog}
 	/** The gateway that was asked says nothing. */
 	| {readonly type: 'unanswered'};
 
@@ -71,35 +65,64 @@
 		return keeper;
 	}
 
-	/** Decides about room and notes what is granted. An engine that is not listed here yet has no book, and the asking gateway's own view stands. */
+	/** Decides about room for another gateway and notes what is granted. An engine that is not listed here yet has no book, and the asking gateway's own view stands. */
 	decide(ask: RoomAsk, now: number): Exclude<RoomAnswer, {type: 'unanswered'}> {
 		const upstream = this.#endpoints.byKey(ask.endpoint);
-		if (upstream && isBacklogged(upstream, ask.tier, now)) {
-			return {
-				type: 'denied',
-				unreadTokens: upstream.unreadTokens(now),
-				waitMs: timeToRoomMs(upstream, ask.tier, now),
-			};
+		if (upstream && !this.take(upstream, ask.unreadTokens, ask.tier, now)) {
+			return {type: 'denied', backlog: backlogOf(upstream, now)};
 		}
 
 		this.#loads.reserve(ask, now);
 		return {type: 'granted'};
 	}
 
+	/** Takes room for a prompt at an engine whose book is kept here, or returns false when it has none. */
+	take(
+		upstream: Upstream,
+		uncachedTokens: number,
+		tier: number,
+		now: number,
+	): boolean {
+		if (timeToRoomMs(upstream, tier, uncachedTokens, now) > 0) {
+			return false;
+		}
+
+		this.#plan(upstream, uncachedTokens, now);
+		return true;
+	}
+
+	/** Backlogs of the engines whose books are kept here, for the other gateways; without those that have nothing to read. */
+	kept(now: number): KeptBacklog[] {
+		return this.#endpoints
+			.all()
+			.map((upstream) => ({upstream, backlog: backlogOf(upstream, now)}))
+			.filter(
+				({upstream, backlog}) =>
+					backlog.pacedMs > 0 &&
+					this.keeper(upstream, minAskTokens, now) === undefined,
+			)
+			.map(({upstream, backlog}) => ({endpoint: upstream.key, ...backlog}));
+	}
+
 	/**
 	 * Decides by an answer whether a prompt goes to an engine, and notes what it
 	 * says for the requests after it. Without an answer only an engine that
 	 * seems idle gets the prompt: others may go there unseen as well.
 	 */
-	heed(upstream: Upstream, answer: RoomAnswer, now: number): boolean {
+	heed(
+		upstream: Upstream,
+		uncachedTokens: number,
+		answer: RoomAnswer,
+		now: number,
+	): boolean {
 		switch (answer.type) {
 			case 'granted': {
+				this.#plan(upstream, uncachedTokens, now);
 				return true;
 			}
 
 			case 'denied': {
-				const waitMs = Math.min(maxWaitMs, Math.max(minWaitMs, answer.waitMs));
-				upstream.denied(answer.unreadTokens, now + waitMs);
+				upstream.plan.assume(answer.backlog, now);
 				return false;
 			}
 
@@ -108,9 +131,18 @@
 					return true;
 				}
 
-				upstream.close(now + minWaitMs);
+				upstream.close(now + unansweredWaitMs);
 				return false;
 			}
 		}
 	}
+
+	#plan(upstream: Upstream, uncachedTokens: number, now: number): void {
+		upstream.plan.add(
+			uncachedTokens,
+			upstream.demand.tokenMs(now),
+			upstream.slowness(now),
+			now,
+		);
+	}
 }
--- /dev/null
+++ b/src/services/gateway/service-demand.test.ts
@@ -0,0 +1,53 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {readingSpeed} from './reading-plan.js';
+import {ServiceDemand, type DemandSample} from './service-demand.js';
+
+const chat: DemandSample = {
+	tier: 0,
+	objectiveMs: 300,
+	timeoutMs: 12_000,
+	outputTokens: 300,
+};
+const draft: DemandSample = {
+	tier: 2,
+	objectiveMs: 2500,
+	timeoutMs: 15_000,
+	outputTokens: 400,
+};
+
+// Guards against backlogs that suit one site: what an engine may have to read follows from the requests that it serves.
+test('the tightest objective of requests that are as urgent counts', () => {
+	const demand = new ServiceDemand();
+	expect(demand.tightestObjectiveMs(2, 0)).toEqual(undefined);
+	demand.note(draft, 0);
+	expect(demand.tightestObjectiveMs(2, 0)).toEqual(2500);
+	demand.note(chat, 0);
+	expect(demand.tightestObjectiveMs(2, 0)).toEqual(300);
+	expect(demand.tightestObjectiveMs(0, 0)).toEqual(300);
+});
+
+// Guards against a single odd request that slows down a whole service, and one that was long ago.
+test('rare requests do not count', () => {
+	const demand = new ServiceDemand();
+	demand.note({...chat, objectiveMs: 1}, 0);
+	for (let count = 0; count < 100; count++) {
+		demand.note(draft, 0);
+	}
+
+	expect(demand.tightestObjectiveMs(2, 0)).toEqual(2500);
+	demand.note(chat, 60_000);
+	expect(demand.tightestObjectiveMs(2, 60_000)).toEqual(300);
+});
+
+// Guards against engines that read prompts all the time while their answers run into the end of their time.
+test('engines read more slowly where answers have little time for a token', () => {
+	const demand = new ServiceDemand();
+	expect(demand.tokenMs(0)).toEqual(undefined);
+	demand.note(draft, 0);
+	demand.note(chat, 0);
+	expect(demand.tokenMs(0)).toEqual((0.5 * 12_500) / 400);
+	expect(readingSpeed(16)).toBeLessThan(readingSpeed(30));
+	expect(readingSpeed(1)).toEqual(20);
+	expect(readingSpeed(undefined)).toEqual(40);
+});
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -8,6 +8,8 @@
 import {firstServerError, type SendEnd} from './next-step.js';
 import type {PeerLoads} from './peer-loads.js';
 import {PrefixMemory, type PrefixLink} from './prefix-memory.js';
+import {ReadingPlan} from './reading-plan.js';
+import {ServiceDemand} from './service-demand.js';
 
 /** Time in which stated load of other gateways counts for a third of what it did, in milliseconds: about the duration of an answer. */
 const statedLoadFadeMs = 1500;
@@ -33,6 +35,8 @@
 export class Upstream {
 	readonly health = new Health();
 	readonly prefixes: PrefixMemory;
+	/** Prompts that it was given by the gateway that keeps its book. */
+	readonly plan = new ReadingPlan();
 	/** Short name that gateways use among each other. Two endpoints with one key would only be thought busier than they are. */
 	readonly key: number;
 	readonly #works = new Set<Work>();
@@ -42,7 +46,6 @@
 	#slownessAt = 0;
 	#lastHeardAt = 0;
 	#askedTokens = 0;
-	#denial: {readonly unreadTokens: number; readonly until: number} | undefined;
 	#closedUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(
@@ -51,6 +54,8 @@
 		readonly firstSeenAt: number,
 		service: Service | undefined,
 		peers: PeerLoads,
+		/** What the requests to its service need. */
+		readonly demand = new ServiceDemand(),
 	) {
 		this.#peers = peers;
 		this.key = hash32(listed.id);
@@ -178,29 +183,23 @@
 		this.#askedTokens -= uncachedTokens;
 	}
 
-	/** Notes, until a moment, what the gateway that keeps the engine's book knows. */
-	denied(unreadTokens: number, until: number): void {
-		this.#denial = {unreadTokens, until};
-	}
-
 	/** Sends no prompt there until a moment, because nobody says whether there is room. */
 	close(until: number): void {
 		this.#closedUntil = until;
 	}
 
-	isClosed(now: number): boolean {
-		return now < this.#closedUntil;
+	/** Time until the end of such a closure, in milliseconds. */
+	closedMs(now: number): number {
+		return Math.max(0, this.#closedUntil - now);
 	}
 
 	/** Prompt tokens that the engine has still to read. */
 	unreadTokens(now: number): number {
-		const known =
+		return (
 			this.ownUnreadTokens() +
 			this.#askedTokens +
-			this.#peers.at(this.key, now).unreadTokens;
-		return this.#denial && now < this.#denial.until
-			? Math.max(known, this.#denial.unreadTokens)
-			: known;
+			this.#peers.at(this.key, now).unreadTokens
+		);
 	}
 
 	/** Prompt tokens of this gateway's requests that the engine has still to read. */
