Let few gateways read the store for all

Change: a gateway that is no reader asks one by datagram whether its copies are current. The answer's age counts from the moment of the question, so a slow, frozen or cut-off reader cannot make a copy look younger; without a young proof, or when digests differ, the store is read itself. The roster is read every 30 s, and earlier when an unknown gateway is heard.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -129,7 +129,12 @@
 		});
 		const loads = new PeerLoads();
 		this.#platform = this.#store.add(
-			new PlatformCopy({...options, loads, metrics: () => this.#metrics}),
+			new PlatformCopy({
+				...options,
+				loads,
+				metrics: () => this.#metrics,
+				neighbours: () => this.#peers,
+			}),
 		);
 		this.#peers = this.#store.add(
 			new PeerExchange({
@@ -142,6 +147,10 @@
 				onDidHear: () => {
 					this.#room.sweepSoon();
 				},
+				onDidMeet: () => {
+					this.#roster.readSoon();
+				},
+				proof: () => this.#platform.proof(),
 			}),
 		);
 		this.#roster = this.#store.add(
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -7,6 +7,9 @@
 	type PrefixLink,
 	type ReadNotice,
 	type RoomAnswer,
+	type CopyProof,
+	isYoung,
+	StoreReaders,
 	type Upstream,
 } from '../../services/gateway/index.js';
 import {splitAddress} from '../listen.js';
@@ -33,6 +36,15 @@
 /** Time for which an answer about room is waited for, in milliseconds: a path takes 1 ms, and a busy gateway on a quarter of a core some ten. */
 const askTimeoutMs = 60;
 
+/** Time for which another gateway's proof is waited for, in milliseconds; afterwards the store is read instead. */
+const proofTimeoutMs = 100;
+
+/** Time for which a gateway without a young proof is not asked again, in milliseconds. */
+const shunMs = 3000;
+
+/** Time after a question for which this gateway counts as one that others ask, in milliseconds. */
+const followedMs = 3000;
+
 export type PeerExchangeOptions = {
 	/** Name of this gateway. */
 	readonly instance: string;
@@ -44,6 +56,10 @@
 	readonly metrics: GatewayMetrics;
 	/** A report has changed what is known of the endpoints' load. */
 	readonly onDidHear: () => void;
+	/** A gateway was heard whose address is not among the peers. */
+	readonly onDidMeet: () => void;
+	/** What this gateway holds of the store; undefined until it has read everything. */
+	readonly proof: () => CopyProof | undefined;
 };
 
 /** Where the gateway that keeps an engine's book hears the others. */
@@ -67,6 +83,14 @@
 	/** Addresses from which the gateways were heard, by name. */
 	readonly #addresses = new Map<string, Keeper>();
 	readonly #asks = new Map<number, Ask>();
+	readonly #readers: StoreReaders;
+	readonly #proofAsks = new Map<
+		number,
+		(proof: CopyProof | undefined) => void
+	>();
+
+	/** Moments until which gateways are not asked for proofs. */
+	readonly #shunned = new Map<string, number>();
 	#peers: readonly string[] = [];
 	#sequence = 0;
 	#askNumber = 0;
@@ -76,6 +100,7 @@
 	#lastSentAt = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#failures = 0;
+	#proofAskedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: PeerExchangeOptions) {
 		this.#options = options;
@@ -84,6 +109,7 @@
 			options.endpoints,
 			options.loads,
 		);
+		this.#readers = new StoreReaders(options.instance);
 		this.#socket = createSocket('udp4');
 		this.#socket.on('message', (message, from) => {
 			this.#receive(message, from);
@@ -163,9 +189,51 @@
 		return this.#book.heed(upstream, uncachedTokens, answer, monotonicNow());
 	}
 
+	/** Other gateways ask this one what it has read from the store. */
+	get hasFollowers(): boolean {
+		return monotonicNow() - this.#proofAskedAt < followedMs;
+	}
+
+	/** Asks a gateway that reads the store what it holds; resolves to undefined when this one is to read itself, or without an answer. */
+	async askProof(): Promise<CopyProof | undefined> {
+		const name = this.#readers.toAsk(this.#trusted());
+		const reader = name === undefined ? undefined : this.#addresses.get(name);
+		if (name === undefined || !reader) {
+			return undefined;
+		}
+
+		const proof = await this.#askProofOf(reader);
+		if (!proof || !isYoung(proof)) {
+			this.#shunned.set(name, monotonicNow() + shunMs);
+		}
+
+		return proof;
+	}
+
+	async #askProofOf(reader: Keeper): Promise<CopyProof | undefined> {
+		this.#askNumber++;
+		const number = this.#askNumber;
+		return new Promise((resolve) => {
+			const timer = setTimeout(() => {
+				this.#proofAsks.get(number)?.(undefined);
+			}, proofTimeoutMs);
+			this.#proofAsks.set(number, (proof) => {
+				clearTimeout(timer);
+				this.#proofAsks.delete(number);
+				resolve(proof);
+			});
+			const question = encodeMessage({type: 'proof ask', number});
+			this.#send(question, reader.address, reader.port);
+		});
+	}
+
 	dispose(): void {
 		clearTimeout(this.#timer);
 		this.#addresses.clear();
+		for (const resolve of this.#proofAsks.values()) {
+			resolve(undefined);
+		}
+
 		for (const {number} of this.#asks.values()) {
 			this.#settle(number, {type: 'unanswered'});
 		}
@@ -173,6 +241,21 @@
 		this.#socket.close();
 	}
 
+	/** Gateways heard of lately, without those that had no young proof. */
+	#trusted(): ReadonlyMap<string, number> {
+		const now = monotonicNow();
+		for (const [name, until] of this.#shunned) {
+			if (until <= now) {
+				this.#shunned.delete(name);
+			}
+		}
+
+		const heard = this.#options.loads.nameHashes(now);
+		return this.#shunned.size === 0
+			? heard
+			: new Map([...heard].filter(([name]) => !this.#shunned.has(name)));
+	}
+
 	#settle(number: number, answer: RoomAnswer): void {
 		const ask = this.#asks.get(number);
 		if (ask) {
@@ -268,6 +351,9 @@
 					this.#options.endpoints.noteReads(message.reads, now);
 					this.#options.endpoints.noteKept(message.kept, now);
 					this.#options.onDidHear();
+					if (!this.#peers.includes(`${from.address}:${from.port}`)) {
+						this.#options.onDidMeet();
+					}
 				}
 
 				break;
@@ -287,6 +373,26 @@
 				this.#settle(message.number, message.answer);
 				break;
 			}
+
+			case 'proof ask': {
+				this.#proofAskedAt = now;
+				const proof = this.#options.proof();
+				if (proof) {
+					const {number} = message;
+					this.#send(
+						encodeMessage({type: 'proof', number, proof}),
+						from.address,
+						from.port,
+					);
+				}
+
+				break;
+			}
+
+			case 'proof': {
+				this.#proofAsks.get(message.number)?.(message.proof);
+				break;
+			}
 		}
 	}
 }
--- a/src/daemons/gateway/peer-messages.ts
+++ b/src/daemons/gateway/peer-messages.ts
@@ -1,12 +1,20 @@
 import {decode, encode} from '@msgpack/msgpack';
 import * as z from 'zod';
 import type {
+	CopyProof,
 	PeerReport,
 	RoomAnswer,
 	RoomAsk,
 } from '../../services/gateway/index.js';
 
-const kinds = {report: 0, ask: 1, granted: 2, denied: 3} as const;
+const kinds = {
+	report: 0,
+	ask: 1,
+	granted: 2,
+	denied: 3,
+	proofAsk: 4,
+	proof: 5,
+} as const;
 
 /** Messages on the wire: tuples without names, because every gateway sends reports to all others and the links of the smallest ones are thin. */
 const wireMessage = z.union([
@@ -37,6 +45,17 @@
 	z.tuple([z.literal(kinds.granted), z.number()]),
 	/** Number of the ask, time to read the engine's prompts, the same at the pace of its answers. */
 	z.tuple([z.literal(kinds.denied), z.number(), z.number(), z.number()]),
+	/** Number of the question. */
+	z.tuple([z.literal(kinds.proofAsk), z.number()]),
+	/** Number of the question, version and age of the configuration, digest and age of the endpoints. */
+	z.tuple([
+		z.literal(kinds.proof),
+		z.number(),
+		z.number(),
+		z.number(),
+		z.number(),
+		z.number(),
+	]),
 ]);
 
 /** What gateways tell each other. */
@@ -48,6 +67,16 @@
 			/** Number of the ask. */
 			readonly number: number;
 			readonly answer: Exclude<RoomAnswer, {type: 'unanswered'}>;
+	  }
+	| {
+			readonly type: 'proof ask';
+			readonly number: number;
+	  }
+	| {
+			readonly type: 'proof';
+			/** Number of the question. */
+			readonly number: number;
+			readonly proof: CopyProof;
 	  };
 
 export function encodeMessage(message: PeerMessage): Uint8Array {
@@ -113,6 +142,22 @@
 						Math.round(answer.backlog.pacedMs),
 					];
 		}
+
+		case 'proof ask': {
+			return [kinds.proofAsk, message.number];
+		}
+
+		case 'proof': {
+			const {number, proof} = message;
+			return [
+				kinds.proof,
+				number,
+				proof.configurationVersion,
+				Math.ceil(proof.configurationAgeMs),
+				proof.endpointsDigest,
+				Math.ceil(proof.endpointsAgeMs),
+			];
+		}
 	}
 }
 
@@ -164,5 +209,24 @@
 				answer: {type: 'denied', backlog: {leftMs, pacedMs}},
 			};
 		}
+
+		case kinds.proofAsk: {
+			return {type: 'proof ask', number: wire[1]};
+		}
+
+		case kinds.proof: {
+			const [, number, version, configurationAgeMs, digest, endpointsAgeMs] =
+				wire;
+			return {
+				type: 'proof',
+				number,
+				proof: {
+					configurationVersion: version,
+					configurationAgeMs,
+					endpointsDigest: digest,
+					endpointsAgeMs,
+				},
+			};
+		}
 	}
 }
--- a/src/daemons/gateway/platform-copy.ts
+++ b/src/daemons/gateway/platform-copy.ts
@@ -8,6 +8,9 @@
 	Confirmation,
 	EndpointSet,
 	RoutingTable,
+	vouch,
+	type Clocks,
+	type CopyProof,
 	type PeerLoads,
 } from '../../services/gateway/index.js';
 import type {Log} from '../log.js';
@@ -16,8 +19,9 @@
 import type {GatewayMetrics} from './gateway-metrics.js';
 import {TableWatch, type TableWatchOptions} from './table-watch.js';
 
-/** Time that a feed of the configuration waits for a change, in milliseconds; also how often the copy is confirmed. */
+/** Time that a feed of the configuration waits for a change, in milliseconds; also how often the copy is confirmed. Shorter where other gateways rely on it, as their copies are older by the time between two questions. */
 const configurationWaitMs = 1000;
+const sharedConfigurationWaitMs = 400;
 
 /** Time between two reads of the endpoints' feed, in milliseconds; a leaving endpoint must be known well within 2 s. */
 const endpointPauseMs = 700;
@@ -27,15 +31,26 @@
 	readonly endpoints: WatchedTable<EndpointChange>;
 	readonly loads: PeerLoads;
 	readonly metrics: () => GatewayMetrics;
+	/** Gateways that may know whether the copies are current. */
+	readonly neighbours: () => Neighbours;
 	readonly log: Log;
 };
 
+/** The other gateways, as far as they read the store for this one. */
+export type Neighbours = {
+	/** Other gateways ask this one. */
+	readonly hasFollowers: boolean;
+	/** Resolves to undefined when this gateway is to read the store itself. */
+	askProof(): Promise<CopyProof | undefined>;
+};
+
 /** Copies of the operator's configuration and of the list of endpoints, kept up to date from the platform's store. */
 export class PlatformCopy implements Disposable {
 	readonly endpoints: EndpointSet;
 	readonly #options: PlatformCopyOptions;
 	readonly #store = new DisposableStore();
 	readonly #confirmation = new Confirmation();
+	readonly #endpointsConfirmation = new Confirmation();
 	/** Reason by id of each damaged entry that has been logged. */
 	readonly #unreadable = new Map<string, string>();
 	readonly #onDidChangeRouting = this.#store.add(new Emitter<RoutingTable>());
@@ -69,10 +84,36 @@
 		return this.#confirmation.ageMs(readClocks());
 	}
 
+	/** What this gateway holds, for others; undefined until both tables have been read. */
+	proof(): CopyProof | undefined {
+		const {routing} = this;
+		return routing && this.#hasEndpoints
+			? {
+					configurationVersion: routing.configuration.version,
+					configurationAgeMs: this.ageMs,
+					endpointsDigest: this.endpoints.digest(),
+					endpointsAgeMs: this.#endpointsConfirmation.ageMs(readClocks()),
+				}
+			: undefined;
+	}
+
 	start(): void {
 		this.#watch('configuration', {
 			table: this.#options.configuration,
-			waitMs: configurationWaitMs,
+			waitMs: () =>
+				this.#options.neighbours().hasFollowers
+					? sharedConfigurationWaitMs
+					: configurationWaitMs,
+			vouching: async () => {
+				const proof = await this.#options.neighbours().askProof();
+				return (
+					proof &&
+					vouch(
+						proof.configurationVersion === this.#routing?.configuration.version,
+						proof.configurationAgeMs,
+					)
+				);
+			},
 			pauseMs: 0,
 			onList: (changes) => {
 				for (const change of changes) {
@@ -83,12 +124,22 @@
 				this.#onConfiguration(change);
 			},
 			onAnswer: (sentAt) => {
-				this.#confirmation.confirm(sentAt);
+				confirmYounger(this.#confirmation, sentAt);
 			},
 		});
 		this.#watch('endpoints', {
 			table: this.#options.endpoints,
-			waitMs: 0,
+			waitMs: () => 0,
+			vouching: async () => {
+				const proof = await this.#options.neighbours().askProof();
+				return (
+					proof &&
+					vouch(
+						proof.endpointsDigest === this.endpoints.digest(),
+						proof.endpointsAgeMs,
+					)
+				);
+			},
 			pauseMs: endpointPauseMs,
 			onList: (changes, isAfterOutage) => {
 				this.#logUnreadable(changes);
@@ -99,7 +150,9 @@
 				this.#logUnreadable([change]);
 				this.endpoints.apply(change, monotonicNow());
 			},
-			onAnswer: () => undefined,
+			onAnswer: (sentAt) => {
+				confirmYounger(this.#endpointsConfirmation, sentAt);
+			},
 		});
 	}
 
@@ -195,3 +248,13 @@
 		}
 	}
 }
+
+/** Another gateway's proof may be older than what is known already. */
+function confirmYounger(confirmation: Confirmation, sentAt: Clocks): void {
+	const now = readClocks();
+	const candidate = new Confirmation();
+	candidate.confirm(sentAt);
+	if (candidate.ageMs(now) < confirmation.ageMs(now)) {
+		confirmation.confirm(sentAt);
+	}
+}
--- a/src/daemons/gateway/roster-task.ts
+++ b/src/daemons/gateway/roster-task.ts
@@ -2,8 +2,11 @@
 import type {Roster} from '../../interfaces/index.js';
 import type {Log} from '../log.js';
 
-/** Time between two reads of the roster, in milliseconds. */
-const readPeriodMs = 10_000;
+/** Time between two reads of the roster, in milliseconds; a gateway that is heard and not known brings the next one forward. */
+const readPeriodMs = 30_000;
+
+/** Time until the roster is read because an unknown gateway was heard, in milliseconds: several may have been added at once. */
+const meetingReadMs = 1000;
 
 /** Time after the first read until the second, in milliseconds: all gateways may start together. */
 const secondReadMs = 1500;
@@ -22,6 +25,7 @@
 	#hasEntered = false;
 	#reads = 0;
 	#isStopped = false;
+	#isHurried = false;
 	#timer: NodeJS.Timeout | undefined;
 	/** Address of this gateway on the roster. */
 	readonly #address: string;
@@ -48,6 +52,20 @@
 		void this.#step();
 	}
 
+	/** An unknown gateway was heard. */
+	readSoon(): void {
+		if (
+			!this.#isStopped &&
+			this.#timer &&
+			this.#reads > 1 &&
+			!this.#isHurried
+		) {
+			this.#isHurried = true;
+			clearTimeout(this.#timer);
+			this.#schedule(meetingReadMs);
+		}
+	}
+
 	/** Leaves the roster; a failure only makes the shares of the others smaller. */
 	async leave(): Promise<void> {
 		this.#isStopped = true;
@@ -92,13 +110,18 @@
 			this.#log.warn('roster_failed', {reason: String(error)});
 		}
 
+		this.#isHurried = false;
 		if (!this.#isStopped) {
-			this.#timer = setTimeout(
-				() => {
-					void this.#step();
-				},
-				waitMs * (0.5 + Math.random()),
-			);
+			this.#schedule(waitMs);
 		}
 	}
+
+	#schedule(waitMs: number): void {
+		this.#timer = setTimeout(
+			() => {
+				void this.#step();
+			},
+			waitMs * (0.5 + Math.random()),
+		);
+	}
 }
--- a/src/daemons/gateway/table-watch.ts
+++ b/src/daemons/gateway/table-watch.ts
@@ -1,6 +1,6 @@
 import type {Disposable} from '../../base/index.js';
 import type {WatchedTable} from '../../interfaces/index.js';
-import type {Clocks} from '../../services/gateway/index.js';
+import type {Clocks, Vouching} from '../../services/gateway/index.js';
 import {readClocks} from './clocks.js';
 
 /** Pause after a failed call, in milliseconds; half of it is random, so that gateways do not call in step. */
@@ -9,10 +9,13 @@
 /** Time between two reads of the whole table, in milliseconds; repairs what a feed missed. */
 const relistMs = 10_000;
 
+/** Pause after another gateway has vouched for the copy, in milliseconds: a leaving endpoint must be known well within 2 s. */
+const vouchingPauseMs = 700;
+
 export type TableWatchOptions<Change> = {
 	readonly table: WatchedTable<Change>;
 	/** Time that a feed call waits for a change, in milliseconds. */
-	readonly waitMs: number;
+	readonly waitMs: () => number;
 	/** Pause between two feed calls, in milliseconds; collects frequent changes in one answer. */
 	readonly pauseMs: number;
 	/** Whole table; `isAfterOutage` tells that calls have failed since the last answer. */
@@ -21,6 +24,8 @@
 	/** A call was answered; the copy was current when the call was sent. */
 	readonly onAnswer: (sentAt: Clocks) => void;
 	readonly onFailure: () => void;
+	/** Asks another gateway whether the copy is current; undefined when this one is to read the store itself. */
+	readonly vouching: () => Promise<Vouching | undefined>;
 	/** Called once when calls begin to fail, with the reason, and once when they succeed again. */
 	readonly onContact: (reason: string | undefined) => void;
 };
@@ -29,7 +34,11 @@
 export class TableWatch<Change> implements Disposable {
 	readonly #options: TableWatchOptions<Change>;
 	#position: number | undefined;
-	#listedAt = 0;
+	#listedAt: number | undefined;
+	/** Others have read the table for this gateway since its position. */
+	#isBehind = false;
+	/** Another gateway has answered this time, though it may know something else. */
+	#isFollowing = false;
 	#hasFailed = false;
 	#isDisposed = false;
 
@@ -49,10 +58,18 @@
 		while (!this.#isDisposed) {
 			const sentAt = readClocks();
 			try {
+				if (await this.#isVouchedFor(sentAt)) {
+					await pause(vouchingPauseMs);
+					continue;
+				}
+
 				await this.#step(sentAt);
 				this.#options.onAnswer(sentAt);
-				if (this.#options.pauseMs > 0) {
-					await pause(this.#options.pauseMs);
+				const pauseMs = this.#isFollowing
+					? vouchingPauseMs
+					: this.#options.pauseMs;
+				if (pauseMs > 0) {
+					await pause(pauseMs);
 				}
 			} catch (error) {
 				this.#position = undefined;
@@ -67,21 +84,60 @@
 		}
 	}
 
+	/** Another gateway knows that the copy is current. When it knows something newer, the next step reads the whole table: the feed's history may have gone meanwhile. */
+	async #isVouchedFor(sentAt: Clocks): Promise<boolean> {
+		const {vouching, onAnswer} = this.#options;
+		if (this.#listedAt === undefined) {
+			return false;
+		}
+
+		const answer = await vouching();
+		this.#isFollowing = answer !== undefined;
+		switch (answer?.type) {
+			case 'current': {
+				const {ageMs} = answer;
+				this.#listedAt = sentAt.steadyMs;
+				this.#isBehind = true;
+				onAnswer({
+					steadyMs: sentAt.steadyMs - ageMs,
+					wallMs: sentAt.wallMs - ageMs,
+				});
+				return true;
+			}
+
+			case 'different': {
+				this.#position = undefined;
+				return false;
+			}
+
+			case 'unknown':
+			case undefined: {
+				// The feed would bring all that others have read since its position.
+				if (this.#isBehind) {
+					this.#position = undefined;
+				}
+
+				return false;
+			}
+		}
+	}
+
 	async #step(sentAt: Clocks): Promise<void> {
 		const {table, waitMs, onList, onChange} = this.#options;
 		if (
 			this.#position === undefined ||
-			sentAt.steadyMs - this.#listedAt > relistMs
+			sentAt.steadyMs - (this.#listedAt ?? 0) > relistMs
 		) {
 			const {changes, position} = await table.list();
 			onList(changes, this.#hasFailed);
 			this.#position = position;
+			this.#isBehind = false;
 			this.#listedAt = sentAt.steadyMs;
 			this.#regain();
 			return;
 		}
 
-		const feed = await table.feed(this.#position, waitMs);
+		const feed = await table.feed(this.#position, waitMs());
 		switch (feed.type) {
 			case 'lost': {
 				this.#position = undefined;
--- a/src/services/gateway/endpoint-set.ts
+++ b/src/services/gateway/endpoint-set.ts
@@ -1,4 +1,4 @@
-import {Emitter} from '../../base/index.js';
+import {Emitter, hash32} from '../../base/index.js';
 import type {
 	EndpointChange,
 	ListedEndpoint,
@@ -14,6 +14,9 @@
  */
 const lapseGraceMs = 2000;
 
+/** Digests are numbers below this. */
+const digestRange = 2 ** 32;
+
 /** Why an endpoint is no longer used. */
 export type Departure = 'removed' | 'unreadable' | 'restarted' | 'lapsed';
 
@@ -139,6 +142,18 @@
 		}
 	}
 
+	/** Digest of what all entries say, in any order; two gateways with one digest use the same endpoints. */
+	digest(): number {
+		let digest = 0;
+		for (const {listed} of this.#upstreams.values()) {
+			const {id, service, address, isDraining, startedAt} = listed;
+			const text = `${id} ${service} ${address} ${isDraining} ${startedAt}`;
+			digest = (digest + hash32(text)) % digestRange;
+		}
+
+		return digest;
+	}
+
 	/** All upstreams. */
 	all(): Upstream[] {
 		return [...this.#upstreams.values()];
--- a/src/services/gateway/index.ts
+++ b/src/services/gateway/index.ts
@@ -1,5 +1,6 @@
 export * from './admission.js';
 export * from './confirmation.js';
+export * from './copy-proof.js';
 export * from './endpoint-set.js';
 export * from './event-splitter.js';
 export * from './health.js';
@@ -13,5 +14,6 @@
 export * from './room-book.js';
 export * from './routing-table.js';
 export * from './service-demand.js';
+export * from './store-readers.js';
 export * from './upstream.js';
 export * from './waiting-room.js';
