Break off events and refusals without end

Cause: an event of a stream without its empty line, and the body of a refusal, were kept until the request expired: a server that sends bytes without end filled the gateway's memory, and each chunk of such an event was searched from its beginning.

Change: an event or refusal of more than 256 KiB is broken off and its connection closed; a refusal's head stays true.

--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -14,7 +14,7 @@
 import type {CallerOutput} from './caller-output.js';
 import type {Connection, Connections} from './connections.js';
 
-/** Answer that is kept until it is whole, in bytes; a longer one is handed on as it comes and cannot be replaced by a repeated one. */
+/** Answer, or event of a stream, that is kept until it is whole, in bytes. A longer answer is handed on as it comes and cannot be replaced by a repeated one; a longer event or refusal is broken off. */
 const maxHeldBytes = 256 * 1024;
 
 const success = 200;
@@ -220,20 +220,8 @@
 
 	/** Outcome of an answer that has been read to its end. */
 	#conclude(): SendEnd {
-		const head = this.#head!;
-		if (head.isNotExecuted) {
-			return {
-				type: 'rejected',
-				status: this.#status,
-				retryAfterMs: head.retryAfterMs,
-			};
-		}
-
-		if (promises.has(this.#status)) {
-			return {
-				type: 'broken',
-				reason: `status ${this.#status} without a statement that the request did not run`,
-			};
+		if (this.#head!.isNotExecuted || promises.has(this.#status)) {
+			return this.#refusal();
 		}
 
 		switch (this.#mode) {
@@ -257,6 +245,17 @@
 		}
 	}
 
+	/** Only the endpoint's own statement makes a refusal one of a request that did not run. */
+	#refusal(): SendEnd {
+		const {isNotExecuted, retryAfterMs} = this.#head!;
+		return isNotExecuted
+			? {type: 'rejected', status: this.#status, retryAfterMs}
+			: {
+					type: 'broken',
+					reason: `status ${this.#status} without a statement that the request did not run`,
+				};
+	}
+
 	#concludeEvents(): SendEnd {
 		const {output} = this.#options;
 		if (this.#splitter.restLength > 0 || !output.isBegun) {
@@ -289,6 +288,9 @@
 		}
 
 		this.#flush(ready);
+		if (this.#splitter.restLength > maxHeldBytes) {
+			this.cancel({type: 'broken', reason: 'event without end'});
+		}
 	}
 
 	#flush(events: readonly Uint8Array[]): void {
@@ -304,11 +306,14 @@
 	#hold(chunk: Uint8Array): void {
 		this.#held.push(Buffer.from(chunk));
 		this.#heldBytes += chunk.length;
-		if (
-			this.#heldBytes > maxHeldBytes &&
-			!this.#head!.isNotExecuted &&
-			!promises.has(this.#status)
-		) {
+		if (this.#heldBytes <= maxHeldBytes) {
+			return;
+		}
+
+		if (this.#head!.isNotExecuted || promises.has(this.#status)) {
+			// A refusal is known by its head; its body may have no end.
+			this.cancel(this.#refusal());
+		} else {
 			this.#mode = 'passed';
 			this.#noteFirstByte();
 			this.#begin();
