--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -1,4 +1,4 @@
-import type {Disposable} from '../../base/index.js';
+import {hash32, type Disposable} from '../../base/index.js';
 import {
 	nextStep,
 	patience,
@@ -7,6 +7,7 @@
 	type Course,
 	type NextStep,
 	type PrefixLink,
+	type RoomNeed,
 	type Assignment,
 	type SendEnd,
 	type Upstream,
@@ -18,7 +19,7 @@
 import type {CallerRequest, ExchangeContext} from './exchange-context.js';
 import {sendOwnAnswer} from './own-answer.js';
 import type {Keeper} from './peer-exchange.js';
-import {isAlive} from './liveness.js';
+import {isAlive} from './engine-question.js';
 import {Send, type HeldAnswer, type StreamPosition} from './send.js';
 
 /** Part of a Retry-After that is random, so that callers do not return together. */
@@ -53,6 +54,7 @@
 	readonly #expiresAt: number;
 	readonly #position: StreamPosition;
 	readonly #links: readonly PrefixLink[];
+	readonly #seed: number;
 	readonly #tried = new Set<Upstream>();
 	#send: Send | undefined;
 	#sends = 0;
@@ -73,6 +75,7 @@
 		this.#request = request;
 		this.#output = output;
 		this.#position = {lastEventId: request.head.lastEventId};
+		this.#seed = hash32(request.head.requestId);
 		this.#links = prefixLinks(request.head.prompt?.parts ?? []);
 		this.#expiresAt =
 			request.receivedAt +
@@ -195,7 +198,7 @@
 								return true;
 							}
 
-							if (!peers.take(upstream, uncachedTokens, this.#tier)) {
+							if (!peers.take(upstream, this.#need(uncachedTokens))) {
 								this.#denials++;
 								return false;
 							}
@@ -240,8 +243,7 @@
 		const hasRoom = await this.#context.peers.ask(
 			keeper,
 			upstream,
-			uncachedTokens,
-			this.#tier,
+			this.#need(uncachedTokens),
 		);
 		if (!hasRoom) {
 			this.#denials++;
@@ -250,6 +252,16 @@
 		return hasRoom && !this.#isOver ? this.#begin(assignment) : undefined;
 	}
 
+	#need(uncachedTokens: number): RoomNeed {
+		const {promptTokens = 0, outputTokens = 0} =
+			this.#request.head.prompt ?? {};
+		return {
+			uncachedTokens,
+			memoryTokens: promptTokens + outputTokens,
+			tier: this.#tier,
+		};
+	}
+
 	#begin(assignment: Extract<Assignment, {type: 'send'}>): Placed {
 		const {upstream, expectedMs, uncachedTokens, home} = assignment;
 		const {head} = this.#request;
@@ -274,7 +286,7 @@
 	}
 
 	#place(now: number): Assignment {
-		const {endpoints, dataCentre} = this.#context;
+		const {endpoints, dataCentre, peers} = this.#context;
 		const {head, receivedAt, route, service} = this.#request;
 		return place(
 			{
@@ -286,6 +298,8 @@
 				dataCentre,
 				objectiveMs: route.objectiveMs,
 				tier: this.#tier,
+				seed: this.#seed,
+				reportAgeMs: peers.reportPeriodMs,
 			},
 			endpoints.serving(service.name, now),
 			now,
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -36,6 +36,7 @@
 import {Exchange} from './exchange.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {sendOwnAnswer, type OwnAnswer} from './own-answer.js';
+import {MemoryWatch} from './memory-watch.js';
 import {PeerExchange} from './peer-exchange.js';
 import {PlatformCopy} from './platform-copy.js';
 import {readBody} from './request-body.js';
@@ -107,6 +108,7 @@
 	readonly #platform: PlatformCopy;
 	readonly #roster: RosterTask;
 	readonly #peers: PeerExchange;
+	readonly #memory: MemoryWatch;
 	readonly #room = this.#store.add(new WaitingTask());
 	readonly #metrics: GatewayMetrics;
 	readonly #exchanges = new Set<Exchange>();
@@ -164,6 +166,14 @@
 			),
 		);
 		const connections = this.#store.add(new ConnectionDirectory());
+		this.#memory = this.#store.add(
+			new MemoryWatch({
+				endpoints: this.#platform.endpoints,
+				connections,
+				format: options.format,
+				keeps: (upstream) => this.#peers.keeps(upstream),
+			}),
+		);
 		this.#context = {
 			dataCentre: options.dataCentre,
 			format: options.format,
@@ -214,6 +224,7 @@
 		await this.#startAdmin();
 		this.#platform.start();
 		this.#peers.start();
+		this.#memory.start();
 		this.#roster.start();
 		log.info('started', {caller: callerAddress});
 	}
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -7,6 +7,7 @@
 	type PrefixLink,
 	type ReadNotice,
 	type RoomAnswer,
+	type RoomNeed,
 	type CopyProof,
 	isYoung,
 	StoreReaders,
@@ -125,6 +126,11 @@
 		this.#schedule();
 	}
 
+	/** Time between two reports of a changed load, in milliseconds. */
+	get reportPeriodMs(): number {
+		return Math.max(minPeriodMs, periodPerPeerMs * this.#peers.length);
+	}
+
 	/** Addresses of the other gateways. */
 	setPeers(addresses: readonly string[]): void {
 		this.#peers = addresses.filter(
@@ -151,17 +157,27 @@
 		return name === undefined ? undefined : this.#addresses.get(name);
 	}
 
-	/** Takes room for a prompt where no other gateway has to be asked; returns false when there is none. */
-	take(upstream: Upstream, uncachedTokens: number, tier: number): boolean {
-		return this.#book.take(upstream, uncachedTokens, tier, monotonicNow());
+	/** Takes room where no other gateway has to be asked; returns false when there is none. */
+	take(upstream: Upstream, need: RoomNeed): boolean {
+		const now = monotonicNow();
+		const answer = this.#book.take(upstream, need, now);
+		if (answer.type === 'full') {
+			this.#book.heed(upstream, need.uncachedTokens, answer, now);
+		}
+
+		return answer.type === 'granted';
+	}
+
+	/** Whether this gateway decides about room at an engine. */
+	keeps(upstream: Upstream): boolean {
+		return this.#book.keeps(upstream, monotonicNow());
 	}
 
 	/** Asks the gateway that keeps an engine's book for room; resolves to false when there is none. */
 	async ask(
 		{address, port}: Keeper,
 		upstream: Upstream,
-		uncachedTokens: number,
-		tier: number,
+		{uncachedTokens, memoryTokens, tier}: RoomNeed,
 	): Promise<boolean> {
 		this.#askNumber++;
 		const number = this.#askNumber;
@@ -173,6 +189,7 @@
 				endpoint: upstream.key,
 				unreadTokens: uncachedTokens,
 				tier,
+				memoryTokens,
 			}),
 			address,
 			port,
@@ -267,13 +284,10 @@
 	}
 
 	#schedule(): void {
-		this.#timer = setTimeout(
-			() => {
-				this.#report();
-				this.#schedule();
-			},
-			Math.max(minPeriodMs, periodPerPeerMs * this.#peers.length),
-		);
+		this.#timer = setTimeout(() => {
+			this.#report();
+			this.#schedule();
+		}, this.reportPeriodMs);
 	}
 
 	#report(): void {
--- a/src/daemons/gateway/peer-messages.test.ts
+++ b/src/daemons/gateway/peer-messages.test.ts
@@ -25,6 +25,7 @@
 		endpoint: 8,
 		unreadTokens: 900,
 		tier: 1,
+		memoryTokens: 1200,
 	},
 	{type: 'answer', number: 4, answer: {type: 'granted'}},
 	{
@@ -32,6 +33,18 @@
 		number: 5,
 		answer: {type: 'denied', backlog: {leftMs: 50, pacedMs: 90}},
 	},
+	{type: 'answer', number: 6, answer: {type: 'full'}},
+	{type: 'proof ask', number: 7},
+	{
+		type: 'proof',
+		number: 7,
+		proof: {
+			configurationVersion: 3,
+			configurationAgeMs: 40,
+			endpointsDigest: 9,
+			endpointsAgeMs: 50,
+		},
+	},
 ];
 
 // Guards against fields that are lost or confused on the way.
--- a/src/daemons/gateway/peer-messages.ts
+++ b/src/daemons/gateway/peer-messages.ts
@@ -14,6 +14,7 @@
 	denied: 3,
 	proofAsk: 4,
 	proof: 5,
+	full: 6,
 } as const;
 
 /** Messages on the wire: tuples without names, because every gateway sends reports to all others and the links of the smallest ones are thin. */
@@ -32,7 +33,7 @@
 		/** Endpoint, time to read its prompts, the same at the pace of its answers. */
 		z.array(z.tuple([z.number(), z.number(), z.number()])),
 	]),
-	/** Gateway, number, endpoint, unread tokens, tier. */
+	/** Gateway, number, endpoint, unread tokens, tier, memory tokens. */
 	z.tuple([
 		z.literal(kinds.ask),
 		z.string(),
@@ -40,11 +41,14 @@
 		z.number(),
 		z.number(),
 		z.number(),
+		z.number(),
 	]),
 	/** Number of the ask. */
 	z.tuple([z.literal(kinds.granted), z.number()]),
 	/** Number of the ask, time to read the engine's prompts, the same at the pace of its answers. */
 	z.tuple([z.literal(kinds.denied), z.number(), z.number(), z.number()]),
+	/** Number of the ask. */
+	z.tuple([z.literal(kinds.full), z.number()]),
 	/** Number of the question. */
 	z.tuple([z.literal(kinds.proofAsk), z.number()]),
 	/** Number of the question, version and age of the configuration, digest and age of the endpoints. */
@@ -127,20 +131,21 @@
 		}
 
 		case 'ask': {
-			const {gateway, number, endpoint, unreadTokens, tier} = message;
-			return [kinds.ask, gateway, number, endpoint, unreadTokens, tier];
+			const {gateway, number, endpoint, unreadTokens, tier, memoryTokens} =
+				message;
+			return [
+				kinds.ask,
+				gateway,
+				number,
+				endpoint,
+				Math.round(unreadTokens),
+				tier,
+				Math.round(memoryTokens),
+			];
 		}
 
 		case 'answer': {
-			const {number, answer} = message;
-			return answer.type === 'granted'
-				? [kinds.granted, number]
-				: [
-						kinds.denied,
-						number,
-						Math.round(answer.backlog.leftMs),
-						Math.round(answer.backlog.pacedMs),
-					];
+			return answerToWire(message.number, message.answer);
 		}
 
 		case 'proof ask': {
@@ -161,6 +166,26 @@
 	}
 }
 
+function answerToWire(
+	number: number,
+	answer: Exclude<RoomAnswer, {type: 'unanswered'}>,
+): z.infer<typeof wireMessage> {
+	switch (answer.type) {
+		case 'granted': {
+			return [kinds.granted, number];
+		}
+
+		case 'denied': {
+			const {leftMs, pacedMs} = answer.backlog;
+			return [kinds.denied, number, Math.round(leftMs), Math.round(pacedMs)];
+		}
+
+		case 'full': {
+			return [kinds.full, number];
+		}
+	}
+}
+
 function fromWire(wire: z.infer<typeof wireMessage>): PeerMessage {
 	switch (wire[0]) {
 		case kinds.report: {
@@ -192,8 +217,17 @@
 		}
 
 		case kinds.ask: {
-			const [, gateway, number, endpoint, unreadTokens, tier] = wire;
-			return {type: 'ask', gateway, number, endpoint, unreadTokens, tier};
+			const [, gateway, number, endpoint, unreadTokens, tier, memoryTokens] =
+				wire;
+			return {
+				type: 'ask',
+				gateway,
+				number,
+				endpoint,
+				unreadTokens,
+				tier,
+				memoryTokens,
+			};
 		}
 
 		case kinds.granted: {
@@ -210,6 +244,10 @@
 			};
 		}
 
+		case kinds.full: {
+			return {type: 'answer', number: wire[1], answer: {type: 'full'}};
+		}
+
 		case kinds.proofAsk: {
 			return {type: 'proof ask', number: wire[1]};
 		}
--- a/src/interfaces/ports/http-format.ts
+++ b/src/interfaces/ports/http-format.ts
@@ -61,6 +61,13 @@
 	readonly isEncoded: boolean;
 };
 
+/** What a model engine says of its memory. */
+export type EngineReport = {
+	/** Tokens in memory that running requests need. */
+	readonly usedTokens: number;
+	readonly totalTokens: number;
+};
+
 /** Names and formats of headers on the wire. Methods without a network or state. */
 export type HttpFormat = {
 	/** Path at which a model engine reports its state, at any load. */
@@ -68,6 +75,8 @@
 	readRequest(headers: RawHeaders): RequestHead;
 	/** Headers for an endpoint: the caller's, less those of one connection and those that the router sets. */
 	requestHeaders(headers: RawHeaders, head: SendHead): string[];
+	/** Undefined when the body is no report. */
+	readEngine(body: string): EngineReport | undefined;
 	readAnswer(status: number, headers: RawHeaders): AnswerHead;
 	/** Headers for the caller: the endpoint's, less those of one connection. */
 	answerHeaders(headers: RawHeaders): string[];
--- a/src/services/gateway/heavy-load.test.ts
+++ b/src/services/gateway/heavy-load.test.ts
@@ -172,6 +172,8 @@
 						tried: new Set(),
 						isOnce: false,
 						dataCentre: 'd',
+						seed: now,
+						reportAgeMs: reportMs,
 						...kind,
 					},
 					this.endpoints.serving('s', at),
@@ -185,7 +187,12 @@
 				const {upstream} = assignment;
 				const keeper = this.book.keeper(upstream, tokens, at);
 				if (keeper === undefined) {
-					if (!this.book.take(upstream, tokens, kind.tier, at)) {
+					const need = {
+						uncachedTokens: tokens,
+						memoryTokens: tokens,
+						tier: kind.tier,
+					};
+					if (this.book.take(upstream, need, at).type !== 'granted') {
 						return false;
 					}
 				} else {
@@ -197,6 +204,7 @@
 							endpoint: upstream.key,
 							unreadTokens: tokens,
 							tier: kind.tier,
+							memoryTokens: tokens,
 						},
 						at,
 					);
--- a/src/services/gateway/index.ts
+++ b/src/services/gateway/index.ts
@@ -2,6 +2,7 @@
 export * from './confirmation.js';
 export * from './copy-proof.js';
 export * from './endpoint-set.js';
+export * from './engine-memory.js';
 export * from './event-splitter.js';
 export * from './health.js';
 export * from './next-step.js';
--- a/src/services/gateway/placement.test.ts
+++ b/src/services/gateway/placement.test.ts
@@ -44,6 +44,8 @@
 		dataCentre: 'd',
 		objectiveMs: 2000,
 		tier: 0,
+		seed: 1,
+		reportAgeMs: 60,
 	};
 }
 
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -58,6 +58,15 @@
 /** Part of the tightest objective that a short prompt takes to read at most: it delays running answers so little that their pace does not hold it back. */
 const shortObjectivePart = 0.15;
 
+/** Multiple of the accepted backlog up to which an engine gets prompts beyond the pace of its answers, for each tier in use that is less urgent: those give way. */
+const pacedFactor = 3;
+
+/** Part of the reports' age up to which choices are spread. */
+const spreadPart = 0.25;
+
+/** Hashes are numbers below this. */
+const hashRange = 2 ** 32;
+
 /** Age of what reports say about unread prompts, in milliseconds: a prompt counts until its first token has been reported. */
 const reportLagMs = 350;
 
@@ -78,6 +87,10 @@
 	readonly objectiveMs: number;
 	/** 0 is the highest. */
 	readonly tier: number;
+	/** Differs between requests, so that gateways which see the same engine free do not all choose it. */
+	readonly seed: number;
+	/** Age of what gateways know of each other's placements, in milliseconds. */
+	readonly reportAgeMs: number;
 };
 
 /** Where a request goes, or why it goes nowhere. */
@@ -150,6 +163,10 @@
 		return {type: 'wait'};
 	}
 
+	if (request.prompt && !hasRoomAnywhere(request, open, now)) {
+		return {type: 'wait'};
+	}
+
 	const steady = open.filter((upstream) => isSteady(upstream, request));
 	const candidates = estimate(request, steady.length > 0 ? steady : open, now);
 	let [best] = candidates;
@@ -170,6 +187,18 @@
 		: {type: 'send', upstream, expectedMs, uncachedTokens, home};
 }
 
+/** Whether any engine has room for the part of a prompt that is certainly not cached. Beyond capacity most requests that wait end here, and looking closely at each of them would take most of a small gateway's processor time. */
+function hasRoomAnywhere(
+	{links, tier}: Placeable,
+	upstreams: readonly Upstream[],
+	now: number,
+): boolean {
+	const leastTokens = links.at(-1)?.tokens ?? 0;
+	return upstreams.some(
+		(upstream) => timeToRoomMs(upstream, tier, leastTokens, now) <= 0,
+	);
+}
+
 function hasRoom(upstream: Upstream, now: number): boolean {
 	return upstream.running(now) < upstream.listed.slots * queueFactor;
 }
@@ -182,10 +211,16 @@
 }
 
 /** What an engine has still to read: as planned, or as reports say when it falls far behind its plan. */
-export function backlogOf(upstream: Upstream, now: number): Backlog {
+export function backlogOf(
+	upstream: Upstream,
+	now: number,
+	slowness = upstream.slowness(now),
+): Backlog {
 	const {leftMs, pacedMs} = upstream.plan.backlog(now);
-	const reportedMs = backlogMs(upstream, now) * upstream.slowness(now);
-	return {leftMs: Math.max(leftMs, reportedMs - reportLagMs), pacedMs};
+	const unreadMs = backlogMs(upstream, now);
+	const lateMs = Math.min(reportLagMs, unreadMs / 2);
+	const reportedMs = unreadMs * slowness - lateMs;
+	return {leftMs: Math.max(leftMs, reportedMs), pacedMs};
 }
 
 /** Time until an engine will have room for a prompt of a tier, in milliseconds; not positive when it has. */
@@ -199,11 +234,14 @@
 	const objectiveMs =
 		upstream.demand.tightestObjectiveMs(tier, now) ?? defaultObjectiveMs;
 	const acceptedMs = acceptedBacklogMs(objectiveMs, tier);
+	const tiersBelow = Math.max(0, upstream.demand.lowestTier(now) - tier);
 	const isShort =
 		uncachedTokens / prefillTokensPerMs <= objectiveMs * shortObjectivePart;
 	return Math.max(
 		leftMs - acceptedMs,
-		isShort ? Number.NEGATIVE_INFINITY : pacedMs - acceptedMs,
+		isShort
+			? Number.NEGATIVE_INFINITY
+			: pacedMs - acceptedMs * pacedFactor ** tiersBelow,
 	);
 }
 
@@ -262,8 +300,10 @@
 			prefixes.expectedTokens(request.links, now) >= minSharedTokens,
 	);
 	const meanBacklogMs =
-		upstreams.reduce((sum, upstream) => sum + backlogMs(upstream, now), 0) /
-		upstreams.length;
+		upstreams.reduce(
+			(sum, upstream) => sum + backlogOf(upstream, now).pacedMs,
+			0,
+		) / upstreams.length;
 	const readFactor = Math.min(
 		maxReadFactor,
 		1 + meanBacklogMs / doublingBacklogMs,
@@ -282,7 +322,7 @@
 		const drag = relative > stragglerFactor ? relative : 1;
 		const baseMs =
 			engineBaseMs +
-			backlogMs(upstream, now) +
+			backlogOf(upstream, now, 1).leftMs +
 			upstream.running(now) * perRunningMs;
 		const pull = upstream === home && !isHeld ? 1 - homePull : 1;
 		return {
@@ -292,6 +332,7 @@
 				(baseMs + readMs * readFactor * pull) * drag +
 				Math.max(0, timeToRoomMs(upstream, request.tier, uncachedTokens, now)) +
 				upstream.closedMs(now) +
+				spreadMs(request, upstream) +
 				penaltyMs(request, upstream, now),
 			uncachedTokens,
 			pendingTokens: expected - cached,
@@ -300,6 +341,11 @@
 	});
 }
 
+/** Random part of the choice: the older the reports, the more requests may have gone to the engine that seems best. */
+function spreadMs({seed, reportAgeMs}: Placeable, {key}: Upstream): number {
+	return (mix32(seed, key) / hashRange) * reportAgeMs * spreadPart;
+}
+
 function penaltyMs(
 	request: Placeable,
 	upstream: Upstream,
--- a/src/services/gateway/room-book.test.ts
+++ b/src/services/gateway/room-book.test.ts
@@ -107,6 +107,7 @@
 				endpoint: engine,
 				unreadTokens: promptTokens,
 				tier: 2,
+				memoryTokens: promptTokens,
 			},
 			0,
 		);
@@ -114,7 +115,9 @@
 			granted += promptTokens;
 			gateway.tokens = promptTokens;
 		} else {
-			expect(answer.backlog.leftMs).toEqual(granted / 40);
+			expect(answer.type === 'denied' && answer.backlog.leftMs).toEqual(
+				granted / 40,
+			);
 		}
 	}
 
@@ -125,6 +128,23 @@
 	expect(keeper.upstream.unreadTokens(50)).toEqual(granted);
 });
 
+// Guards against urgent requests that come back to an engine a moment after less urgent ones have taken its room.
+test('room that was denied to an urgent request is not given to a less urgent one', () => {
+	const [{book, upstream}] = gateways(1) as [Gateway];
+	const take = (uncachedTokens: number, tier: number, now: number) =>
+		book.take(upstream, {uncachedTokens, memoryTokens: 0, tier}, now).type;
+	// 1200 ms: 840 ms are accepted of the highest tier and 420 ms of the third one.
+	expect(take(48_000, 0, 0)).toEqual('granted');
+	expect(take(8000, 0, 300)).toEqual('denied');
+	expect(take(8000, 2, 800)).toEqual('granted');
+	expect(take(48_000, 0, 800)).toEqual('granted');
+	expect(take(8000, 0, 1690)).toEqual('denied');
+	upstream.plan.assume({leftMs: 0, pacedMs: 0}, 1700);
+	expect(take(8000, 2, 1700)).toEqual('full');
+	expect(take(8000, 0, 1700)).toEqual('granted');
+	expect(take(8000, 2, 1750)).toEqual('granted');
+});
+
 // Guards against room that is lost for good when a gateway is granted it and goes away.
 test('a reservation that no report confirms expires', () => {
 	const [keeper] = gateways(2);
@@ -135,6 +155,7 @@
 			endpoint: engine,
 			unreadTokens: promptTokens,
 			tier: 0,
+			memoryTokens: promptTokens,
 		},
 		0,
 	);
@@ -163,7 +184,8 @@
 	const keeper = all.find(
 		({book, upstream}) => book.keeper(upstream, promptTokens, 0) === undefined,
 	)!;
-	expect(keeper.book.take(keeper.upstream, 60_000, 0, 0)).toEqual(true);
+	const need = {uncachedTokens: 60_000, memoryTokens: 60_000, tier: 0};
+	expect(keeper.book.take(keeper.upstream, need, 0).type).toEqual('granted');
 	for (const {book, upstream, endpoints} of all) {
 		expect(book.kept(0).length).toEqual(upstream === keeper.upstream ? 1 : 0);
 		endpoints.noteKept(keeper.book.kept(0), 0);
--- a/src/services/gateway/room-book.ts
+++ b/src/services/gateway/room-book.ts
@@ -11,18 +11,43 @@
 /** Time until a gateway asks again for room at an engine when nobody has answered, in milliseconds: a path takes 1 ms. */
 const unansweredWaitMs = 40;
 
+/** Time for which less urgent requests get no room at an engine after it was denied to a more urgent one, in milliseconds: waiting requests are looked at every 40 ms. */
+const claimMs = 150;
+
+/** Time until a gateway asks again for room at an engine whose memory is short, in milliseconds: answers that end free it. */
+const fullWaitMs = 150;
+
 /** A gateway's question whether an engine has room for a prompt. */
 export type RoomAsk = Reservation & {
 	/** 0 is the highest. */
 	readonly tier: number;
+	/** Memory that the request needs, in tokens. */
+	readonly memoryTokens: number;
+};
+
+/** What a request asks of an engine. */
+export type RoomNeed = {
+	/** Prompt tokens that the engine has to read. */
+	readonly uncachedTokens: number;
+	/** Memory that the request needs, in tokens. */
+	readonly memoryTokens: number;
+	/** 0 is the highest. */
+	readonly tier: number;
 };
 
 export type RoomAnswer =
 	| {readonly type: 'granted'}
 	| {readonly type: 'denied'; readonly backlog: Backlog}
+	/** The engine's memory is short, or its next room is for a more urgent request. */
+	| {readonly type: 'full'}
 	/** The gateway that was asked says nothing. */
 	| {readonly type: 'unanswered'};
 
+/** Request to which room was denied and which comes back. */
+type Claim = {readonly tier: number; readonly until: number};
+
+const granted = {type: 'granted'} as const;
+
 /**
  * Book of the engines for which this gateway decides about room. Each engine
  * has one such gateway, chosen by rendezvous hashing among those heard of
@@ -35,6 +60,8 @@
 	readonly #ownHash: number;
 	readonly #endpoints: EndpointSet;
 	readonly #loads: PeerLoads;
+	/** Requests that were denied room lately, by the keys of the engines. */
+	readonly #claims = new Map<number, Claim>();
 
 	constructor(gateway: string, endpoints: EndpointSet, loads: PeerLoads) {
 		this.#ownHash = hash32(gateway);
@@ -68,27 +95,45 @@
 	/** Decides about room for another gateway and notes what is granted. An engine that is not listed here yet has no book, and the asking gateway's own view stands. */
 	decide(ask: RoomAsk, now: number): Exclude<RoomAnswer, {type: 'unanswered'}> {
 		const upstream = this.#endpoints.byKey(ask.endpoint);
-		if (upstream && !this.take(upstream, ask.unreadTokens, ask.tier, now)) {
-			return {type: 'denied', backlog: backlogOf(upstream, now)};
+		const answer = upstream
+			? this.take(upstream, {...ask, uncachedTokens: ask.unreadTokens}, now)
+			: granted;
+		if (answer.type === 'granted') {
+			this.#loads.reserve(ask, now);
 		}
 
-		this.#loads.reserve(ask, now);
-		return {type: 'granted'};
+		return answer;
 	}
 
-	/** Takes room for a prompt at an engine whose book is kept here, or returns false when it has none. */
+	/** Takes room at an engine whose book is kept here, or says why there is none. */
 	take(
 		upstream: Upstream,
-		uncachedTokens: number,
-		tier: number,
+		{uncachedTokens, memoryTokens, tier}: RoomNeed,
 		now: number,
-	): boolean {
+	): Exclude<RoomAnswer, {type: 'unanswered'}> {
 		if (timeToRoomMs(upstream, tier, uncachedTokens, now) > 0) {
-			return false;
+			this.#claim(upstream, tier, now);
+			return {type: 'denied', backlog: backlogOf(upstream, now)};
 		}
 
+		const claim = this.#claims.get(upstream.key);
+		if (claim && now < claim.until && claim.tier < tier) {
+			return {type: 'full'};
+		}
+
+		this.#claims.delete(upstream.key);
+		if (upstream.memory?.fits(memoryTokens, tier, now) === false) {
+			return {type: 'full'};
+		}
+
+		upstream.memory?.grant(memoryTokens, now);
 		this.#plan(upstream, uncachedTokens, now);
-		return true;
+		return granted;
+	}
+
+	/** Whether this gateway keeps the book of an engine. */
+	keeps(upstream: Upstream, now: number): boolean {
+		return this.keeper(upstream, minAskTokens, now) === undefined;
 	}
 
 	/** Backlogs of the engines whose books are kept here, for the other gateways; without those that have nothing to read. */
@@ -98,8 +143,7 @@
 			.map((upstream) => ({upstream, backlog: backlogOf(upstream, now)}))
 			.filter(
 				({upstream, backlog}) =>
-					backlog.pacedMs > 0 &&
-					this.keeper(upstream, minAskTokens, now) === undefined,
+					backlog.pacedMs > 0 && this.keeps(upstream, now),
 			)
 			.map(({upstream, backlog}) => ({endpoint: upstream.key, ...backlog}));
 	}
@@ -126,6 +170,11 @@
 				return false;
 			}
 
+			case 'full': {
+				upstream.close(now + fullWaitMs);
+				return false;
+			}
+
 			case 'unanswered': {
 				if (upstream.unreadTokens(now) === 0) {
 					return true;
@@ -137,6 +186,14 @@
 		}
 	}
 
+	/** The next room at an engine is for the most urgent of those that it was denied to. */
+	#claim(upstream: Upstream, tier: number, now: number): void {
+		const known = this.#claims.get(upstream.key);
+		if (!known || now >= known.until || tier <= known.tier) {
+			this.#claims.set(upstream.key, {tier, until: now + claimMs});
+		}
+	}
+
 	#plan(upstream: Upstream, uncachedTokens: number, now: number): void {
 		upstream.plan.add(
 			uncachedTokens,
--- a/src/services/gateway/service-demand.ts
+++ b/src/services/gateway/service-demand.ts
@@ -7,6 +7,9 @@
 /** Part of the mean time that answers have for each token at which engines are to generate them: long answers have several times the mean length. */
 const paceMargin = 0.5;
 
+/** Time for which what follows from the kinds of requests is kept, in milliseconds. */
+const summaryMs = 100;
+
 /** What one request asks of a service. */
 export type DemandSample = {
 	/** 0 is the highest. */
@@ -28,6 +31,13 @@
 	notedAt: number;
 };
 
+/** What follows from the kinds of requests that are common at a moment. */
+type Summary = {
+	readonly at: number;
+	readonly kinds: readonly Kind[];
+	readonly tokenMs: number | undefined;
+};
+
 /**
  * What the requests to one service need of it, learned from those that this
  * gateway receives. Answers load of requests that differ in their targets: how
@@ -35,9 +45,10 @@
  */
 export class ServiceDemand {
 	readonly #kinds = new Map<string, Kind>();
+	#summary: Summary | undefined;
 
 	note(sample: DemandSample, now: number): void {
-		const {tier, objectiveMs, timeoutMs, outputTokens} = sample;
+		const {tier, objectiveMs, timeoutMs} = sample;
 		const name = `${tier}/${objectiveMs}/${timeoutMs}`;
 		let kind = this.#kinds.get(name);
 		if (!kind) {
@@ -50,11 +61,13 @@
 				notedAt: now,
 			};
 			this.#kinds.set(name, kind);
+			this.#summary = undefined;
 		}
 
 		const weight = faded(kind, now);
 		kind.outputTokens =
-			(kind.outputTokens * weight + outputTokens) / (weight + 1);
+			(kind.outputTokens * weight + sample.outputTokens) / (weight + 1);
+
 		kind.weight = weight + 1;
 		kind.notedAt = now;
 	}
@@ -62,7 +75,7 @@
 	/** Tightest latency target among requests that are at least as urgent as a tier, in milliseconds; undefined when there are none. */
 	tightestObjectiveMs(tier: number, now: number): number | undefined {
 		let tightest: number | undefined;
-		for (const kind of this.#common(now)) {
+		for (const kind of this.#summarize(now).kinds) {
 			if (kind.tier <= tier) {
 				tightest = Math.min(tightest ?? kind.objectiveMs, kind.objectiveMs);
 			}
@@ -73,29 +86,41 @@
 
 	/** Time for each token at which most answers end in time, in milliseconds; undefined when no lengths are known. */
 	tokenMs(now: number): number | undefined {
-		let least: number | undefined;
-		for (const {timeoutMs, objectiveMs, outputTokens} of this.#common(now)) {
-			if (outputTokens > 0) {
-				const tokenMs = (paceMargin * (timeoutMs - objectiveMs)) / outputTokens;
-				least = Math.min(least ?? tokenMs, tokenMs);
-			}
-		}
+		return this.#summarize(now).tokenMs;
+	}
 
-		return least;
+	/** Least urgent tier in use; 0 when there are no requests. */
+	lowestTier(now: number): number {
+		return Math.max(0, ...this.#summarize(now).kinds.map(({tier}) => tier));
 	}
 
-	#common(now: number): Kind[] {
-		let total = 0;
-		for (const kind of this.#kinds.values()) {
-			total += faded(kind, now);
+	/** Asked for each endpoint of each request that waits, so it is worked out only from time to time. */
+	#summarize(now: number): Summary {
+		if (!this.#summary || now - this.#summary.at > summaryMs) {
+			const all = [...this.#kinds.values()];
+			const total = all.reduce((sum, kind) => sum + faded(kind, now), 0);
+			const kinds = all.filter((kind) => faded(kind, now) >= total * minPart);
+			this.#summary = {
+				at: now,
+				kinds,
+				tokenMs: leastTokenMs(kinds),
+			};
 		}
 
-		return [...this.#kinds.values()].filter(
-			(kind) => faded(kind, now) >= total * minPart,
-		);
+		return this.#summary;
 	}
 }
 
+function leastTokenMs(kinds: readonly Kind[]): number | undefined {
+	const times = kinds
+		.filter(({outputTokens}) => outputTokens > 0)
+		.map(
+			({timeoutMs, objectiveMs, outputTokens}) =>
+				(paceMargin * (timeoutMs - objectiveMs)) / outputTokens,
+		);
+	return times.length > 0 ? Math.min(...times) : undefined;
+}
+
 function faded({weight, notedAt}: Kind, now: number): number {
 	return weight * Math.exp((notedAt - now) / fadeMs);
 }
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -4,6 +4,7 @@
 	Service,
 	StatedLoad,
 } from '../../interfaces/index.js';
+import {EngineMemory} from './engine-memory.js';
 import {Health} from './health.js';
 import {firstServerError, type SendEnd} from './next-step.js';
 import type {PeerLoads} from './peer-loads.js';
@@ -37,6 +38,8 @@
 	readonly prefixes: PrefixMemory;
 	/** Prompts that it was given by the gateway that keeps its book. */
 	readonly plan = new ReadingPlan();
+	/** Undefined for plain services. */
+	readonly memory: EngineMemory | undefined;
 	/** Short name that gateways use among each other. Two endpoints with one key would only be thought busier than they are. */
 	readonly key: number;
 	readonly #works = new Set<Work>();
@@ -46,6 +49,7 @@
 	#slownessAt = 0;
 	#lastHeardAt = 0;
 	#askedTokens = 0;
+	#ownUnreadTokens = 0;
 	#closedUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(
@@ -59,6 +63,7 @@
 	) {
 		this.#peers = peers;
 		this.key = hash32(listed.id);
+		this.memory = service?.engine && new EngineMemory();
 		this.prefixes = new PrefixMemory(service?.engine?.kvTokens ?? 0);
 	}
 
@@ -87,18 +92,28 @@
 	): Work {
 		const work = {uncachedTokens, hasAnswered: false};
 		this.#works.add(work);
+		this.#ownUnreadTokens += uncachedTokens;
 		this.prefixes.begin(links, now);
 		return work;
 	}
 
 	/** Notes that an engine has read the prompt of a work and answers. */
 	answered(work: Work, links: readonly PrefixLink[]): void {
-		work.hasAnswered = true;
+		this.#noteRead(work);
 		this.prefixes.read(links);
 	}
 
 	end(work: Work): void {
-		this.#works.delete(work);
+		if (this.#works.delete(work)) {
+			this.#noteRead(work);
+		}
+	}
+
+	#noteRead(work: Work): void {
+		if (!work.hasAnswered) {
+			work.hasAnswered = true;
+			this.#ownUnreadTokens -= work.uncachedTokens;
+		}
 	}
 
 	/** Updates what is believed of the endpoint's health by the end of a send. */
@@ -204,12 +219,7 @@
 
 	/** Prompt tokens of this gateway's requests that the engine has still to read. */
 	ownUnreadTokens(): number {
-		let tokens = 0;
-		for (const work of this.#works) {
-			tokens += work.hasAnswered ? 0 : work.uncachedTokens;
-		}
-
-		return tokens;
+		return this.#ownUnreadTokens;
 	}
 
 	/** Peers report often but see only gateways; what the endpoint states is older and covers everything. */
