Hand on no success without its id, and count only whole events as progress

Before and after: 'a second answer without an id reaches nobody' and 'a stream that sends bytes but no events goes on elsewhere' in platform/gateway.test.ts fail on the code before it and pass now.

--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -137,7 +137,9 @@
 		const head = format.readAnswer(status, this.#headers);
 		this.#head = head;
 		upstream.heard(now);
-		if (head.requestId !== undefined && head.requestId !== requestId) {
+		const isSuccess = status < firstFailure;
+		if (head.requestId !== requestId && (isSuccess || head.requestId)) {
+			// A late second answer may lack its id as well as bear that of another request.
 			this.cancel({type: 'broken', reason: 'answer to another request'});
 			return;
 		}
@@ -146,7 +148,7 @@
 			upstream.stated(head.load, now);
 		}
 
-		if (status < firstFailure && (!head.isSigned || head.isEncoded)) {
+		if (isSuccess && (!head.isSigned || head.isEncoded)) {
 			this.cancel({type: 'broken', reason: 'success without signature'});
 			return;
 		}
@@ -165,19 +167,21 @@
 		}
 
 		this.#options.upstream.heard(monotonicNow());
-		this.#watch(this.#options.gapMs);
 		switch (this.#mode) {
 			case 'events': {
+				// Only whole events are progress: a stalled endpoint may send a byte now and then.
 				this.#readEvents(chunk);
 				break;
 			}
 
 			case 'held': {
+				this.#watch(this.#options.gapMs);
 				this.#hold(chunk);
 				break;
 			}
 
 			case 'passed': {
+				this.#watch(this.#options.gapMs);
 				this.#noteFirstByte();
 				this.#write(chunk);
 				break;
@@ -298,6 +302,7 @@
 			return;
 		}
 
+		this.#watch(this.#options.gapMs);
 		this.#noteFirstByte();
 		this.#begin();
 		this.#write(events.length === 1 ? events[0]! : Buffer.concat(events));
