Place by slots, wait less for the engine that holds a prompt, and read who has left

Change: an engine gets at most 95% of its slots, less of lower tiers; after a quarter of its objective a request takes any engine with room; a gateway that is behind lets the events of its sockets come first.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -36,6 +36,7 @@
 import {Exchange} from './exchange.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {sendOwnAnswer, type OwnAnswer} from './own-answer.js';
+import {LoopLag} from './loop-lag.js';
 import {MemoryWatch} from './memory-watch.js';
 import {PeerExchange} from './peer-exchange.js';
 import {PlatformCopy} from './platform-copy.js';
@@ -110,6 +111,7 @@
 	readonly #peers: PeerExchange;
 	readonly #memory: MemoryWatch;
 	readonly #room = this.#store.add(new WaitingTask());
+	readonly #loopLag = this.#store.add(new LoopLag());
 	readonly #metrics: GatewayMetrics;
 	readonly #exchanges = new Set<Exchange>();
 	#isDraining = false;
@@ -349,6 +351,14 @@
 		const output = new CallerOutput(response);
 		const limits = this.#platform.routing?.configuration.limits ?? startLimits;
 		const body = await readBody(request, limits.maxBodyBytes);
+		await this.#loopLag.catchUp();
+		if (request.socket.destroyed) {
+			this.#options.log.info('caller_left', {
+				request: this.#options.format.readRequest(request.rawHeaders).requestId,
+			});
+			return;
+		}
+
 		if (this.#isDraining) {
 			output.closeAfterwards();
 		}
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -34,15 +34,28 @@
 /** Part of its objective for which a request so waits. */
 const sharedWaitObjectivePart = 0.4;
 
+/** Part of its objective for which a request waits for the engine that holds its prompt although another one has room. */
+const affinityWaitObjectivePart = 0.25;
+
 /** What a failing endpoint costs, against an answer in time: the time until a second try succeeds, in milliseconds. */
 const failureCostMs = 3000;
 
 /** What crossing to another data centre costs in the choice, in milliseconds; the path itself takes 1 ms, but its bytes are billed. */
 const crossingCostMs = 4;
 
-/** Requests beyond its slots that an endpoint may queue before it is passed over. */
+/** Requests beyond its slots that a plain endpoint may queue before it is passed over. */
 const queueFactor = 1.25;
 
+/**
+ * Part of an engine's slots up to which it gets requests of the highest tier,
+ * and how much less each lower tier gets. An answer holds its slot for
+ * seconds, so a request that queues behind taken slots is late in any case, and
+ * the last slots are for those that cannot wait.
+ */
+const slotsPart = 0.95;
+const slotsStep = 0.1;
+const leastSlotsPart = 0.5;
+
 /**
  * Backlog of an engine up to which it gets requests of the highest tier, as a
  * part of the tightest objective in use. Each lower tier stops a step earlier,
@@ -121,6 +134,7 @@
 	readonly expectedMs: number;
 	readonly costMs: number;
 	readonly uncachedTokens: number;
+	readonly hasRoom: boolean;
 	/** Tokens of the prompt that the engine is reading for another request. */
 	readonly pendingTokens: number;
 	readonly home: number;
@@ -158,7 +172,7 @@
 		};
 	}
 
-	const open = up.filter((upstream) => hasRoom(upstream, now));
+	const open = up.filter((upstream) => hasSlot(upstream, request, now));
 	if (open.length === 0) {
 		return {type: 'wait'};
 	}
@@ -169,8 +183,12 @@
 
 	const steady = open.filter((upstream) => isSteady(upstream, request));
 	const candidates = estimate(request, steady.length > 0 ? steady : open, now);
-	let [best] = candidates;
-	for (const candidate of candidates) {
+	const roomy = candidates.filter(({hasRoom}) => hasRoom);
+	const isPatient =
+		request.waitedMs < request.objectiveMs * affinityWaitObjectivePart;
+	const eligible = isPatient || roomy.length === 0 ? candidates : roomy;
+	let [best] = eligible;
+	for (const candidate of eligible) {
 		if (candidate.costMs < best!.costMs) {
 			best = candidate;
 		}
@@ -180,9 +198,7 @@
 	const waitsForShared =
 		best!.pendingTokens >= minSharedTokens &&
 		request.waitedMs < request.objectiveMs * sharedWaitObjectivePart;
-	return upstream.closedMs(now) > 0 ||
-		timeToRoomMs(upstream, request.tier, uncachedTokens, now) > 0 ||
-		waitsForShared
+	return !best!.hasRoom || waitsForShared
 		? {type: 'wait'}
 		: {type: 'send', upstream, expectedMs, uncachedTokens, home};
 }
@@ -199,8 +215,15 @@
 	);
 }
 
-function hasRoom(upstream: Upstream, now: number): boolean {
-	return upstream.running(now) < upstream.listed.slots * queueFactor;
+function hasSlot(
+	upstream: Upstream,
+	{prompt, tier}: Placeable,
+	now: number,
+): boolean {
+	const part = prompt
+		? Math.max(leastSlotsPart, slotsPart - slotsStep * tier)
+		: queueFactor;
+	return upstream.running(now) < upstream.listed.slots * part;
 }
 
 /** An endpoint on trial gets one request at a time, and none that may not be repeated. */
@@ -283,6 +306,7 @@
 		expectedMs,
 		costMs: expectedMs + penaltyMs(request, upstream, now),
 		uncachedTokens: 0,
+		hasRoom: upstream.closedMs(now) === 0,
 		pendingTokens: 0,
 		home: -1,
 	};
@@ -324,17 +348,21 @@
 			engineBaseMs +
 			backlogOf(upstream, now, 1).leftMs +
 			upstream.running(now) * perRunningMs;
+		const toRoomMs = Math.max(
+			upstream.closedMs(now),
+			timeToRoomMs(upstream, request.tier, uncachedTokens, now),
+		);
 		const pull = upstream === home && !isHeld ? 1 - homePull : 1;
 		return {
 			upstream,
 			expectedMs: (baseMs + uncachedTokens / prefillTokensPerMs) * slowness,
 			costMs:
 				(baseMs + readMs * readFactor * pull) * drag +
-				Math.max(0, timeToRoomMs(upstream, request.tier, uncachedTokens, now)) +
-				upstream.closedMs(now) +
+				Math.max(0, toRoomMs) +
 				spreadMs(request, upstream) +
 				penaltyMs(request, upstream, now),
 			uncachedTokens,
+			hasRoom: toRoomMs <= 0,
 			pendingTokens: expected - cached,
 			home: upstream === home ? 0 : -1,
 		};
