--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -1,4 +1,4 @@
-import {hash32, type Disposable} from '../../base/index.js';
+import type {Disposable} from '../../base/index.js';
 import {
 	nextStep,
 	patience,
@@ -54,7 +54,6 @@
 	readonly #expiresAt: number;
 	readonly #position: StreamPosition;
 	readonly #links: readonly PrefixLink[];
-	readonly #seed: number;
 	readonly #tried = new Set<Upstream>();
 	#send: Send | undefined;
 	#sends = 0;
@@ -75,7 +74,6 @@
 		this.#request = request;
 		this.#output = output;
 		this.#position = {lastEventId: request.head.lastEventId};
-		this.#seed = hash32(request.head.requestId);
 		this.#links = prefixLinks(request.head.prompt?.parts ?? []);
 		this.#expiresAt =
 			request.receivedAt +
@@ -286,7 +284,7 @@
 	}
 
 	#place(now: number): Assignment {
-		const {endpoints, dataCentre, peers} = this.#context;
+		const {endpoints, dataCentre} = this.#context;
 		const {head, receivedAt, route, service} = this.#request;
 		return place(
 			{
@@ -298,8 +296,6 @@
 				dataCentre,
 				objectiveMs: route.objectiveMs,
 				tier: this.#tier,
-				seed: this.#seed,
-				reportAgeMs: peers.reportPeriodMs,
 			},
 			endpoints.serving(service.name, now),
 			now,
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -126,11 +126,6 @@
 		this.#schedule();
 	}
 
-	/** Time between two reports of a changed load, in milliseconds. */
-	get reportPeriodMs(): number {
-		return Math.max(minPeriodMs, periodPerPeerMs * this.#peers.length);
-	}
-
 	/** Addresses of the other gateways. */
 	setPeers(addresses: readonly string[]): void {
 		this.#peers = addresses.filter(
@@ -284,10 +279,13 @@
 	}
 
 	#schedule(): void {
-		this.#timer = setTimeout(() => {
-			this.#report();
-			this.#schedule();
-		}, this.reportPeriodMs);
+		this.#timer = setTimeout(
+			() => {
+				this.#report();
+				this.#schedule();
+			},
+			Math.max(minPeriodMs, periodPerPeerMs * this.#peers.length),
+		);
 	}
 
 	#report(): void {
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -34,9 +34,6 @@
 /** Part of its objective for which a request so waits. */
 const sharedWaitObjectivePart = 0.4;
 
-/** Part of its objective for which a request waits for the engine that holds its prompt although another one has room. */
-const affinityWaitObjectivePart = 0.25;
-
 /** What a failing endpoint costs, against an answer in time: the time until a second try succeeds, in milliseconds. */
 const failureCostMs = 3000;
 
@@ -74,12 +71,6 @@
 /** Multiple of the accepted backlog up to which an engine gets prompts beyond the pace of its answers, for each tier in use that is less urgent: those give way. */
 const pacedFactor = 3;
 
-/** Part of the reports' age up to which choices are spread. */
-const spreadPart = 0.25;
-
-/** Hashes are numbers below this. */
-const hashRange = 2 ** 32;
-
 /** Age of what reports say about unread prompts, in milliseconds: a prompt counts until its first token has been reported. */
 const reportLagMs = 350;
 
@@ -100,10 +91,6 @@
 	readonly objectiveMs: number;
 	/** 0 is the highest. */
 	readonly tier: number;
-	/** Differs between requests, so that gateways which see the same engine free do not all choose it. */
-	readonly seed: number;
-	/** Age of what gateways know of each other's placements, in milliseconds. */
-	readonly reportAgeMs: number;
 };
 
 /** Where a request goes, or why it goes nowhere. */
@@ -183,12 +170,8 @@
 
 	const steady = open.filter((upstream) => isSteady(upstream, request));
 	const candidates = estimate(request, steady.length > 0 ? steady : open, now);
-	const roomy = candidates.filter(({hasRoom}) => hasRoom);
-	const isPatient =
-		request.waitedMs < request.objectiveMs * affinityWaitObjectivePart;
-	const eligible = isPatient || roomy.length === 0 ? candidates : roomy;
-	let [best] = eligible;
-	for (const candidate of eligible) {
+	let [best] = candidates;
+	for (const candidate of candidates) {
 		if (candidate.costMs < best!.costMs) {
 			best = candidate;
 		}
@@ -359,7 +342,6 @@
 			costMs:
 				(baseMs + readMs * readFactor * pull) * drag +
 				Math.max(0, toRoomMs) +
-				spreadMs(request, upstream) +
 				penaltyMs(request, upstream, now),
 			uncachedTokens,
 			hasRoom: toRoomMs <= 0,
@@ -369,11 +351,6 @@
 	});
 }
 
-/** Random part of the choice: the older the reports, the more requests may have gone to the engine that seems best. */
-function spreadMs({seed, reportAgeMs}: Placeable, {key}: Upstream): number {
-	return (mix32(seed, key) / hashRange) * reportAgeMs * spreadPart;
-}
-
 function penaltyMs(
 	request: Placeable,
 	upstream: Upstream,
--- a/src/services/gateway/room-book.ts
+++ b/src/services/gateway/room-book.ts
@@ -11,9 +11,6 @@
 /** Time until a gateway asks again for room at an engine when nobody has answered, in milliseconds: a path takes 1 ms. */
 const unansweredWaitMs = 40;
 
-/** Time for which less urgent requests get no room at an engine after it was denied to a more urgent one, in milliseconds: waiting requests are looked at every 40 ms. */
-const claimMs = 150;
-
 /** Time until a gateway asks again for room at an engine whose memory is short, in milliseconds: answers that end free it. */
 const fullWaitMs = 150;
 
@@ -38,14 +35,11 @@
 export type RoomAnswer =
 	| {readonly type: 'granted'}
 	| {readonly type: 'denied'; readonly backlog: Backlog}
-	/** The engine's memory is short, or its next room is for a more urgent request. */
+	/** The engine's memory is short. */
 	| {readonly type: 'full'}
 	/** The gateway that was asked says nothing. */
 	| {readonly type: 'unanswered'};
 
-/** Request to which room was denied and which comes back. */
-type Claim = {readonly tier: number; readonly until: number};
-
 const granted = {type: 'granted'} as const;
 
 /**
@@ -60,8 +54,6 @@
 	readonly #ownHash: number;
 	readonly #endpoints: EndpointSet;
 	readonly #loads: PeerLoads;
-	/** Requests that were denied room lately, by the keys of the engines. */
-	readonly #claims = new Map<number, Claim>();
 
 	constructor(gateway: string, endpoints: EndpointSet, loads: PeerLoads) {
 		this.#ownHash = hash32(gateway);
@@ -112,16 +104,9 @@
 		now: number,
 	): Exclude<RoomAnswer, {type: 'unanswered'}> {
 		if (timeToRoomMs(upstream, tier, uncachedTokens, now) > 0) {
-			this.#claim(upstream, tier, now);
 			return {type: 'denied', backlog: backlogOf(upstream, now)};
 		}
 
-		const claim = this.#claims.get(upstream.key);
-		if (claim && now < claim.until && claim.tier < tier) {
-			return {type: 'full'};
-		}
-
-		this.#claims.delete(upstream.key);
 		if (upstream.memory?.fits(memoryTokens, tier, now) === false) {
 			return {type: 'full'};
 		}
@@ -186,14 +171,6 @@
 		}
 	}
 
-	/** The next room at an engine is for the most urgent of those that it was denied to. */
-	#claim(upstream: Upstream, tier: number, now: number): void {
-		const known = this.#claims.get(upstream.key);
-		if (!known || now >= known.until || tier <= known.tier) {
-			this.#claims.set(upstream.key, {tier, until: now + claimMs});
-		}
-	}
-
 	#plan(upstream: Upstream, uncachedTokens: number, now: number): void {
 		upstream.plan.add(
 			uncachedTokens,
