Give questions between gateways numbers that rise over restarts

Change: numbers begin with the time of the start.

Before and after: peer-exchange.test.ts fails with numbers from 1 and passes now.

--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -94,7 +94,8 @@
 	readonly #shunned = new Map<string, number>();
 	#peers: readonly string[] = [];
 	#sequence = 0;
-	#askNumber = 0;
+	/** Rises over restarts as well: a late answer to the process before must not settle a question of this one. */
+	#askNumber = Date.now();
 	#settled = 0;
 	#reads: ReadNotice[] = [];
 	#lastLoads = '';
