Let engines copy shared prompt parts from each other

Change: an engine that lacks at least 256 tokens of a prompt which another engine holds is told to copy them, where copying takes less than a quarter of the time to read. Placement counts copied tokens as held. Lines that end a request name its longest pause.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -43,6 +43,7 @@
 	readonly type: 'send';
 	readonly upstream: Upstream;
 	readonly expectedMs: number;
+	readonly donor: Upstream | undefined;
 	readonly work: Work;
 };
 
@@ -64,6 +65,7 @@
 	#failure: HeldAnswer | undefined;
 	#isAbandoned = false;
 	#firstByteAt: number | undefined;
+	#longestPauseMs = 0;
 
 	constructor(
 		context: ExchangeContext,
@@ -264,7 +266,7 @@
 	}
 
 	#begin(assignment: Extract<Assignment, {type: 'send'}>): Placed {
-		const {upstream, expectedMs, uncachedTokens, home} = assignment;
+		const {upstream, expectedMs, uncachedTokens, donor, home} = assignment;
 		const {head} = this.#request;
 		this.#tried.add(upstream);
 		const now = monotonicNow();
@@ -275,6 +277,7 @@
 			denials: this.#denials,
 			shared_part: this.#links.at(-2)?.hash ?? 0,
 			home,
+			copies_from: donor?.id ?? '',
 			prompt_tokens: head.prompt?.promptTokens ?? 0,
 			uncached_tokens: Math.round(uncachedTokens),
 			unread_tokens: Math.round(upstream.unreadTokens(now)),
@@ -283,7 +286,7 @@
 		});
 		const work = upstream.begin(this.#links, uncachedTokens, now);
 		this.#context.peers.noteReads(upstream, this.#links.slice(0, -1), false);
-		return {type: 'send', upstream, expectedMs, work};
+		return {type: 'send', upstream, expectedMs, donor, work};
 	}
 
 	#place(now: number): Assignment {
@@ -306,7 +309,7 @@
 	}
 
 	async #perform(placed: Placed): Promise<SendEnd> {
-		const {upstream, expectedMs, work} = placed;
+		const {upstream, expectedMs, donor, work} = placed;
 		const {format, connections, peers, room, notes} = this.#context;
 		const {method, target, headers, body, head, route, workspace} =
 			this.#request;
@@ -345,6 +348,7 @@
 				lastEventId: this.#output.isBegun
 					? this.#position.lastEventId
 					: undefined,
+				copyFrom: donor?.listed.address,
 			}),
 			body: body.length > 0 ? body : null,
 		});
@@ -369,6 +373,7 @@
 		}
 
 		this.#firstByteAt ??= send.firstByteAt;
+		this.#longestPauseMs = Math.max(this.#longestPauseMs, send.longestPauseMs);
 		if (send.firstByteAt !== undefined) {
 			upstream.timed(send.firstByteAt - startedAt, expectedMs, now);
 		}
@@ -478,6 +483,7 @@
 			denials: this.#denials,
 			total_ms: Math.round(summary.totalMs),
 			first_byte_ms: Math.round(summary.firstByteMs ?? -1),
+			longest_pause_ms: Math.round(this.#longestPauseMs),
 			last_event: this.#position.lastEventId ?? '',
 			configuration: this.#request.configurationVersion,
 		});
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -80,6 +80,9 @@
 	onDidAnswer: () => void = () => undefined;
 	/** Moment of the first byte of the answer's body or of its end. */
 	firstByteAt: number | undefined;
+	/** Longest pause between two events that were handed on, in milliseconds. */
+	longestPauseMs = 0;
+	#lastEventAt: number | undefined;
 	readonly #options: SendOptions;
 	readonly #connection: Connection;
 	readonly #splitter = new EventSplitter();
@@ -306,6 +309,12 @@
 			return;
 		}
 
+		const now = monotonicNow();
+		this.longestPauseMs = Math.max(
+			this.longestPauseMs,
+			now - (this.#lastEventAt ?? now),
+		);
+		this.#lastEventAt = now;
 		this.#watch(this.#options.gapMs);
 		this.#noteFirstByte();
 		this.#begin();
--- a/src/interfaces/ports/http-format.ts
+++ b/src/interfaces/ports/http-format.ts
@@ -38,6 +38,8 @@
 	readonly tier: number;
 	/** Event after which a stream goes on. */
 	readonly lastEventId: number | undefined;
+	/** "IP:port" of an engine from which the endpoint copies what it lacks of the prompt. */
+	readonly copyFrom: string | undefined;
 };
 
 /** Load that an endpoint states in an answer. */
--- a/src/interfaces/ports/routing.ts
+++ b/src/interfaces/ports/routing.ts
@@ -51,6 +51,15 @@
 	readonly slots: number;
 	/** Tokens of running requests and cached prompt parts that fit its memory. */
 	readonly kvTokens: number;
+	/** How engines hand each other what they hold of a prompt; undefined when they do not. */
+	readonly transfer: MemoryTransfer | undefined;
+};
+
+/** Copying of held prompt parts between two engines. */
+export type MemoryTransfer = {
+	readonly bytesPerToken: number;
+	/** Of an engine's own link, in megabits a second. */
+	readonly linkMbps: number;
 };
 
 /** Workspace that holds API keys; its requests are limited by them alone, not by the records of the own interface. */
--- a/src/services/gateway/placement.test.ts
+++ b/src/services/gateway/placement.test.ts
@@ -1,6 +1,9 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
-import type {ListedEndpoint} from '../../interfaces/ports/index.js';
+import type {
+	ListedEndpoint,
+	MemoryTransfer,
+} from '../../interfaces/ports/index.js';
 import {PeerLoads} from './peer-loads.js';
 import {place, type Placeable} from './placement.js';
 import {prefixLinks, type PrefixLink} from './prefix-memory.js';
@@ -8,7 +11,11 @@
 
 const slots = 16;
 
-function upstreams(count: number, peers = new PeerLoads()): Upstream[] {
+function upstreams(
+	count: number,
+	peers = new PeerLoads(),
+	transfer?: MemoryTransfer,
+): Upstream[] {
 	return Array.from({length: count}, (_, index) => {
 		const listed: ListedEndpoint = {
 			id: `e${index}`,
@@ -26,7 +33,7 @@
 			{
 				name: 's',
 				maxConnections: 100,
-				engine: {slots, kvTokens: 500_000},
+				engine: {slots, kvTokens: 500_000, transfer},
 			},
 			peers,
 		);
@@ -236,3 +243,43 @@
 	expect(counts[0]! <= slots).toEqual(true);
 	expect(counts[1]! < counts[0]!).toEqual(true);
 });
+
+const fastLink = {bytesPerToken: 18_432, linkMbps: 370_000};
+
+// Guards against shared parts that a second engine reads again although it gets them from the first one in a fraction of the time.
+test('an engine copies the shared parts that another one holds', () => {
+	const all = upstreams(2, new PeerLoads(), fastLink);
+	const [holder, other] = all;
+	const links = prompt('subject', 'one');
+	holder!.answered(holder!.begin(links, 13_000, 0), links);
+	holder!.begin(prompt('busy', 'x'), 40_000, 0);
+	const placed = place(request(prompt('subject', 'two')), all, 0);
+	expect(placed.type === 'send' && placed.upstream === other).toEqual(true);
+	expect(placed.type === 'send' && placed.donor === holder).toEqual(true);
+	expect(placed.type === 'send' && placed.uncachedTokens).toEqual(1000);
+});
+
+// Guards against transfers that take longer than reading, or from engines that are down.
+test('parts are read where copying does not pay', () => {
+	for (const [transfer, isDown] of [
+		[{bytesPerToken: 18_432, linkMbps: 1000}, false],
+		[fastLink, true],
+		[undefined, false],
+	] as const) {
+		const all = upstreams(2, new PeerLoads(), transfer);
+		const [holder, other] = all;
+		const links = prompt('subject', 'one');
+		holder!.answered(holder!.begin(links, 13_000, 0), links);
+		if (isDown) {
+			holder!.health.block(0);
+		}
+
+		for (let count = 0; count < slots; count++) {
+			holder!.begin([], 0, 0);
+		}
+
+		const placed = place(request(prompt('subject', 'two')), all, 0);
+		expect(placed.type === 'send' && placed.upstream === other).toEqual(true);
+		expect(placed.type === 'send' && placed.donor).toEqual(undefined);
+	}
+});
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -34,6 +34,12 @@
 /** Part of its objective for which a request so waits. */
 const sharedWaitObjectivePart = 0.4;
 
+/** Least tokens that one engine copies from another: setting up a transfer takes some milliseconds, as long as reading these. */
+const minCopiedTokens = 256;
+
+/** Part of the time to read tokens that copying them may take: transfers queue on the links of both engines. */
+const maxCopyPart = 0.25;
+
 /** What a failing endpoint costs, against an answer in time: the time until a second try succeeds, in milliseconds. */
 const failureCostMs = 3000;
 
@@ -101,6 +107,8 @@
 			/** Expected time to the first byte, in milliseconds. */
 			readonly expectedMs: number;
 			readonly uncachedTokens: number;
+			/** Engine from which it copies shared parts that it does not hold. */
+			readonly donor: Upstream | undefined;
 			/** 0 for the engine that all gateways prefer for the prompt's shared parts, -1 for any other. */
 			readonly home: number;
 	  }
@@ -126,6 +134,7 @@
 	readonly costMs: number;
 	readonly uncachedTokens: number;
 	readonly hasRoom: boolean;
+	readonly donor: Upstream | undefined;
 	/** Tokens of the prompt that the engine is reading for another request. */
 	readonly pendingTokens: number;
 	readonly home: number;
@@ -167,7 +176,8 @@
 	}
 
 	const steady = open.filter((upstream) => isSteady(upstream, request));
-	const candidates = estimate(request, steady.length > 0 ? steady : open, now);
+	const chosen = steady.length > 0 ? steady : open;
+	const candidates = estimate(request, chosen, up, now);
 	let [best] = candidates;
 	for (const candidate of candidates) {
 		if (candidate.costMs < best!.costMs) {
@@ -175,13 +185,13 @@
 		}
 	}
 
-	const {upstream, expectedMs, uncachedTokens, home} = best!;
+	const {upstream, expectedMs, uncachedTokens, donor, home} = best!;
 	const waitsForShared =
 		best!.pendingTokens >= minSharedTokens &&
 		request.waitedMs < request.objectiveMs * sharedWaitObjectivePart;
 	return !best!.hasRoom || waitsForShared
 		? {type: 'wait'}
-		: {type: 'send', upstream, expectedMs, uncachedTokens, home};
+		: {type: 'send', upstream, expectedMs, uncachedTokens, donor, home};
 }
 
 /** Waits where an endpoint's rest ends in time; otherwise nothing that the request could wait for is known. */
@@ -285,10 +295,11 @@
 function estimate(
 	request: Placeable,
 	upstreams: readonly Upstream[],
+	donors: readonly Upstream[],
 	now: number,
 ): Candidate[] {
 	return request.prompt
-		? estimateEngines(request, request.prompt, upstreams, now)
+		? estimateEngines(request, request.prompt, upstreams, donors, now)
 		: upstreams.map((upstream) => estimateService(request, upstream, now));
 }
 
@@ -307,6 +318,7 @@
 		costMs: expectedMs + penaltyMs(request, upstream, now),
 		uncachedTokens: 0,
 		hasRoom: upstream.closedMs(now) === 0,
+		donor: undefined,
 		pendingTokens: 0,
 		home: -1,
 	};
@@ -316,6 +328,7 @@
 	request: Placeable,
 	prompt: Prompt,
 	upstreams: readonly Upstream[],
+	donors: readonly Upstream[],
 	now: number,
 ): Candidate[] {
 	const home = preferred(request.links, upstreams);
@@ -335,9 +348,15 @@
 	const meanSlowness =
 		upstreams.reduce((sum, upstream) => sum + upstream.slowness(now), 0) /
 		upstreams.length;
+	const donor = bestDonor(request.links, donors);
 	return upstreams.map((upstream) => {
-		const cached = upstream.prefixes.cachedTokens(request.links);
-		const expected = upstream.prefixes.expectedTokens(request.links, now);
+		const own = upstream.prefixes.cachedTokens(request.links);
+		const copies = donor !== undefined && isWorthCopying(upstream, donor, own);
+		const cached = copies ? donor.tokens : own;
+		const expected = Math.max(
+			cached,
+			upstream.prefixes.expectedTokens(request.links, now),
+		);
 		const readMs =
 			Math.max(0, prompt.promptTokens - expected) / prefillTokensPerMs;
 		const uncachedTokens = Math.max(0, prompt.promptTokens - cached);
@@ -362,12 +381,47 @@
 				penaltyMs(request, upstream, now),
 			uncachedTokens,
 			hasRoom: toRoomMs <= 0,
+			donor: copies ? donor.upstream : undefined,
 			pendingTokens: expected - cached,
 			home: upstream === home ? 0 : -1,
 		};
 	});
 }
 
+/** Engine that holds most of a prompt, and how many tokens. */
+type Donor = {readonly upstream: Upstream; readonly tokens: number};
+
+function bestDonor(
+	links: readonly PrefixLink[],
+	upstreams: readonly Upstream[],
+): Donor | undefined {
+	let best: Donor | undefined;
+	for (const upstream of upstreams) {
+		const tokens = upstream.prefixes.cachedTokens(links);
+		if (tokens > (best?.tokens ?? 0)) {
+			best = {upstream, tokens};
+		}
+	}
+
+	return best;
+}
+
+/** Whether an engine gets what it lacks of a prompt sooner from another engine than by reading it. */
+function isWorthCopying(
+	{transfer}: Upstream,
+	{tokens}: Donor,
+	ownTokens: number,
+): boolean {
+	const lacking = tokens - ownTokens;
+	if (!transfer || lacking < minCopiedTokens) {
+		return false;
+	}
+
+	const {bytesPerToken, linkMbps} = transfer;
+	const copyMs = (lacking * bytesPerToken * 8) / (linkMbps * 1000);
+	return copyMs < (lacking / prefillTokensPerMs) * maxCopyPart;
+}
+
 function penaltyMs(
 	request: Placeable,
 	upstream: Upstream,
--- a/src/services/gateway/room-book.test.ts
+++ b/src/services/gateway/room-book.test.ts
@@ -28,7 +28,7 @@
 			() => ({
 				name: 's',
 				maxConnections: 100,
-				engine: {slots: 64, kvTokens: 500_000},
+				engine: {slots: 64, kvTokens: 500_000, transfer: undefined},
 			}),
 			loads,
 		);
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -1,6 +1,7 @@
 import {hash32} from '../../base/index.js';
 import type {
 	ListedEndpoint,
+	MemoryTransfer,
 	Service,
 	StatedLoad,
 } from '../../interfaces/index.js';
@@ -38,6 +39,8 @@
 	readonly prefixes: PrefixMemory;
 	/** Prompts that it was given by the gateway that keeps its book. */
 	readonly plan = new ReadingPlan();
+	/** How it gets what other engines hold; undefined when it does not. */
+	readonly transfer: MemoryTransfer | undefined;
 	/** Undefined for plain services. */
 	readonly memory: EngineMemory | undefined;
 	/** Short name that gateways use among each other. Two endpoints with one key would only be thought busier than they are. */
@@ -66,6 +69,7 @@
 		this.#peers = peers;
 		this.key = hash32(listed.id);
 		this.memory = service?.engine && new EngineMemory();
+		this.transfer = service?.engine?.transfer;
 		this.prefixes = new PrefixMemory(service?.engine?.kvTokens ?? 0);
 	}
 
