Keep copies of runs that may not be repeated, and leave silent engines

An engine that goes dark got new requests until each of them was given up, and was given up after 1.6 s. Answers of three times the mean length ran into their deadline at engines that read half of the time.

Change: after an engine lost an answer, for 30 s, such a stream is copied while it runs, and goes on there when it breaks off. An engine that falls silent in the middle of answers gets nothing new; it is asked after 400 ms, twice at once. Answers get 0.35 of their time for a token.

--- a/src/daemons/gateway/engine-question.ts
+++ b/src/daemons/gateway/engine-question.ts
@@ -95,10 +95,14 @@
 	});
 }
 
-/** Whether an engine answers at all. */
+/** Whether an engine answers at all; asked twice at once, as the first packet of a connection may be lost. */
 export async function isAlive(
 	upstream: Upstream,
 	questions: EngineQuestions,
 ): Promise<boolean> {
-	return (await askEngine(upstream, questions, true)) !== undefined;
+	const states = await Promise.all([
+		askEngine(upstream, questions, true),
+		askEngine(upstream, questions, true),
+	]);
+	return states.some((state) => state !== undefined);
 }
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -1,5 +1,6 @@
 import type {Disposable} from '../../base/index.js';
 import {
+	backupFor,
 	nextStep,
 	patience,
 	place,
@@ -45,6 +46,8 @@
 	readonly expectedMs: number;
 	readonly donor: Upstream | undefined;
 	readonly work: Work;
+	/** Engine that keeps a copy of the run, to go on with it. */
+	readonly resumesAt?: Upstream;
 };
 
 /** One request of a caller: places it, follows its sends and answers it. */
@@ -62,6 +65,8 @@
 	/** Engines without room, as the gateways that keep their books said. */
 	#denials = 0;
 	#mayHaveRun = false;
+	/** Engine that keeps a copy of the run; undefined when none does or it has been used. */
+	#backup: Upstream | undefined;
 	#failure: HeldAnswer | undefined;
 	#isAbandoned = false;
 	#firstByteAt: number | undefined;
@@ -104,8 +109,9 @@
 			this.#send?.cancel({type: 'expired'});
 		}, this.#remainingMs());
 		let step: NextStep = {type: 'send'};
-		while (step.type === 'send') {
-			step = await this.#sendOnce();
+		while (step.type === 'send' || step.type === 'resume') {
+			step =
+				step.type === 'send' ? await this.#sendOnce() : await this.#resume();
 		}
 
 		clearTimeout(expiry);
@@ -148,6 +154,33 @@
 		}
 	}
 
+	/** Goes on with the copy of the run. */
+	async #resume(): Promise<NextStep> {
+		const upstream = this.#backup!;
+		this.#backup = undefined;
+		const now = monotonicNow();
+		if (this.#isOver || upstream.unavailableMs(now) > 0) {
+			return this.#giveUp('the copy of the run is out of reach', 0);
+		}
+
+		this.#tried.add(upstream);
+		const work = upstream.begin(this.#links, 0, now);
+		const expectedMs = 0;
+		this.#log('resumed', {
+			endpoint: upstream.id,
+			last_event: this.#position.lastEventId ?? '',
+		});
+		const end = await this.#perform({
+			type: 'send',
+			upstream,
+			expectedMs,
+			donor: undefined,
+			work,
+			resumesAt: upstream,
+		});
+		return this.#follow(end);
+	}
+
 	/** Waits until the request is placed, refused or abandoned. */
 	async #placeInTurn(): Promise<
 		Placed | Extract<Assignment, {type: 'refuse'}> | {type: 'abandoned'}
@@ -309,7 +342,7 @@
 	}
 
 	async #perform(placed: Placed): Promise<SendEnd> {
-		const {upstream, expectedMs, donor, work} = placed;
+		const {upstream, expectedMs, donor, work, resumesAt} = placed;
 		const {format, connections, peers, room, notes} = this.#context;
 		const {method, target, headers, body, head, route, workspace} =
 			this.#request;
@@ -337,6 +370,8 @@
 			room.sweepSoon();
 		};
 
+		const backup = resumesAt ? undefined : this.#chooseBackup(upstream);
+		this.#backup = backup;
 		send.start({
 			method,
 			path: target,
@@ -349,6 +384,11 @@
 					? this.#position.lastEventId
 					: undefined,
 				copyFrom: donor?.listed.address,
+				backupAt: backup?.listed.address,
+				resumeFrom: resumesAt && {
+					address: resumesAt.listed.address,
+					requestId: head.requestId,
+				},
 			}),
 			body: body.length > 0 ? body : null,
 		});
@@ -359,6 +399,24 @@
 		return end;
 	}
 
+	/** Only a stream that may not be repeated is lost with its engine. */
+	#chooseBackup(upstream: Upstream): Upstream | undefined {
+		const {endpoints} = this.#context;
+		const {head, route, service} = this.#request;
+		const now = monotonicNow();
+		return head.prompt &&
+			route.isStream &&
+			route.repetition === 'once' &&
+			endpoints.losses(service.name).areLikely(now)
+			? backupFor(
+					head.prompt,
+					upstream,
+					endpoints.serving(service.name, now),
+					now,
+				)
+			: undefined;
+	}
+
 	/** Updates the course and the beliefs about the endpoint. */
 	#note(
 		send: Send,
@@ -374,7 +432,7 @@
 
 		this.#firstByteAt ??= send.firstByteAt;
 		this.#longestPauseMs = Math.max(this.#longestPauseMs, send.longestPauseMs);
-		if (send.firstByteAt !== undefined) {
+		if (send.firstByteAt !== undefined && expectedMs > 0) {
 			upstream.timed(send.firstByteAt - startedAt, expectedMs, now);
 		}
 
@@ -384,6 +442,12 @@
 
 		this.#mayHaveRun ||= send.isSent && end.type !== 'rejected';
 		upstream.ended(end, startedAt, now);
+		if (
+			this.#request.route.isStream &&
+			(end.type === 'broken' || end.type === 'silent')
+		) {
+			this.#context.endpoints.losses(this.#request.service.name).note(now);
+		}
 	}
 
 	#follow(end: SendEnd): NextStep {
@@ -396,7 +460,7 @@
 			this.#failure = this.#send!.answer;
 		}
 
-		if (step.type === 'send') {
+		if (step.type === 'send' || step.type === 'resume') {
 			this.#context.metrics.repeated(service.name);
 			this.#log('repeated', {
 				after: end.type,
@@ -423,7 +487,7 @@
 			: {type: 'refuse', reason, retryAfterMs};
 	}
 
-	#conclude(step: Exclude<NextStep, {type: 'send'}>): void {
+	#conclude(step: Exclude<NextStep, {type: 'send' | 'resume'}>): void {
 		let outcome: string = step.type;
 		switch (step.type) {
 			case 'deliver': {
@@ -517,6 +581,10 @@
 			isPartlyDelivered: this.#output.isBegun,
 			remainingMs: this.#remainingMs(),
 			hasFailure: this.#failure !== undefined,
+			hasBackup:
+				this.#backup !== undefined &&
+				this.#output.isBegun &&
+				this.#position.lastEventId !== undefined,
 		};
 	}
 
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -399,13 +399,13 @@
 		);
 	}
 
-	/** Asks the endpoint unless it has been heard on another connection meanwhile; twice, as the first packet of a connection may be lost. */
+	/** Asks the endpoint unless it has been heard on another connection meanwhile. */
 	async #check(): Promise<void> {
 		const since = this.#silentSince;
 		const {upstream, isAlive} = this.#options;
 		const isHeard = upstream.lastHeardAt > this.#checkedAt;
 		this.#checkedAt = monotonicNow();
-		const isDead = !isHeard && !(await isAlive()) && !(await isAlive());
+		const isDead = !isHeard && !(await isAlive());
 		if (since !== this.#silentSince) {
 			return;
 		}
--- a/src/interfaces/ports/http-format.ts
+++ b/src/interfaces/ports/http-format.ts
@@ -28,6 +28,14 @@
 	readonly prompt: Prompt | undefined;
 };
 
+/** Copy of a run's memory at an engine. */
+export type RunCopy = {
+	/** "IP:port" of the engine that keeps it. */
+	readonly address: string;
+	/** Request whose run it is. */
+	readonly requestId: string;
+};
+
 /** What the router adds to a request for one endpoint. */
 export type SendHead = {
 	/** The endpoint rejects the request when it is not this one. */
@@ -40,6 +48,10 @@
 	readonly lastEventId: number | undefined;
 	/** "IP:port" of an engine from which the endpoint copies what it lacks of the prompt. */
 	readonly copyFrom: string | undefined;
+	/** "IP:port" of an engine that keeps a copy of the run. */
+	readonly backupAt: string | undefined;
+	/** A copy of the run with which the endpoint goes on; undefined to begin. */
+	readonly resumeFrom: RunCopy | undefined;
 };
 
 /** Load that an endpoint states in an answer. */
--- a/src/interfaces/ports/routing.ts
+++ b/src/interfaces/ports/routing.ts
@@ -60,6 +60,8 @@
 	readonly bytesPerToken: number;
 	/** Of an engine's own link, in megabits a second. */
 	readonly linkMbps: number;
+	/** Engines keep copies of runs that are in progress at others. */
+	readonly keepsBackups: boolean;
 };
 
 /** Workspace that holds API keys; its requests are limited by them alone, not by the records of the own interface. */
--- /dev/null
+++ b/src/services/gateway/backup.test.ts
@@ -0,0 +1,66 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import type {Prompt} from '../../interfaces/index.js';
+import {backupFor} from './backup.js';
+import {PeerLoads} from './peer-loads.js';
+import {Upstream} from './upstream.js';
+
+const longAnswer: Prompt = {
+	model: 'm',
+	promptTokens: 800,
+	outputTokens: 300,
+	parts: [],
+};
+
+function engine(id: string, dataCentre: string, keepsBackups = true): Upstream {
+	return new Upstream(
+		{
+			id,
+			service: 's',
+			address: '10.0.0.1:80',
+			dataCentre,
+			isDraining: false,
+			slots: 16,
+			startedAt: 1,
+			warmUpMs: 0,
+		},
+		0,
+		{
+			name: 's',
+			maxConnections: 100,
+			engine: {
+				slots: 16,
+				kvTokens: 500_000,
+				transfer: {bytesPerToken: 18_432, linkMbps: 370_000, keepsBackups},
+			},
+		},
+		new PeerLoads(),
+	);
+}
+
+// Guards against a copy that is lost with its run, or that an engine without room gets.
+test('a copy is kept in another data centre, at the engine with least work', () => {
+	const [own, near, busy, idle] = [
+		engine('own', 'a'),
+		engine('near', 'a'),
+		engine('busy', 'b'),
+		engine('idle', 'c'),
+	] as const;
+	const all = [own, near, busy, idle];
+	busy.begin([], 0, 0);
+	expect(backupFor(longAnswer, own, all, 0) === idle).toEqual(true);
+	idle.health.block(0);
+	expect(backupFor(longAnswer, own, all, 0) === busy).toEqual(true);
+	busy.rest(1000);
+	expect(backupFor(longAnswer, own, all, 0) === near).toEqual(true);
+	expect(backupFor(longAnswer, own, [own], 0)).toEqual(undefined);
+});
+
+// Guards against transfers that cost more than the run that they protect, and against engines that keep no copies.
+test('only a run that is long against its prompt is copied', () => {
+	const [own, other] = [engine('own', 'a'), engine('other', 'b')] as const;
+	const longPrompt = {...longAnswer, promptTokens: 9000, outputTokens: 50};
+	expect(backupFor(longPrompt, own, [own, other], 0)).toEqual(undefined);
+	const plain = engine('plain', 'a', false);
+	expect(backupFor(longAnswer, plain, [plain, other], 0)).toEqual(undefined);
+});
--- a/src/services/gateway/endpoint-set.ts
+++ b/src/services/gateway/endpoint-set.ts
@@ -4,6 +4,7 @@
 	ListedEndpoint,
 	Service,
 } from '../../interfaces/index.js';
+import {EngineLosses} from './engine-losses.js';
 import type {KeptBacklog, PeerLoads, ReadNotice} from './peer-loads.js';
 import {ServiceDemand} from './service-demand.js';
 import {Upstream} from './upstream.js';
@@ -48,6 +49,7 @@
 	readonly #upstreams = new Map<string, Upstream>();
 	readonly #byKey = new Map<number, Upstream>();
 	readonly #demands = new Map<string, ServiceDemand>();
+	readonly #losses = new Map<string, EngineLosses>();
 	/** Moment until which an entry that is missing from the list is still used. */
 	readonly #missing = new Map<string, number>();
 	/** By id. */
@@ -96,6 +98,17 @@
 		return demand;
 	}
 
+	/** Losses of answers at the endpoints of a service. */
+	losses(service: string): EngineLosses {
+		let losses = this.#losses.get(service);
+		if (!losses) {
+			losses = new EngineLosses();
+			this.#losses.set(service, losses);
+		}
+
+		return losses;
+	}
+
 	/** Finds an upstream by its key. */
 	byKey(key: number): Upstream | undefined {
 		return this.#byKey.get(key);
--- /dev/null
+++ b/src/services/gateway/engine-losses.test.ts
@@ -0,0 +1,13 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {EngineLosses} from './engine-losses.js';
+
+// Guards against transfers for every run while no engine fails, and against a second engine that takes its runs with it.
+test('losses are likely for half a minute after the last one', () => {
+	const losses = new EngineLosses();
+	expect(losses.areLikely(0)).toEqual(false);
+	losses.note(1000);
+	expect(losses.areLikely(1000)).toEqual(true);
+	expect(losses.areLikely(30_999)).toEqual(true);
+	expect(losses.areLikely(31_000)).toEqual(false);
+});
--- a/src/services/gateway/next-step.ts
+++ b/src/services/gateway/next-step.ts
@@ -39,11 +39,15 @@
 	readonly remainingMs: number;
 	/** An earlier endpoint's failure is at hand to answer with. */
 	readonly hasFailure: boolean;
+	/** Another engine keeps a copy of the run, and the caller has a part of the answer. */
+	readonly hasBackup: boolean;
 };
 
 /** What happens next with a request. */
 export type NextStep =
 	| {readonly type: 'send'}
+	/** The engine that keeps a copy of the run goes on with it. */
+	| {readonly type: 'resume'}
 	/** Hand the endpoint's answer on. */
 	| {readonly type: 'deliver'}
 	/** Hand on the failure that an earlier endpoint answered with. */
@@ -91,14 +95,13 @@
 ): NextStep {
 	switch (end.type) {
 		case 'unsent': {
-			return course.failedConnections < maxFailedConnections &&
-				course.remainingMs >= minSendMs
+			return canConnect(course)
 				? {type: 'send'}
 				: giveUp(course, 502, end.reason, disconnectedRetryAfterMs);
 		}
 
 		case 'rejected': {
-			return canSend(course) && takeRetry()
+			return canSend(course) && !isSpent(course) && takeRetry()
 				? {type: 'send'}
 				: giveUp(
 						course,
@@ -124,15 +127,11 @@
 		}
 
 		case 'broken': {
-			return canRepeat(course, takeRetry)
-				? {type: 'send'}
-				: giveUp(course, 502, end.reason, 0);
+			return goOn(course, takeRetry) ?? giveUp(course, 502, end.reason, 0);
 		}
 
 		case 'silent': {
-			return canRepeat(course, takeRetry)
-				? {type: 'send'}
-				: giveUp(course, 504, end.reason, 0);
+			return goOn(course, takeRetry) ?? giveUp(course, 504, end.reason, 0);
 		}
 
 		case 'expired': {
@@ -145,6 +144,14 @@
 	}
 }
 
+function canConnect(course: Course): boolean {
+	return (
+		course.failedConnections < maxFailedConnections &&
+		course.remainingMs >= minSendMs &&
+		!isSpent(course)
+	);
+}
+
 function canSend(course: Course): boolean {
 	return course.sends < course.maxSends && course.remainingMs >= minSendMs;
 }
@@ -153,6 +160,25 @@
 	return course.repetition !== 'once' && canSend(course) && takeRetry();
 }
 
+/** Another send after one that may have run; undefined when there can be none. */
+function goOn(course: Course, takeRetry: () => boolean): NextStep | undefined {
+	if (canResume(course, takeRetry)) {
+		return {type: 'resume'};
+	}
+
+	return canRepeat(course, takeRetry) ? {type: 'send'} : undefined;
+}
+
+/** It runs at most once and may have: only a copy of its run can go on, and a try of that kind may itself end unsent or rejected. */
+function isSpent({repetition, mayHaveRun}: Course): boolean {
+	return repetition === 'once' && mayHaveRun;
+}
+
+/** A run that goes on with its copy is no second one, so it may be of any kind. */
+function canResume(course: Course, takeRetry: () => boolean): boolean {
+	return course.hasBackup && course.remainingMs >= minSendMs && takeRetry();
+}
+
 function giveUp(
 	course: Course,
 	status: 502 | 504,
--- a/src/services/gateway/patience.ts
+++ b/src/services/gateway/patience.ts
@@ -8,7 +8,7 @@
 const streamObjectiveFactor = 1.5;
 
 /** Silence of an engine after which it is asked whether it is alive, in milliseconds. */
-const engineCheckMs = 800;
+const engineCheckMs = 400;
 
 /** Multiple of the expected time after which a plain service counts as silent; its slowest hundredth takes five times the mean. */
 const serviceFactor = 4;
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -166,7 +166,10 @@
 		return unavailable(request, untried, now);
 	}
 
-	const open = up.filter((upstream) => hasSlot(upstream, request, now));
+	const heard = up.filter((upstream) => !upstream.isSuspect(now));
+	const open = (heard.length > 0 ? heard : up).filter((upstream) =>
+		hasSlot(upstream, request, now),
+	);
 	if (open.length === 0) {
 		return {type: 'wait'};
 	}
--- a/src/services/gateway/service-demand.ts
+++ b/src/services/gateway/service-demand.ts
@@ -5,7 +5,7 @@
 const minPart = 0.03;
 
 /** Part of the mean time that answers have for each token at which engines are to generate them: long answers have several times the mean length. */
-const paceMargin = 0.5;
+const paceMargin = 0.35;
 
 /** Time for which what follows from the kinds of requests is kept, in milliseconds. */
 const summaryMs = 100;
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -16,6 +16,9 @@
 /** Time in which stated load of other gateways counts for a third of what it did, in milliseconds: about the duration of an answer. */
 const statedLoadFadeMs = 1500;
 
+/** Time for which an engine with answers in progress says nothing until it gets no new requests, in milliseconds: several times the time between two events of a loaded engine. */
+const suspectMs = 250;
+
 /** Weight of one sample in the moving ratios. */
 const sampleWeight = 0.2;
 
@@ -53,6 +56,8 @@
 	#lastHeardAt = 0;
 	#askedTokens = 0;
 	#ownUnreadTokens = 0;
+	/** Works whose answers are in progress. */
+	#answering = 0;
 	#closedUntil = Number.NEGATIVE_INFINITY;
 	#restsUntil = Number.NEGATIVE_INFINITY;
 	#isLeaving = false;
@@ -101,6 +106,11 @@
 		return Math.max(this.health.blockedMs(now), this.#restsUntil - now, 0);
 	}
 
+	/** It has fallen silent in the middle of answers: it may be dark or cut off. Silence of all endpoints at once is this gateway's own. */
+	isSuspect(now: number): boolean {
+		return this.#answering > 0 && now - this.#lastHeardAt > suspectMs;
+	}
+
 	/** Whether a request that was placed a moment ago may still be sent there. */
 	takesRequests(now: number): boolean {
 		return !this.isLeaving && this.#restsUntil <= now;
@@ -134,12 +144,17 @@
 
 	/** Notes that an engine has read the prompt of a work and answers. */
 	answered(work: Work, links: readonly PrefixLink[]): void {
+		if (!work.hasAnswered && this.#works.has(work)) {
+			this.#answering++;
+		}
+
 		this.#noteRead(work);
 		this.prefixes.read(links);
 	}
 
 	end(work: Work): void {
 		if (this.#works.delete(work)) {
+			this.#answering -= Number(work.hasAnswered);
 			this.#noteRead(work);
 		}
 	}
