Count why requests were late or lost from the gateways' logs

Change: cicadaswitch explain reads the ended lines of logs and counts by route and cause; the lines name the wait, the objective and the longest pause.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -59,6 +59,10 @@
 			const commands = await import('./in-force.js');
 			return commands.inForceCommand;
 		},
+		async explain() {
+			const commands = await import('./explain.js');
+			return commands.explainCommand;
+		},
 		async demo() {
 			const commands = await import('./demo.js');
 			return commands.demoCommand;
--- a/src/cli/run.test.ts
+++ b/src/cli/run.test.ts
@@ -27,6 +27,8 @@
 		[1, ['dump', '127.0.0.1:1']],
 		[2, ['dump', 'entry-1']],
 		[2, ['check', 'missing.ini']],
+		[0, ['explain', 'README.md']],
+		[2, ['explain', 'missing.log']],
 		[2, ['check', example, 'README.md']],
 		[2, ['check']],
 		[2, ['start']],
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -71,6 +71,8 @@
 	#isAbandoned = false;
 	#firstByteAt: number | undefined;
 	#longestPauseMs = 0;
+	/** Time until it was first placed, in milliseconds. */
+	#waitedMs = 0;
 
 	constructor(
 		context: ExchangeContext,
@@ -303,6 +305,10 @@
 		const {head} = this.#request;
 		this.#tried.add(upstream);
 		const now = monotonicNow();
+		if (this.#sends === 0) {
+			this.#waitedMs = now - this.#request.receivedAt;
+		}
+
 		this.#log('placed', {
 			endpoint: upstream.id,
 			expected_ms: Math.round(expectedMs),
@@ -545,6 +551,9 @@
 			reason: 'reason' in step ? step.reason : '',
 			sends: this.#sends,
 			denials: this.#denials,
+			waited_ms: Math.round(this.#waitedMs),
+			objective_ms: this.#request.route.objectiveMs,
+			gap_target_ms: this.#request.route.gapTargetMs ?? '',
 			total_ms: Math.round(summary.totalMs),
 			first_byte_ms: Math.round(summary.firstByteMs ?? -1),
 			longest_pause_ms: Math.round(this.#longestPauseMs),
--- a/src/services/gateway/index.ts
+++ b/src/services/gateway/index.ts
@@ -8,6 +8,7 @@
 export * from './engine-memory.js';
 export * from './event-splitter.js';
 export * from './health.js';
+export * from './loss-table.js';
 export * from './next-step.js';
 export * from './patience.js';
 export * from './peer-loads.js';
