Learn the time of an engine's step from its events

Cause: the share of its time that an engine may read rested on a constant of 7 ms for a step, which an engine of another make would have to change.

Change: each engine's step time is learned from the pauses between events and the tokens of an event that the configuration states; the share follows it.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -333,6 +333,7 @@
 				failingPart: upstream.health.failingPart(now),
 				blockedMs: upstream.health.blockedMs(now),
 				isOnTrial: upstream.health.isOnTrial,
+				stepMs: upstream.step.ms,
 				isLeaving: upstream.isLeaving,
 				restsMs: Math.max(0, upstream.restsUntil - now),
 			})),
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -310,17 +310,25 @@
 		}
 
 		const now = monotonicNow();
-		this.longestPauseMs = Math.max(
-			this.longestPauseMs,
-			now - (this.#lastEventAt ?? now),
-		);
-		this.#lastEventAt = now;
+		this.#notePause(now, events.length);
 		this.#watch(this.#options.gapMs);
 		this.#noteFirstByte();
 		this.#begin();
 		this.#write(events.length === 1 ? events[0]! : Buffer.concat(events));
 	}
 
+	/** Notes the time since the last event; several at once have been held up on the way. */
+	#notePause(now: number, events: number): void {
+		const {upstream} = this.#options;
+		if (this.#lastEventAt !== undefined) {
+			const pauseMs = now - this.#lastEventAt;
+			this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
+			upstream.step.note(pauseMs / (events * upstream.eventTokens));
+		}
+
+		this.#lastEventAt = now;
+	}
+
 	#hold(chunk: Uint8Array): void {
 		this.#held.push(Buffer.from(chunk));
 		this.#heldBytes += chunk.length;
--- a/src/interfaces/ports/routing.ts
+++ b/src/interfaces/ports/routing.ts
@@ -51,6 +51,8 @@
 	readonly slots: number;
 	/** Tokens of running requests and cached prompt parts that fit its memory. */
 	readonly kvTokens: number;
+	/** Tokens that one event of a stream holds. */
+	readonly eventTokens: number;
 	/** How engines hand each other what they hold of a prompt; undefined when they do not. */
 	readonly transfer: MemoryTransfer | undefined;
 };
--- a/src/services/gateway/backup.test.ts
+++ b/src/services/gateway/backup.test.ts
@@ -31,6 +31,7 @@
 			engine: {
 				slots: 16,
 				kvTokens: 500_000,
+				eventTokens: 1,
 				transfer: {bytesPerToken: 18_432, linkMbps: 370_000, keepsBackups},
 			},
 		},
--- a/src/services/gateway/heavy-load.test.ts
+++ b/src/services/gateway/heavy-load.test.ts
@@ -19,7 +19,7 @@
 const service = {
 	name: 's',
 	maxConnections: 100,
-	engine: {slots: 64, kvTokens: 475_000, transfer: undefined},
+	engine: {slots: 64, kvTokens: 475_000, eventTokens: 1, transfer: undefined},
 };
 
 type Kind = DemandSample & {readonly perSecond: number};
--- a/src/services/gateway/index.ts
+++ b/src/services/gateway/index.ts
@@ -19,6 +19,7 @@
 export * from './room-book.js';
 export * from './routing-table.js';
 export * from './service-demand.js';
+export * from './step-time.js';
 export * from './store-readers.js';
 export * from './upstream.js';
 export * from './waiting-room.js';
--- a/src/services/gateway/placement.test.ts
+++ b/src/services/gateway/placement.test.ts
@@ -33,7 +33,7 @@
 			{
 				name: 's',
 				maxConnections: 100,
-				engine: {slots, kvTokens: 500_000, transfer},
+				engine: {slots, kvTokens: 500_000, eventTokens: 1, transfer},
 			},
 			peers,
 		);
--- a/src/services/gateway/reading-plan.ts
+++ b/src/services/gateway/reading-plan.ts
@@ -1,9 +1,6 @@
 /** Prompt tokens that a batching engine reads in a millisecond while it generates nothing: published figures of engines in use lie between 48 and 65. */
 const readingTokensPerMs = 50;
 
-/** Time of a step that reads no prompt, in milliseconds, with half of the slots of such an engine taken. */
-const decodeStepMs = 7;
-
 /** Least part of its reading speed that an engine is given to read. */
 const leastReadingPart = 0.4;
 
@@ -16,12 +13,15 @@
  * chunk of a prompt that is read between two tokens delays all of them, so an
  * engine that always reads generates several times slower.
  */
-export function readingSpeed(tokenMs: number | undefined): number {
+export function readingSpeed(
+	tokenMs: number | undefined,
+	stepMs: number,
+): number {
 	if (tokenMs === undefined) {
 		return defaultTokensPerMs;
 	}
 
-	const part = Math.max(leastReadingPart, 1 - decodeStepMs / tokenMs);
+	const part = Math.max(leastReadingPart, 1 - stepMs / tokenMs);
 	return Math.min(defaultTokensPerMs, readingTokensPerMs * part);
 }
 
@@ -42,6 +42,16 @@
 	}
 }
 
+/** How fast an engine is, and has to be. */
+export type EnginePace = {
+	/** Time that its answers have for a token, in milliseconds; undefined when nothing is known of them. */
+	readonly tokenMs: number | undefined;
+	/** Time of a step that reads no prompt, in milliseconds. */
+	readonly stepMs: number;
+	/** Ratio of observed to expected times. */
+	readonly slowness: number;
+};
+
 /** What an engine has still to read, in milliseconds. */
 export type Backlog = {
 	/** At its own speed. */
@@ -59,16 +69,12 @@
 	readonly #actual = new Reading();
 	readonly #paced = new Reading();
 
-	/** Counts a prompt; `slowness` is the ratio of observed to expected times at the engine. */
-	add(
-		tokens: number,
-		tokenMs: number | undefined,
-		slowness: number,
-		now: number,
-	): void {
-		const tokensAtSpeed = tokens * Math.max(1, slowness);
+	/** Counts a prompt that the engine reads beside its answers. */
+	add(tokens: number, engine: EnginePace, now: number): void {
+		const tokensAtSpeed = tokens * Math.max(1, engine.slowness);
+		const speed = readingSpeed(engine.tokenMs, engine.stepMs);
 		this.#actual.add(tokensAtSpeed / defaultTokensPerMs, now);
-		this.#paced.add(tokensAtSpeed / readingSpeed(tokenMs), now);
+		this.#paced.add(tokensAtSpeed / speed, now);
 	}
 
 	/** Takes over what the gateway that keeps the engine's book says. */
--- a/src/services/gateway/room-book.test.ts
+++ b/src/services/gateway/room-book.test.ts
@@ -28,7 +28,12 @@
 			() => ({
 				name: 's',
 				maxConnections: 100,
-				engine: {slots: 64, kvTokens: 500_000, transfer: undefined},
+				engine: {
+					slots: 64,
+					kvTokens: 500_000,
+					eventTokens: 1,
+					transfer: undefined,
+				},
 			}),
 			loads,
 		);
--- a/src/services/gateway/room-book.ts
+++ b/src/services/gateway/room-book.ts
@@ -174,8 +174,11 @@
 	#plan(upstream: Upstream, uncachedTokens: number, now: number): void {
 		upstream.plan.add(
 			uncachedTokens,
-			upstream.demand.tokenMs(now),
-			upstream.slowness(now),
+			{
+				tokenMs: upstream.demand.tokenMs(now),
+				stepMs: upstream.step.ms,
+				slowness: upstream.slowness(now),
+			},
 			now,
 		);
 	}
--- a/src/services/gateway/service-demand.test.ts
+++ b/src/services/gateway/service-demand.test.ts
@@ -47,7 +47,7 @@
 	demand.note(draft, 0);
 	demand.note(chat, 0);
 	expect(demand.tokenMs(0)).toEqual((0.35 * 12_500) / 400);
-	expect(readingSpeed(16)).toBeLessThan(readingSpeed(30));
-	expect(readingSpeed(1)).toEqual(20);
-	expect(readingSpeed(undefined)).toEqual(40);
+	expect(readingSpeed(16, 7)).toBeLessThan(readingSpeed(30, 7));
+	expect(readingSpeed(1, 7)).toEqual(20);
+	expect(readingSpeed(undefined, 7)).toEqual(40);
 });
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -12,6 +12,7 @@
 import {PrefixMemory, type PrefixLink} from './prefix-memory.js';
 import {ReadingPlan} from './reading-plan.js';
 import {ServiceDemand} from './service-demand.js';
+import {StepTime} from './step-time.js';
 
 /** Time in which stated load of other gateways counts for a third of what it did, in milliseconds: about the duration of an answer. */
 const statedLoadFadeMs = 1500;
@@ -42,6 +43,10 @@
 	readonly prefixes: PrefixMemory;
 	/** Prompts that it was given by the gateway that keeps its book. */
 	readonly plan = new ReadingPlan();
+	/** Time of a step of its answers. */
+	readonly step = new StepTime();
+	/** Tokens in one event of its streams. */
+	readonly eventTokens: number;
 	/** How it gets what other engines hold; undefined when it does not. */
 	readonly transfer: MemoryTransfer | undefined;
 	/** Undefined for plain services. */
@@ -75,6 +80,7 @@
 		this.key = hash32(listed.id);
 		this.memory = service?.engine && new EngineMemory();
 		this.transfer = service?.engine?.transfer;
+		this.eventTokens = service?.engine?.eventTokens ?? 1;
 		this.prefixes = new PrefixMemory(service?.engine?.kvTokens ?? 0);
 	}
 
