Rank requests that can wait behind others of their tier

Workspaces give kinds of unlike targets one tier.

Change: room goes by rank: the tier, and half a tier more when the target is over three times the tightest of the tier. A lower tier still goes behind.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -296,7 +296,7 @@
 		return {
 			uncachedTokens,
 			memoryTokens: promptTokens + outputTokens,
-			tier: this.#tier,
+			rank: this.#rank(monotonicNow()),
 		};
 	}
 
@@ -340,7 +340,7 @@
 				isOnce: route.repetition === 'once',
 				dataCentre,
 				objectiveMs: route.objectiveMs,
-				tier: this.#tier,
+				rank: this.#rank(now),
 			},
 			endpoints.serving(service.name, now),
 			now,
@@ -607,6 +607,15 @@
 		return workspace?.tier ?? route.tier;
 	}
 
+	#rank(now: number): number {
+		const {route, service} = this.#request;
+		return this.#output.isBegun
+			? 0
+			: this.#context.endpoints
+					.demand(service.name)
+					.rank(this.#tier, route.objectiveMs, now);
+	}
+
 	/** Nobody waits for the answer any more. */
 	get #isOver(): boolean {
 		return this.#isAbandoned || this.#remainingMs() === 0;
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -175,7 +175,7 @@
 	async ask(
 		{address, port}: Keeper,
 		upstream: Upstream,
-		{uncachedTokens, memoryTokens, tier}: RoomNeed,
+		{uncachedTokens, memoryTokens, rank}: RoomNeed,
 	): Promise<boolean> {
 		this.#askNumber++;
 		const number = this.#askNumber;
@@ -186,7 +186,7 @@
 				number,
 				endpoint: upstream.key,
 				unreadTokens: uncachedTokens,
-				tier,
+				rank,
 				memoryTokens,
 			}),
 			address,
--- a/src/daemons/gateway/peer-messages.test.ts
+++ b/src/daemons/gateway/peer-messages.test.ts
@@ -25,7 +25,7 @@
 		number: 4,
 		endpoint: 8,
 		unreadTokens: 900,
-		tier: 1,
+		rank: 1,
 		memoryTokens: 1200,
 	},
 	{type: 'answer', number: 4, answer: {type: 'granted'}},
--- a/src/daemons/gateway/peer-messages.ts
+++ b/src/daemons/gateway/peer-messages.ts
@@ -35,7 +35,7 @@
 		/** Endpoint that leaves, its start. */
 		z.array(z.tuple([z.number(), z.number()])),
 	]),
-	/** Gateway, number, endpoint, unread tokens, tier, memory tokens. */
+	/** Gateway, number, endpoint, unread tokens, rank, memory tokens. */
 	z.tuple([
 		z.literal(kinds.ask),
 		z.string(),
@@ -135,7 +135,7 @@
 		}
 
 		case 'ask': {
-			const {gateway, number, endpoint, unreadTokens, tier, memoryTokens} =
+			const {gateway, number, endpoint, unreadTokens, rank, memoryTokens} =
 				message;
 			return [
 				kinds.ask,
@@ -143,7 +143,7 @@
 				number,
 				endpoint,
 				Math.round(unreadTokens),
-				tier,
+				rank,
 				Math.round(memoryTokens),
 			];
 		}
@@ -226,7 +226,7 @@
 		}
 
 		case kinds.ask: {
-			const [, gateway, number, endpoint, unreadTokens, tier, memoryTokens] =
+			const [, gateway, number, endpoint, unreadTokens, rank, memoryTokens] =
 				wire;
 			return {
 				type: 'ask',
@@ -234,7 +234,7 @@
 				number,
 				endpoint,
 				unreadTokens,
-				tier,
+				rank,
 				memoryTokens,
 			};
 		}
--- a/src/services/gateway/engine-memory.ts
+++ b/src/services/gateway/engine-memory.ts
@@ -6,9 +6,9 @@
 /** Age above which a report says nothing any more, in milliseconds. */
 const staleMs = 2000;
 
-/** Part of the memory up to which prompts of the highest tier are accepted, and how much less each lower tier gets: answers in progress grow, and an engine without memory preempts them. */
+/** Part of the memory up to which prompts of the highest tier are accepted, and how much less each lower rank gets: answers in progress grow, and an engine without memory preempts them. */
 const acceptedPart = 0.9;
-const tierStep = 0.08;
+const rankStep = 0.08;
 const leastPart = 0.7;
 
 type Grant = {readonly tokens: number; readonly at: number};
@@ -31,14 +31,14 @@
 	}
 
 	/** Whether a request fits, as far as is known. */
-	fits(tokens: number, tier: number, now: number): boolean {
+	fits(tokens: number, rank: number, now: number): boolean {
 		if (!this.#report || now - this.#report.at > staleMs) {
 			return true;
 		}
 
 		const {usedTokens, totalTokens} = this.#report.report;
 		const granted = this.#grants.reduce((sum, grant) => sum + grant.tokens, 0);
-		const part = Math.max(leastPart, acceptedPart - tierStep * tier);
+		const part = Math.max(leastPart, acceptedPart - rankStep * rank);
 		return usedTokens + granted + tokens <= totalTokens * part;
 	}
 }
--- a/src/services/gateway/heavy-load.test.ts
+++ b/src/services/gateway/heavy-load.test.ts
@@ -174,6 +174,9 @@
 						isOnce: false,
 						dataCentre: 'd',
 						...kind,
+						rank: this.endpoints
+							.demand('s')
+							.rank(kind.tier, kind.objectiveMs, at),
 					},
 					this.endpoints.serving('s', at),
 					at,
@@ -189,7 +192,9 @@
 					const need = {
 						uncachedTokens: tokens,
 						memoryTokens: tokens,
-						tier: kind.tier,
+						rank: this.endpoints
+							.demand('s')
+							.rank(kind.tier, kind.objectiveMs, at),
 					};
 					if (this.book.take(upstream, need, at).type !== 'granted') {
 						return false;
@@ -202,7 +207,9 @@
 							number: this.#sequence,
 							endpoint: upstream.key,
 							unreadTokens: tokens,
-							tier: kind.tier,
+							rank: this.endpoints
+								.demand('s')
+								.rank(kind.tier, kind.objectiveMs, at),
 							memoryTokens: tokens,
 						},
 						at,
--- a/src/services/gateway/placement.test.ts
+++ b/src/services/gateway/placement.test.ts
@@ -50,7 +50,7 @@
 		isOnce: false,
 		dataCentre: 'd',
 		objectiveMs: 2000,
-		tier: 0,
+		rank: 0,
 	};
 }
 
@@ -170,7 +170,7 @@
 // Guards against urgent requests that find engines full of less urgent prompts: while both wait, only the urgent one may go.
 test('prompts of a lower tier leave room for a higher one', () => {
 	const [only] = upstreams(1);
-	const loose = {...request(prompt('loose', 'x')), tier: 2};
+	const loose = {...request(prompt('loose', 'x')), rank: 2};
 	let sent = 0;
 	for (;;) {
 		const placed = place(loose, [only!], 0);
@@ -231,7 +231,10 @@
 test('an engine gets no more requests than it has slots, and fewer of a lower tier', () => {
 	const counts = [0, 2].map((tier) => {
 		const [only] = upstreams(1);
-		const short = {...request(prefixLinks([{id: 'x', tokens: 100}])), tier};
+		const short = {
+			...request(prefixLinks([{id: 'x', tokens: 100}])),
+			rank: tier,
+		};
 		let sent = 0;
 		while (place(short, [only!], 0).type === 'send') {
 			sent++;
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -95,8 +95,8 @@
 	readonly dataCentre: string;
 	/** Latency target, in milliseconds. */
 	readonly objectiveMs: number;
-	/** 0 is the highest. */
-	readonly tier: number;
+	/** Rank in which it gets room: its tier, and a part of one when it can wait. */
+	readonly rank: number;
 };
 
 /** Where a request goes, or why it goes nowhere. */
@@ -218,23 +218,23 @@
 
 /** Whether any engine has room for the part of a prompt that is certainly not cached. Beyond capacity most requests that wait end here, and looking closely at each of them would take most of a small gateway's processor time. */
 function hasRoomAnywhere(
-	{links, tier}: Placeable,
+	{links, rank}: Placeable,
 	upstreams: readonly Upstream[],
 	now: number,
 ): boolean {
 	const leastTokens = links.at(-1)?.tokens ?? 0;
 	return upstreams.some(
-		(upstream) => timeToRoomMs(upstream, tier, leastTokens, now) <= 0,
+		(upstream) => timeToRoomMs(upstream, rank, leastTokens, now) <= 0,
 	);
 }
 
 function hasSlot(
 	upstream: Upstream,
-	{prompt, tier}: Placeable,
+	{prompt, rank}: Placeable,
 	now: number,
 ): boolean {
 	const part = prompt
-		? Math.max(leastSlotsPart, slotsPart - slotsStep * tier)
+		? Math.max(leastSlotsPart, slotsPart - slotsStep * rank)
 		: queueFactor;
 	return upstream.running(now) < upstream.listed.slots * part;
 }
@@ -259,34 +259,35 @@
 	return {leftMs: Math.max(leftMs, reportedMs), pacedMs};
 }
 
-/** Time until an engine will have room for a prompt of a tier, in milliseconds; not positive when it has. */
+/** Time until an engine will have room for a prompt of a rank, in milliseconds; not positive when it has. */
 export function timeToRoomMs(
 	upstream: Upstream,
-	tier: number,
+	rank: number,
 	uncachedTokens: number,
 	now: number,
 ): number {
 	const {leftMs, pacedMs} = backlogOf(upstream, now);
 	const objectiveMs =
-		upstream.demand.tightestObjectiveMs(tier, now) ?? defaultObjectiveMs;
-	const acceptedMs = acceptedBacklogMs(objectiveMs, tier);
-	const tiersBelow = Math.max(0, upstream.demand.lowestTier(now) - tier);
+		upstream.demand.tightestObjectiveMs(Math.floor(rank), now) ??
+		defaultObjectiveMs;
+	const acceptedMs = acceptedBacklogMs(objectiveMs, rank);
+	const ranksBelow = Math.max(0, upstream.demand.lowestRank(now) - rank);
 	const isShort =
 		uncachedTokens / prefillTokensPerMs <= objectiveMs * shortObjectivePart;
 	return Math.max(
 		leftMs - acceptedMs,
 		isShort
 			? Number.NEGATIVE_INFINITY
-			: pacedMs - acceptedMs * pacedFactor ** tiersBelow,
+			: pacedMs - acceptedMs * pacedFactor ** ranksBelow,
 	);
 }
 
-/** Backlog of an engine up to which it gets requests of a tier, in milliseconds. */
-function acceptedBacklogMs(objectiveMs: number, tier: number): number {
+/** Backlog of an engine up to which it gets requests of a rank, in milliseconds. */
+function acceptedBacklogMs(objectiveMs: number, rank: number): number {
 	return (
 		objectiveMs *
 		backlogObjectivePart *
-		Math.max(leastBacklogPart, 1 - backlogStep * tier)
+		Math.max(leastBacklogPart, 1 - backlogStep * rank)
 	);
 }
 
@@ -372,7 +373,7 @@
 			upstream.running(now) * perRunningMs;
 		const toRoomMs = Math.max(
 			upstream.closedMs(now),
-			timeToRoomMs(upstream, request.tier, uncachedTokens, now),
+			timeToRoomMs(upstream, request.rank, uncachedTokens, now),
 		);
 		const pull = upstream === home && !isHeld ? 1 - homePull : 1;
 		return {
--- a/src/services/gateway/rest.test.ts
+++ b/src/services/gateway/rest.test.ts
@@ -19,7 +19,7 @@
 	isOnce: false,
 	dataCentre: 'd',
 	objectiveMs: 100,
-	tier: 0,
+	rank: 0,
 };
 
 function endpoint(index: number): Upstream {
--- a/src/services/gateway/room-book.test.ts
+++ b/src/services/gateway/room-book.test.ts
@@ -113,7 +113,7 @@
 				number: 1,
 				endpoint: engine,
 				unreadTokens: promptTokens,
-				tier: 2,
+				rank: 2,
 				memoryTokens: promptTokens,
 			},
 			0,
@@ -128,7 +128,7 @@
 		}
 	}
 
-	// 70% of the default objective of 1200 ms at 40 tokens/ms for the highest tier, half of it for tier 2, and the prompt that crosses the bound.
+	// 70% of the default objective of 1200 ms at 40 tokens/ms for the highest rank: tier, half of it for tier 2, and the prompt that crosses the bound.
 	expect(granted).toEqual(18_000);
 	// A report that includes the request replaces its reservation.
 	report(all, 2, 1, 50);
@@ -144,7 +144,7 @@
 			number: 1,
 			endpoint: engine,
 			unreadTokens: promptTokens,
-			tier: 0,
+			rank: 0,
 			memoryTokens: promptTokens,
 		},
 		0,
@@ -174,7 +174,7 @@
 	const keeper = all.find(
 		({book, upstream}) => book.keeper(upstream, promptTokens, 0) === undefined,
 	)!;
-	const need = {uncachedTokens: 60_000, memoryTokens: 60_000, tier: 0};
+	const need = {uncachedTokens: 60_000, memoryTokens: 60_000, rank: 0};
 	expect(keeper.book.take(keeper.upstream, need, 0).type).toEqual('granted');
 	for (const {book, upstream, endpoints} of all) {
 		expect(book.kept(0).length).toEqual(upstream === keeper.upstream ? 1 : 0);
--- a/src/services/gateway/room-book.ts
+++ b/src/services/gateway/room-book.ts
@@ -16,8 +16,8 @@
 
 /** A gateway's question whether an engine has room for a prompt. */
 export type RoomAsk = Reservation & {
-	/** 0 is the highest. */
-	readonly tier: number;
+	/** Rank in which the request gets room, 0 first. */
+	readonly rank: number;
 	/** Memory that the request needs, in tokens. */
 	readonly memoryTokens: number;
 };
@@ -28,8 +28,8 @@
 	readonly uncachedTokens: number;
 	/** Memory that the request needs, in tokens. */
 	readonly memoryTokens: number;
-	/** 0 is the highest. */
-	readonly tier: number;
+	/** Rank in which the request gets room, 0 first. */
+	readonly rank: number;
 };
 
 export type RoomAnswer =
@@ -100,14 +100,14 @@
 	/** Takes room at an engine whose book is kept here, or says why there is none. */
 	take(
 		upstream: Upstream,
-		{uncachedTokens, memoryTokens, tier}: RoomNeed,
+		{uncachedTokens, memoryTokens, rank}: RoomNeed,
 		now: number,
 	): Exclude<RoomAnswer, {type: 'unanswered'}> {
-		if (timeToRoomMs(upstream, tier, uncachedTokens, now) > 0) {
+		if (timeToRoomMs(upstream, rank, uncachedTokens, now) > 0) {
 			return {type: 'denied', backlog: backlogOf(upstream, now)};
 		}
 
-		if (upstream.memory?.fits(memoryTokens, tier, now) === false) {
+		if (upstream.memory?.fits(memoryTokens, rank, now) === false) {
 			return {type: 'full'};
 		}
 
--- a/src/services/gateway/service-demand.test.ts
+++ b/src/services/gateway/service-demand.test.ts
@@ -51,3 +51,16 @@
 	expect(readingSpeed(1, 7)).toEqual(20);
 	expect(readingSpeed(undefined, 7)).toEqual(40);
 });
+
+// Guards against short notes that are refused after half a second while long drafts, which can wait for seconds, take the room of their tier.
+test('a request that can wait ranks behind others of its tier, and before the next one', () => {
+	const demand = new ServiceDemand();
+	const note = {tier: 1, objectiveMs: 500, timeoutMs: 3000, outputTokens: 24};
+	expect(demand.rank(1, 2500, 0)).toEqual(1);
+	demand.note(note, 0);
+	demand.note({...draft, tier: 1}, 0);
+	expect(demand.rank(1, note.objectiveMs, 0)).toEqual(1);
+	expect(demand.rank(1, draft.objectiveMs, 0)).toEqual(1.5);
+	expect(demand.rank(0, draft.objectiveMs, 0)).toEqual(0);
+	expect(demand.lowestRank(0)).toEqual(1.5);
+});
--- a/src/services/gateway/service-demand.ts
+++ b/src/services/gateway/service-demand.ts
@@ -7,6 +7,12 @@
 /** Part of the mean time that answers have for each token at which engines are to generate them: long answers have several times the mean length. */
 const paceMargin = 0.35;
 
+/** Multiple of the tightest latency target of its tier above which a request counts as loose: it can wait while others are served. */
+const looseFactor = 3;
+
+/** How far a loose request ranks behind others of its tier; less than a tier, so that none of a lower tier goes before it. */
+const looseRank = 0.5;
+
 /** Time for which what follows from the kinds of requests is kept, in milliseconds. */
 const summaryMs = 100;
 
@@ -36,6 +42,7 @@
 	readonly at: number;
 	readonly kinds: readonly Kind[];
 	readonly tokenMs: number | undefined;
+	readonly lowestRank: number;
 };
 
 /**
@@ -89,9 +96,19 @@
 		return this.#summarize(now).tokenMs;
 	}
 
-	/** Least urgent tier in use; 0 when there are no requests. */
-	lowestTier(now: number): number {
-		return Math.max(0, ...this.#summarize(now).kinds.map(({tier}) => tier));
+	/** Rank in which a request gets room, 0 first: its tier, and behind the others of its tier when its target is loose. */
+	rank(tier: number, objectiveMs: number, now: number): number {
+		const {kinds} = this.#summarize(now);
+		const isLoose = kinds.some(
+			(kind) =>
+				kind.tier === tier && kind.objectiveMs * looseFactor < objectiveMs,
+		);
+		return tier + (isLoose ? looseRank : 0);
+	}
+
+	/** Last rank in use; 0 when there are no requests. */
+	lowestRank(now: number): number {
+		return this.#summarize(now).lowestRank;
 	}
 
 	/** Asked for each endpoint of each request that waits, so it is worked out only from time to time. */
@@ -104,7 +121,15 @@
 				at: now,
 				kinds,
 				tokenMs: leastTokenMs(kinds),
+				lowestRank: 0,
 			};
+			const lowestRank = Math.max(
+				0,
+				...kinds.map(({tier, objectiveMs}) =>
+					this.rank(tier, objectiveMs, now),
+				),
+			);
+			this.#summary = {...this.#summary, lowestRank};
 		}
 
 		return this.#summary;
