--- a/src/daemons/gateway/exchange-context.ts
+++ b/src/daemons/gateway/exchange-context.ts
@@ -13,6 +13,7 @@
 import type {AnswerNotes} from './answer-notes.js';
 import type {ConnectionDirectory} from './connection-directory.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
+import type {LoopLag} from './loop-lag.js';
 import type {PeerExchange} from './peer-exchange.js';
 import type {WaitingTask} from './waiting-task.js';
 
@@ -43,6 +44,7 @@
 	readonly gateways: () => number;
 	readonly log: Log;
 	readonly room: WaitingTask;
+	readonly lag: LoopLag;
 	readonly peers: PeerExchange;
 	readonly metrics: GatewayMetrics;
 	readonly notes: AnswerNotes;
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -284,7 +284,8 @@
 			this.#denials++;
 		}
 
-		// The endpoint may have left or asked for rest while the answer was on its way.
+		// The caller or the endpoint may have left while the answer was on its way.
+		await this.#context.lag.catchUp();
 		return hasRoom && !this.#isOver && upstream.takesRequests(monotonicNow())
 			? this.#begin(assignment)
 			: undefined;
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -114,8 +114,8 @@
 	readonly #roster: RosterTask;
 	readonly #peers: PeerExchange;
 	readonly #memory: MemoryWatch;
-	readonly #room = this.#store.add(new WaitingTask());
 	readonly #loopLag = this.#store.add(new LoopLag());
+	readonly #room = this.#store.add(new WaitingTask(this.#loopLag));
 	readonly #metrics: GatewayMetrics;
 	readonly #exchanges = new Set<Exchange>();
 	#isDraining = false;
@@ -198,6 +198,7 @@
 			gateways: () => this.#roster.count,
 			log: options.log,
 			room: this.#room,
+			lag: this.#loopLag,
 			peers: this.#peers,
 			metrics: this.#metrics,
 			notes,
--- a/src/daemons/gateway/loop-lag.ts
+++ b/src/daemons/gateway/loop-lag.ts
@@ -11,14 +11,24 @@
 export class LoopLag implements Disposable {
 	readonly #timer: NodeJS.Timeout;
 	#lookedAt = monotonicNow();
+	/** The timers of a late turn run before its sockets are read. */
+	#isCatchingUp = false;
 
 	constructor() {
 		this.#timer = setInterval(() => {
+			if (this.#isLate) {
+				void this.#catchUp();
+			}
+
 			this.#lookedAt = monotonicNow();
 		}, periodMs);
 	}
 
 	get isBehind(): boolean {
+		return this.#isCatchingUp || this.#isLate;
+	}
+
+	get #isLate(): boolean {
 		return monotonicNow() - this.#lookedAt > periodMs + normalMs;
 	}
 
@@ -30,6 +40,13 @@
 		}
 	}
 
+	async #catchUp(): Promise<void> {
+		this.#isCatchingUp = true;
+		await nextTurn();
+		await nextTurn();
+		this.#isCatchingUp = false;
+	}
+
 	dispose(): void {
 		clearInterval(this.#timer);
 	}
--- a/src/daemons/gateway/waiting-task.ts
+++ b/src/daemons/gateway/waiting-task.ts
@@ -1,6 +1,7 @@
 import type {Disposable} from '../../base/index.js';
 import {WaitingRoom, type Waiting} from '../../services/gateway/index.js';
 import {monotonicNow} from '../task.js';
+import type {LoopLag} from './loop-lag.js';
 
 /** Time after which waiting requests are looked at although nothing has happened here, in milliseconds: load at other gateways falls unseen. */
 const sweepPeriodMs = 40;
@@ -10,11 +11,16 @@
 
 /** Task that places requests: at once when there is room, and otherwise when there may be room again. */
 export class WaitingTask implements Disposable {
+	readonly #lag: LoopLag;
 	readonly #room = new WaitingRoom();
 	#periodTimer: NodeJS.Timeout | undefined;
 	#soonTimer: NodeJS.Timeout | undefined;
 	#isDisposed = false;
 
+	constructor(lag: LoopLag) {
+		this.#lag = lag;
+	}
+
 	/** Requests that wait. */
 	get size(): number {
 		return this.#room.size;
@@ -32,7 +38,7 @@
 	sweepSoon(): void {
 		if (this.#room.size > 0 && !this.#isDisposed) {
 			this.#soonTimer ??= setTimeout(() => {
-				this.#sweep();
+				void this.#sweep();
 			}, sweepDelayMs);
 		}
 	}
@@ -43,7 +49,9 @@
 		clearTimeout(this.#soonTimer);
 	}
 
-	#sweep(): void {
+	/** A process that is behind first learns which of the callers have left. */
+	async #sweep(): Promise<void> {
+		await this.#lag.catchUp();
 		clearTimeout(this.#soonTimer);
 		clearTimeout(this.#periodTimer);
 		this.#soonTimer = undefined;
@@ -57,7 +65,7 @@
 	#startPeriod(): void {
 		if (!this.#isDisposed) {
 			this.#periodTimer ??= setTimeout(() => {
-				this.#sweep();
+				void this.#sweep();
 			}, sweepPeriodMs);
 		}
 	}
