Take no shared parts from an engine that has fallen silent

Cause: an engine that is dark could be named as the one to copy from until its block, and the copying engine would wait for it (read in the code, not seen in a run).

Change: only engines that are heard count as holders for a copy.

Before and after: placement.test.ts has the case; it fails without the change.

--- a/src/services/gateway/placement.test.ts
+++ b/src/services/gateway/placement.test.ts
@@ -268,24 +268,28 @@
 
 // Guards against transfers that take longer than reading, or from engines that are down.
 test('parts are read where copying does not pay', () => {
-	for (const [transfer, isDown] of [
-		[{...fastLink, linkMbps: 1000}, false],
-		[fastLink, true],
-		[undefined, false],
+	for (const [transfer, fault] of [
+		[{...fastLink, linkMbps: 1000}, 'none'],
+		[undefined, 'none'],
+		[fastLink, 'down'],
+		[fastLink, 'silent'],
 	] as const) {
 		const all = upstreams(2, new PeerLoads(), transfer);
 		const [holder, other] = all;
 		const links = prompt('subject', 'one');
 		holder!.answered(holder!.begin(links, 13_000, 0), links);
-		if (isDown) {
-			holder!.health.block(0);
+		if (fault === 'down') {
+			holder!.health.block(800);
 		}
 
 		for (let count = 0; count < slots; count++) {
-			holder!.begin([], 0, 0);
+			const work = holder!.begin([], 0, 0);
+			if (fault === 'silent') {
+				holder!.answered(work, []);
+			}
 		}
 
-		const placed = place(request(prompt('subject', 'two')), all, 0);
+		const placed = place(request(prompt('subject', 'two')), all, 1000);
 		expect(placed.type === 'send' && placed.upstream === other).toEqual(true);
 		expect(placed.type === 'send' && placed.donor).toEqual(undefined);
 	}
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -167,9 +167,8 @@
 	}
 
 	const heard = up.filter((upstream) => !upstream.isSuspect(now));
-	const open = (heard.length > 0 ? heard : up).filter((upstream) =>
-		hasSlot(upstream, request, now),
-	);
+	const sound = heard.length > 0 ? heard : up;
+	const open = sound.filter((upstream) => hasSlot(upstream, request, now));
 	if (open.length === 0) {
 		return {type: 'wait'};
 	}
@@ -180,7 +179,7 @@
 
 	const steady = open.filter((upstream) => isSteady(upstream, request));
 	const chosen = steady.length > 0 ? steady : open;
-	const candidates = estimate(request, chosen, up, now);
+	const candidates = estimate(request, chosen, sound, now);
 	let [best] = candidates;
 	for (const candidate of candidates) {
 		if (candidate.costMs < best!.costMs) {
