Go on with no copy at an endpoint that has left

Change: one question, EndpointSet.takesRequests, stands before a resumed run and before a prompt that was granted room.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -161,7 +161,8 @@
 		const upstream = this.#backup!;
 		this.#backup = undefined;
 		const now = monotonicNow();
-		if (this.#isOver || upstream.unavailableMs(now) > 0) {
+		const {endpoints} = this.#context;
+		if (this.#isOver || !endpoints.takesRequests(upstream, now)) {
 			return this.#giveUp('the copy of the run is out of reach', 0);
 		}
 
@@ -286,7 +287,9 @@
 
 		// The caller or the endpoint may have left while the answer was on its way.
 		await this.#context.lag.catchUp();
-		return hasRoom && !this.#isOver && upstream.takesRequests(monotonicNow())
+		return hasRoom &&
+			!this.#isOver &&
+			this.#context.endpoints.takesRequests(upstream, monotonicNow())
 			? this.#begin(assignment)
 			: undefined;
 	}
--- a/src/services/gateway/endpoint-set.test.ts
+++ b/src/services/gateway/endpoint-set.test.ts
@@ -135,7 +135,28 @@
 	set.serving('s', 0)[0]!.rest(5000);
 	set.apply({type: 'removed', id: 'e1'}, 100);
 	set.apply(listed({}, 2), 200);
-	expect(set.serving('s', 200)[0]!.takesRequests(4999)).toEqual(false);
+	const takes = (now: number) =>
+		set.takesRequests(set.serving('s', now)[0]!, now);
+	expect([takes(4999), takes(5000)]).toEqual([false, true]);
 	set.apply(listed({startedAt: 2}, 3), 300);
-	expect(set.serving('s', 300)[0]!.takesRequests(301)).toEqual(true);
+	expect(takes(301)).toEqual(true);
+});
+
+// Guards against a run that goes on, or a prompt that was granted room, at an endpoint that has left since it was chosen.
+test('an endpoint that was chosen earlier takes no request once it leaves, is gone or is down', () => {
+	const set = newSet();
+	for (const id of ['e1', 'e2', 'e3', 'e4']) {
+		set.apply(listed({id}), 0);
+	}
+
+	const chosen = set.serving('s', 0);
+	set.apply(listed({id: 'e1', isDraining: true}, 2), 1);
+	set.apply({type: 'removed', id: 'e2'}, 1);
+	chosen[2]!.health.block(1);
+	expect(chosen.map((upstream) => set.takesRequests(upstream, 2))).toEqual([
+		false,
+		false,
+		false,
+		true,
+	]);
 });
--- a/src/services/gateway/endpoint-set.ts
+++ b/src/services/gateway/endpoint-set.ts
@@ -118,6 +118,15 @@
 		return this.#upstreams.get(upstream.id) === upstream;
 	}
 
+	/** Whether an endpoint that was chosen earlier still takes a request: it may have left, asked for rest or failed meanwhile. */
+	takesRequests(upstream: Upstream, now: number): boolean {
+		return (
+			this.has(upstream) &&
+			!upstream.isLeaving &&
+			upstream.unavailableMs(now) === 0
+		);
+	}
+
 	/** The store has come back from an older copy: entries up to this version may be of endpoints that have left since. */
 	restored(upTo: number): void {
 		this.#restoredUpTo = upTo;
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -117,11 +117,6 @@
 		return this.#answering > 0 && now - this.#lastHeardAt > suspectMs;
 	}
 
-	/** Whether a request that was placed a moment ago may still be sent there. */
-	takesRequests(now: number): boolean {
-		return !this.isLeaving && this.#restsUntil <= now;
-	}
-
 	/** Requests of this gateway in progress. */
 	get ownRunning(): number {
 		return this.#works.size;
