Count copied tokens as half of read ones in the choice of an engine

Cause: with copies that cost nothing in the choice, prompts left the engine that holds them for each small difference of queues.

Change: a copied token counts as half of a read one where engines are compared.

Before and after: placement.test.ts fails with a cost of 0.

--- a/src/services/gateway/placement.test.ts
+++ b/src/services/gateway/placement.test.ts
@@ -322,3 +322,21 @@
 	// Silence of all is the gateway's own.
 	expect(chosen(5000) === dark).toEqual(true);
 });
+
+// Guards against transfers for every request: with cheap copies a prompt would leave the engine that holds it for each small difference of queues.
+test('a prompt leaves the engine that holds it only for more than its copy costs', () => {
+	const all = upstreams(2, new PeerLoads(), fastLink);
+	const [holder, other] = all;
+	const links = prompt('subject', 'one');
+	holder!.answered(holder!.begin(links, 13_000, 0), links);
+	const next = request(prompt('subject', 'two'));
+	const chosen = () => {
+		const placed = place(next, all, 0);
+		return placed.type === 'send' ? placed.upstream : undefined;
+	};
+
+	holder!.begin([], 2000, 0);
+	expect(chosen() === holder).toEqual(true);
+	holder!.begin([], 60_000, 0);
+	expect(chosen() === other).toEqual(true);
+});
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -40,6 +40,9 @@
 /** Part of the time to read tokens that copying them may take: transfers queue on the links of both engines. */
 const maxCopyPart = 0.25;
 
+/** What copying a token costs in the choice, as a part of reading it: transfers are paid for, so a prompt stays with the engine that holds it while that has room. */
+const copyCostPart = 0.5;
+
 /** What a failing endpoint costs, against an answer in time: the time until a second try succeeds, in milliseconds. */
 const failureCostMs = 3000;
 
@@ -360,8 +363,11 @@
 			cached,
 			upstream.prefixes.expectedTokens(request.links, now),
 		);
+		const copiedTokens = cached - own;
 		const readMs =
-			Math.max(0, prompt.promptTokens - expected) / prefillTokensPerMs;
+			(Math.max(0, prompt.promptTokens - expected) +
+				copiedTokens * copyCostPart) /
+			prefillTokensPerMs;
 		const uncachedTokens = Math.max(0, prompt.promptTokens - cached);
 		const slowness = upstream.slowness(now);
 		const relative = slowness / meanSlowness;
