Stop using removed endpoints after an outage that is long over (DRAIN)

Callers saw nothing, but endpoints that had left still got requests up to 2 s plus the time of a read after their removal: more than drain_ms.

Cause: a gateway that had failed to reach the store counted as cut off from the endpoint table until it read the whole table itself. Most gateways only revalidate with a reader, so this lasted until the next change of the table, which is the removal. Its missing entry then looked like a lease that had expired during the outage and was kept for 2 s. The same held after one failed call, and the 2 s counted from the read in place of the end of the outage.

Now a confirmation by another gateway ends the outage, the grace period counts from then, and after an outage shorter than 0.8 of drain_ms an endpoint is used no longer than that time from the last confirmation, so it cannot have been gone for longer than drain_ms. Within the grace period of a long outage the rule does not apply, as the gateway has just been cut off.

'a removed endpoint is not used beyond its drain time unless its lease may have expired' is new and covers the deadlines, which did not exist before.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -76,6 +76,8 @@
 export type GatewayBounds = {
 	/** Maximum time for which a removed API key may still be accepted, in milliseconds. */
 	readonly revocationMs: number;
+	/** Time after which an endpoint that is leaving must get no more requests, in milliseconds. */
+	readonly drainMs: number;
 	/** Grace period between the stop signal and the end of the process, in milliseconds. */
 	readonly graceMs: number;
 	readonly retries: RetryBounds;
@@ -143,6 +145,7 @@
 				...options,
 				loads,
 				metrics: () => this.#metrics,
+				drainMs: () => this.#bounds.drainMs,
 				freshnessSource: () => this.#peers,
 			}),
 		);
@@ -249,11 +252,12 @@
 	}
 
 	/** Applies limits from changed settings; changed addresses take effect at the next start. */
-	reload({revocationMs, graceMs, retries}: GatewayBounds): void {
-		this.#bounds = {revocationMs, graceMs, retries};
+	reload({revocationMs, drainMs, graceMs, retries}: GatewayBounds): void {
+		this.#bounds = {revocationMs, drainMs, graceMs, retries};
 		this.#context.retryAllowance.bounds = retries;
 		this.#options.log.info('reloaded', {
 			revocation_ms: revocationMs,
+			drain_ms: drainMs,
 			grace_ms: graceMs,
 			retry_slack: retries.slack,
 		});
--- a/src/daemons/gateway/platform-copy.ts
+++ b/src/daemons/gateway/platform-copy.ts
@@ -8,9 +8,12 @@
 	Confirmation,
 	ConfigurationCopy,
 	EndpointSet,
+	missingEntryDeadline,
+	restoredEntryDeadline,
 	revalidate,
 	type Clocks,
 	type CopyFreshness,
+	type Outage,
 	type PeerLoads,
 	type RoutingTable,
 } from '../../services/gateway/index.js';
@@ -35,6 +38,8 @@
 	readonly metrics: () => GatewayMetrics;
 	/** Returns the other gateways, which may confirm that the copies are current. */
 	readonly freshnessSource: () => FreshnessSource;
+	/** Time after which a removed endpoint must get no more requests, in milliseconds. */
+	readonly drainMs: () => number;
 	readonly log: Log;
 };
 
@@ -60,6 +65,12 @@
 	/** Eras of the store that the copies belong to; undefined until the table has been read. */
 	#configurationEra: number | undefined;
 	#endpointsEra: number | undefined;
+	/** Last time without contact to the endpoint table. */
+	#endpointsOutage: Outage = {
+		endedAt: Number.NEGATIVE_INFINITY,
+		durationMs: 0,
+	};
+
 	/** It has been logged that the store holds an older configuration than the one in force. */
 	#hasLoggedAwaited = false;
 
@@ -154,6 +165,7 @@
 					confirmIfLater(this.#configurationConfirmation, sentAt);
 				}
 			},
+			onReachabilityChange: () => undefined,
 		});
 		this.#watch('endpoints', {
 			table: this.#options.endpoints,
@@ -172,7 +184,7 @@
 				);
 			},
 			pauseMs: endpointPollPauseMs,
-			onList: ({changes, position: {era, version}}, isAfterOutage) => {
+			onList: ({changes, position: {era, version}}) => {
 				this.#logUnreadable(changes);
 				const before = this.#endpointsEra;
 				this.#endpointsEra = era;
@@ -181,8 +193,17 @@
 					this.endpoints.restored(version);
 				}
 
-				const isPossiblyIncomplete = isAfterOutage || isRestored;
-				this.endpoints.replace(changes, monotonicNow(), isPossiblyIncomplete);
+				const now = monotonicNow();
+				this.endpoints.replace(
+					changes,
+					now,
+					isRestored
+						? restoredEntryDeadline(now)
+						: missingEntryDeadline(
+								this.#endpointsOutage,
+								this.#options.drainMs(),
+							),
+				);
 			},
 			onChange: (change) => {
 				this.#logUnreadable([change]);
@@ -191,6 +212,14 @@
 			onConfirmed: (sentAt) => {
 				confirmIfLater(this.#endpointsConfirmation, sentAt);
 			},
+			onReachabilityChange: (reason) => {
+				if (reason === undefined) {
+					this.#endpointsOutage = {
+						endedAt: monotonicNow(),
+						durationMs: this.#endpointsConfirmation.ageMs(readClocks()),
+					};
+				}
+			},
 		});
 	}
 
@@ -201,10 +230,7 @@
 	/** Watches one table, counts its calls, and logs when the store becomes unreachable or reachable again. */
 	#watch<Change>(
 		table: string,
-		options: Omit<
-			TableWatchOptions<Change>,
-			'onFailure' | 'onReachabilityChange'
-		>,
+		options: Omit<TableWatchOptions<Change>, 'onFailure'>,
 	): void {
 		const {log, metrics} = this.#options;
 		const watch = this.#store.add(
@@ -218,6 +244,7 @@
 					metrics().storeCall(table, 'failed');
 				},
 				onReachabilityChange: (reason) => {
+					options.onReachabilityChange(reason);
 					if (reason === undefined) {
 						log.info('store_regained', {table});
 					} else {
--- a/src/daemons/gateway/table-watch.test.ts
+++ b/src/daemons/gateway/table-watch.test.ts
@@ -1,7 +1,6 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import type {RevalidationResult} from '../../services/gateway/index.js';
-import {knownFailure} from '../../lab/fuzz/known-failure.js';
 import {waitUntil} from '../../lab/fleet/loopback.js';
 import {TableWatch} from './table-watch.js';
 
@@ -93,25 +92,17 @@
 });
 
 // Guards against a removed endpoint that is used longer because a call failed some time before its removal.
-test(
-	'a copy that another gateway confirms after a failed call is in contact with the store',
-	{
-		todo: knownFailure(
-			'a copy that another gateway confirms after a failed call is in contact with the store',
-		),
-	},
-	async () => {
-		const {watch, counts} = startWatch(
-			[undefined, {type: 'current', ageMs: 0}, {type: 'different'}],
-			{failures: 1},
-		);
-		await waitUntil('read again', async () => counts.lists >= 2);
-		watch.dispose();
-		expect(counts.events.slice(0, 4)).toEqual([
-			'list',
-			'lost',
-			'regained',
-			'list',
-		]);
-	},
-);
+test('a copy that another gateway confirms after a failed call is in contact with the store', async () => {
+	const {watch, counts} = startWatch(
+		[undefined, {type: 'current', ageMs: 0}, {type: 'different'}],
+		{failures: 1},
+	);
+	await waitUntil('read again', async () => counts.lists >= 2);
+	watch.dispose();
+	expect(counts.events.slice(0, 4)).toEqual([
+		'list',
+		'lost',
+		'regained',
+		'list',
+	]);
+});
--- a/src/daemons/gateway/table-watch.ts
+++ b/src/daemons/gateway/table-watch.ts
@@ -18,15 +18,15 @@
 	readonly waitMs: () => number;
 	/** Pause between two feed calls, in milliseconds; batches frequent changes into one answer. */
 	readonly pauseMs: number;
-	/** Called with the whole table; `isAfterOutage` means that calls have failed since the last successful read of it. */
-	readonly onList: (listing: Listing<Change>, isAfterOutage: boolean) => void;
+	/** Called with the whole table. */
+	readonly onList: (listing: Listing<Change>) => void;
 	readonly onChange: (change: Change) => void;
 	/** Called when the copy is confirmed: it was current at `sentAt`. */
 	readonly onConfirmed: (sentAt: Clocks) => void;
 	readonly onFailure: () => void;
 	/** Revalidates the copy with another gateway; resolves to undefined when this gateway must read the store itself. */
 	readonly revalidate: () => Promise<RevalidationResult | undefined>;
-	/** Called once with the reason when calls begin to fail, and once with undefined when they succeed again. */
+	/** Called once with the reason when calls begin to fail, and once with undefined when contact is regained, before the copy is confirmed or read again. */
 	readonly onReachabilityChange: (reason: string | undefined) => void;
 };
 
@@ -100,6 +100,7 @@
 				const {ageMs} = result;
 				this.#listedAt = sentAt.monotonicMs;
 				this.#isPositionStale = true;
+				this.#reportReachable();
 				onConfirmed({
 					monotonicMs: sentAt.monotonicMs - ageMs,
 					wallMs: sentAt.wallMs - ageMs,
@@ -132,11 +133,11 @@
 			sentAt.monotonicMs - (this.#listedAt ?? 0) > relistIntervalMs
 		) {
 			const listing = await table.list();
-			onList(listing, this.#hasFailed);
+			this.#reportReachable();
+			onList(listing);
 			this.#position = listing.position;
 			this.#isPositionStale = false;
 			this.#listedAt = sentAt.monotonicMs;
-			this.#reportReachable();
 			return true;
 		}
 
--- a/src/services/gateway/endpoint-set.test.ts
+++ b/src/services/gateway/endpoint-set.test.ts
@@ -5,8 +5,14 @@
 	ListedEndpoint,
 } from '../../interfaces/ports/index.js';
 import {EndpointSet} from './endpoint-set.js';
+import {
+	missingEntryDeadline,
+	restoredEntryDeadline,
+} from './missing-entries.js';
 import {PeerLoads} from './peer-loads.js';
 
+const drainMs = 2000;
+
 const endpoint: ListedEndpoint = {
 	id: 'e1',
 	service: 's',
@@ -60,16 +66,35 @@
 // Guards against an outage of the store that removes all endpoints, and against one that keeps a dead endpoint for ever.
 test('endpoints whose entries are missing after an outage are used for 2 s', () => {
 	const set = createSet();
-	set.replace([listed(), listed({id: 'e2'})], 0, false);
-	set.replace([listed()], 10_000, true);
+	set.replace([listed(), listed({id: 'e2'})], 0, 0);
+	set.replace(
+		[listed()],
+		10_000,
+		missingEntryDeadline({endedAt: 10_000, durationMs: 5000}, drainMs),
+	);
 	expect(ids(set, 11_900)).toEqual(['e1', 'e2']);
-	set.replace([listed()], 11_950, false);
+	set.replace([listed()], 11_950, 0);
 	expect(ids(set, 11_950)).toEqual(['e1', 'e2']);
 	expect(ids(set, 12_000)).toEqual(['e1']);
-	set.replace([], 20_000, false);
+	set.replace([], 20_000, 0);
 	expect(ids(set, 20_000)).toEqual([]);
 });
 
+// Guards against requests to an endpoint after its drain time, because calls to the store had failed shortly or long before its removal.
+test('a removed endpoint is not used beyond its drain time unless its lease may have expired', () => {
+	// One call failed: the last confirmation was 1.2 s before contact was regained.
+	const short = {endedAt: 10_000, durationMs: 1200};
+	expect(missingEntryDeadline(short, drainMs) <= 8800 + drainMs).toEqual(true);
+	const set = createSet();
+	set.replace([listed(), listed({id: 'e2'})], 8800, 0);
+	set.replace([listed()], 10_000, missingEntryDeadline(short, drainMs));
+	expect(ids(set, 10_800)).toEqual(['e1']);
+	// The grace period counts from the regained contact, not from the read that lacks the entry.
+	const long = {endedAt: 20_000, durationMs: 9000};
+	set.replace([], 22_500, missingEntryDeadline(long, drainMs));
+	expect(ids(set, 22_500)).toEqual([]);
+});
+
 // Guards against new requests to an endpoint that reports itself as leaving while its entry still lists it as serving.
 test('an endpoint that reported itself as leaving is not used again, its successor is', () => {
 	const set = createSet();
@@ -78,7 +103,7 @@
 	expect(set.markLeaving(upstream!)).toEqual(true);
 	expect(set.markLeaving(upstream!)).toEqual(false);
 	set.apply(listed({warmUpMs: 1}, 2), 1);
-	set.replace([listed({}, 3)], 2, false);
+	set.replace([listed({}, 3)], 2, 0);
 	expect(ids(set, 2)).toEqual([]);
 	set.apply({type: 'removed', id: 'e1'}, 3);
 	set.apply(listed({}, 4), 4);
@@ -116,13 +141,13 @@
 // Guards against an endpoint that has left, or the process before a restart, in use again because the store was restored from an older backup.
 test('a restore from an older backup brings back no endpoint that has left', () => {
 	const set = createSet();
-	set.replace([listed({}, 10), listed({id: 'e2'}, 11)], 0, false);
+	set.replace([listed({}, 10), listed({id: 'e2'}, 11)], 0, 0);
 	set.apply({type: 'removed', id: 'e1'}, 100);
 	set.apply(listed({id: 'e2', startedAt: 5}, 20), 100);
 	set.apply(listed({id: 'e3'}, 21), 100);
 	set.restored(12);
 	const copy = [listed({}, 10), listed({id: 'e2'}, 11)];
-	set.replace(copy, 200, true);
+	set.replace(copy, 200, restoredEntryDeadline(200));
 	expect(ids(set, 200).toSorted()).toEqual(['e2', 'e3']);
 	expect(set.all().find(({id}) => id === 'e2')?.listed.startedAt).toEqual(5);
 	set.apply(listed({}, 13), 300);
--- a/src/services/gateway/endpoint-set.ts
+++ b/src/services/gateway/endpoint-set.ts
@@ -9,13 +9,6 @@
 import {ServiceDemand} from './service-demand.js';
 import {Upstream} from './upstream.js';
 
-/**
- * Time after an outage of the store for which an endpoint without an entry is still
- * used, in milliseconds: entries whose lease expired meanwhile are back within
- * about 2 s.
- */
-const missingEntryGraceMs = 2000;
-
 /** Removed endpoints whose state is kept: more than are removed in the few seconds by which a backup of the store is behind. */
 const maxRemoved = 4000;
 
@@ -168,11 +161,11 @@
 		return [...listed, ...removed];
 	}
 
-	/** Applies the whole list. After an outage of the store, entries may be missing only because their leases could not be renewed. */
+	/** Applies the whole list. Endpoints whose entries are missing are used until `keepMissingUntil`. */
 	replace(
 		changes: readonly EndpointChange[],
 		now: number,
-		isAfterOutage: boolean,
+		keepMissingUntil: number,
 	): void {
 		const listedIds = new Set<string>();
 		for (const change of changes) {
@@ -183,8 +176,8 @@
 		for (const id of this.#upstreams.keys()) {
 			if (listedIds.has(id)) {
 				this.#missingUntil.delete(id);
-			} else if (isAfterOutage) {
-				this.#missingUntil.set(id, now + missingEntryGraceMs);
+			} else if (now < keepMissingUntil) {
+				this.#missingUntil.set(id, keepMissingUntil);
 			} else if (!this.#missingUntil.has(id)) {
 				this.#remove(id, 'removed', now);
 			}
--- a/src/services/gateway/index.ts
+++ b/src/services/gateway/index.ts
@@ -9,6 +9,7 @@
 export * from './event-splitter.js';
 export * from './health.js';
 export * from './loss-table.js';
+export * from './missing-entries.js';
 export * from './next-step.js';
 export * from './send-timeouts.js';
 export * from './peer-loads.js';
--- a/src/services/gateway/store-history.test.ts
+++ b/src/services/gateway/store-history.test.ts
@@ -9,6 +9,7 @@
 } from '../../interfaces/index.js';
 import {ConfigurationCopy} from './configuration-copy.js';
 import {EndpointSet} from './endpoint-set.js';
+import {restoredEntryDeadline} from './missing-entries.js';
 import {PeerLoads} from './peer-loads.js';
 
 const endpointCount = 3;
@@ -110,7 +111,11 @@
 				version,
 			}),
 		);
-		this.endpoints.replace(changes, now, isRestored);
+		this.endpoints.replace(
+			changes,
+			now,
+			isRestored ? restoredEntryDeadline(now) : now,
+		);
 		this.configuration.offer(configuration, configurationAt, now);
 	}
 
