--- a/src/services/gateway/endpoint-set.test.ts
+++ b/src/services/gateway/endpoint-set.test.ts
@@ -112,6 +112,26 @@
 	expect(ids(set, 5)).toEqual(['e1']);
 });
 
+// Guards against an endpoint that comes back into use because its announcement arrived while its entry was missing.
+test('an endpoint that is reported as leaving while its entry is missing is not used again', () => {
+	for (const isReportedByPeer of [false, true]) {
+		const set = createSet();
+		set.apply(listed(), 0);
+		const [upstream] = set.serving('s', 0);
+		set.apply({type: 'removed', id: 'e1'}, 1);
+		if (isReportedByPeer) {
+			set.applyLeavingEndpoints([{endpoint: upstream!.key, startedAt: 1}]);
+		} else {
+			set.markLeaving(upstream!);
+		}
+
+		set.apply(listed({}, 2), 2);
+		expect(ids(set, 2)).toEqual([]);
+		set.apply(listed({startedAt: 2}, 3), 3);
+		expect(ids(set, 3)).toEqual(['e1']);
+	}
+});
+
 // Guards against gateways that each learn of a leaving endpoint only from its own answers, and against a notice that removes the successor or brings an endpoint back.
 test('leaving endpoints are reported to other gateways, also after their removal', () => {
 	const [set, other] = [createSet(), createSet()];
--- a/src/services/gateway/endpoint-set.ts
+++ b/src/services/gateway/endpoint-set.ts
@@ -31,9 +31,8 @@
 
 /** State of a removed endpoint, kept because the entry of the same incarnation may come back. */
 type RemovedEndpoint = {
-	readonly key: number;
 	readonly startedAt: number;
-	readonly isLeaving: boolean;
+	isLeaving: boolean;
 	readonly backOffUntil: number;
 	/** Time of the removal. */
 	readonly at: number;
@@ -47,8 +46,8 @@
 	readonly #losses = new Map<string, EngineLosses>();
 	/** Time until which an endpoint is used although its entry is missing, by id. */
 	readonly #missingUntil = new Map<string, number>();
-	/** Removed endpoints by id, the oldest first. */
-	readonly #removedEndpoints = new Map<string, RemovedEndpoint>();
+	/** Removed endpoints by key, the oldest first. */
+	readonly #removedEndpoints = new Map<number, RemovedEndpoint>();
 	/** Version of the store up to which entries come from an older backup. */
 	#restoredVersion = Number.NEGATIVE_INFINITY;
 	readonly #onDidAdd = new Emitter<Upstream>();
@@ -135,6 +134,10 @@
 	markLeaving(upstream: Upstream): boolean {
 		const isNewlyLeaving = !upstream.isLeaving;
 		upstream.leave();
+		if (!this.has(upstream)) {
+			this.#markRemovedLeaving(upstream.key, startOf(upstream.listed));
+		}
+
 		return isNewlyLeaving;
 	}
 
@@ -142,6 +145,10 @@
 	applyLeavingEndpoints(notices: readonly LeavingEndpoint[]): Upstream[] {
 		return notices.flatMap(({endpoint, startedAt}) => {
 			const upstream = this.#byKey.get(endpoint);
+			if (!upstream) {
+				this.#markRemovedLeaving(endpoint, startedAt);
+			}
+
 			return upstream &&
 				startOf(upstream.listed) === startedAt &&
 				this.markLeaving(upstream)
@@ -155,9 +162,9 @@
 		const listed = [...this.#upstreams.values()]
 			.filter(({isLeaving}) => isLeaving)
 			.map(({key, listed}) => ({endpoint: key, startedAt: startOf(listed)}));
-		const removed = [...this.#removedEndpoints.values()]
-			.filter(({isLeaving, at}) => isLeaving && now - at < leavingNoticeMs)
-			.map(({key, startedAt}) => ({endpoint: key, startedAt}));
+		const removed = [...this.#removedEndpoints]
+			.filter(([, {isLeaving, at}]) => isLeaving && now - at < leavingNoticeMs)
+			.map(([endpoint, {startedAt}]) => ({endpoint, startedAt}));
 		return [...listed, ...removed];
 	}
 
@@ -283,13 +290,13 @@
 			return startOf(endpoint) < startOf(known.listed);
 		}
 
-		const removed = this.#removedEndpoints.get(endpoint.id);
+		const removed = this.#removedEndpoints.get(hash32(endpoint.id));
 		return removed !== undefined && startOf(endpoint) <= removed.startedAt;
 	}
 
 	/** Restores the state of an incarnation whose entry has come back. */
 	#restoreState(upstream: Upstream): void {
-		const removed = this.#removedEndpoints.get(upstream.id);
+		const removed = this.#removedEndpoints.get(upstream.key);
 		if (removed?.startedAt === startOf(upstream.listed)) {
 			upstream.backOff(removed.backOffUntil);
 			if (removed.isLeaving) {
@@ -299,10 +306,9 @@
 	}
 
 	#rememberRemoved(upstream: Upstream, now: number): void {
-		const {id, key, listed, isLeaving, backOffUntil} = upstream;
-		this.#removedEndpoints.delete(id);
-		this.#removedEndpoints.set(id, {
-			key,
+		const {key, listed, isLeaving, backOffUntil} = upstream;
+		this.#removedEndpoints.delete(key);
+		this.#removedEndpoints.set(key, {
 			startedAt: startOf(listed),
 			isLeaving,
 			backOffUntil,
@@ -314,6 +320,14 @@
 		}
 	}
 
+	/** Keeps the announcement of an incarnation whose entry is missing, for the case that it comes back. */
+	#markRemovedLeaving(key: number, startedAt: number): void {
+		const removed = this.#removedEndpoints.get(key);
+		if (removed?.startedAt === startedAt) {
+			removed.isLeaving = true;
+		}
+	}
+
 	#removeExpired(now: number): void {
 		for (const [id, until] of this.#missingUntil) {
 			if (now >= until) {
