--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -498,6 +498,7 @@
 					head.prompt,
 					upstream,
 					endpoints.serving(service.name, now),
+					head.requestId,
 					now,
 				)
 			: undefined;
--- a/src/services/gateway/backup.test.ts
+++ b/src/services/gateway/backup.test.ts
@@ -49,19 +49,39 @@
 	] as const;
 	const all = [own, near, busy, idle];
 	busy.begin([], 0, 0);
-	expect(backupFor(longAnswer, own, all, 0) === idle).toEqual(true);
+	expect(backupFor(longAnswer, own, all, 'run', 0) === idle).toEqual(true);
 	idle.health.block(0);
-	expect(backupFor(longAnswer, own, all, 0) === busy).toEqual(true);
+	expect(backupFor(longAnswer, own, all, 'run', 0) === busy).toEqual(true);
 	busy.backOff(1000);
-	expect(backupFor(longAnswer, own, all, 0) === near).toEqual(true);
-	expect(backupFor(longAnswer, own, [own], 0)).toEqual(undefined);
+	expect(backupFor(longAnswer, own, all, 'run', 0) === near).toEqual(true);
+	expect(backupFor(longAnswer, own, [own], 'run', 0)).toEqual(undefined);
+});
+
+// Guards against replicas of many gateways' runs at the one engine that all of them see as the least loaded: when their engine fails, all of them resume there.
+test('replicas of many runs are spread over the engines', () => {
+	const own = engine('own', 'a');
+	const others = Array.from({length: 10}, (_, index) =>
+		engine(`e${index}`, 'b'),
+	);
+	others[0]!.begin([], 0, 0);
+	const counts = new Map<Upstream, number>();
+	for (let run = 0; run < 200; run++) {
+		const backup = backupFor(longAnswer, own, others, `run-${run}`, 0)!;
+		counts.set(backup, (counts.get(backup) ?? 0) + 1);
+	}
+
+	// Twice the mean of 20.
+	expect(Math.max(...counts.values()) <= 40).toEqual(true);
+	expect((counts.get(others[0]!) ?? 0) < 20).toEqual(true);
 });
 
 // Guards against transfers that cost more than the run that they protect, and against engines that keep no replicas.
 test('only a run that is long against its prompt is replicated', () => {
 	const [own, other] = [engine('own', 'a'), engine('other', 'b')] as const;
 	const longPrompt = {...longAnswer, promptTokens: 9000, outputTokens: 50};
-	expect(backupFor(longPrompt, own, [own, other], 0)).toEqual(undefined);
+	expect(backupFor(longPrompt, own, [own, other], 'run', 0)).toEqual(undefined);
 	const plain = engine('plain', 'a', false);
-	expect(backupFor(longAnswer, plain, [plain, other], 0)).toEqual(undefined);
+	expect(backupFor(longAnswer, plain, [plain, other], 'run', 0)).toEqual(
+		undefined,
+	);
 });
