--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -175,6 +175,7 @@
 		const expectedMs = 0;
 		this.#log('resumed', {
 			endpoint: upstream.id,
+			tier: this.#requestedTier,
 			last_event: this.#position.lastEventId ?? '',
 		});
 		const end = await this.#sendTo({
@@ -386,6 +387,7 @@
 
 		this.#log('placed', {
 			endpoint: upstream.id,
+			tier: this.#requestedTier,
 			expected_ms: Math.round(expectedMs),
 			waited_ms: Math.round(now - this.#request.receivedAt),
 			denials: this.#denials,
@@ -465,7 +467,7 @@
 				endpointId: upstream.id,
 				deadlineMs: this.#remainingMs(),
 				workspace: workspace?.name,
-				tier: workspace?.tier ?? route.tier,
+				tier: this.#requestedTier,
 				lastEventId: this.#output.hasSentHeaders
 					? this.#position.lastEventId
 					: undefined,
@@ -686,13 +688,14 @@
 		};
 	}
 
-	/** Priority tier, 0 first. A started response takes precedence over all new ones; otherwise the workspace's own tier overrides that of the route. */
+	/** Priority tier, 0 first. A started response takes precedence over all new ones. */
 	get #tier(): number {
-		const {route, workspace} = this.#request;
-		if (this.#output.hasSentHeaders) {
-			return 0;
-		}
+		return this.#output.hasSentHeaders ? 0 : this.#requestedTier;
+	}
 
+	/** Tier of the request itself: the workspace's own tier overrides that of the route. */
+	get #requestedTier(): number {
+		const {route, workspace} = this.#request;
 		return workspace?.tier ?? route.tier;
 	}
 
