--- a/src/daemons/gateway/engine-probe.ts
+++ b/src/daemons/gateway/engine-probe.ts
@@ -86,7 +86,7 @@
 						head &&
 						(startedAt === undefined || startedAt === upstream.listed.startedAt)
 					) {
-						signals.applyHead(upstream, status, head);
+						signals.applyHead(upstream, status, head, false);
 					}
 
 					resolve({report});
--- a/src/daemons/gateway/exchange-context.ts
+++ b/src/daemons/gateway/exchange-context.ts
@@ -7,6 +7,7 @@
 } from '../../interfaces/index.js';
 import type {
 	EndpointSet,
+	RateLimits,
 	RetryAllowance,
 } from '../../services/gateway/index.js';
 import type {Log} from '../log.js';
@@ -49,6 +50,7 @@
 	readonly peers: PeerExchange;
 	readonly metrics: GatewayMetrics;
 	readonly signals: EndpointSignals;
+	readonly rateLimits: RateLimits;
 };
 
 /** Outcome and timing of a finished request, for the metrics. */
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -211,6 +211,7 @@
 
 					if (
 						upstream.suspendedMs(now) > 0 ||
+						upstream.rateLimitedMs(now) > 0 ||
 						!hasFreeSlot(upstream, resumedRank, now) ||
 						timeToCapacityMs(upstream, resumedRank, 0, now) > 0
 					) {
@@ -445,8 +446,8 @@
 			isOnce: route.retryMode === 'once',
 			position: this.#position,
 			isAlive: async () => isAlive(upstream, this.#context),
-			onHead(status, answerHead) {
-				signals.applyHead(upstream, status, answerHead);
+			onHead(status, answerHead, isOwn) {
+				signals.applyHead(upstream, status, answerHead, isOwn);
 			},
 			...sendTimeouts(route, expectedMs, canSendAgain),
 		});
@@ -489,7 +490,7 @@
 
 	/** Chooses an engine for a replica of the run's KV cache: only for a stream that runs at most once, as any other request can be retried when its engine fails, and only while failures are likely. */
 	#chooseBackup(upstream: Upstream): Upstream | undefined {
-		const {endpoints} = this.#context;
+		const {endpoints, rateLimits} = this.#context;
 		const {head, route, service} = this.#request;
 		const now = monotonicNow();
 		return head.prompt &&
@@ -499,7 +500,9 @@
 			? backupFor(
 					head.prompt,
 					upstream,
-					endpoints.serving(service.name, now),
+					endpoints
+						.serving(service.name, now)
+						.filter(({key}) => rateLimits.perSecond(key) === undefined),
 					head.requestId,
 					now,
 				)
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -23,6 +23,7 @@
 	admit,
 	maxFreshAgeMs,
 	PeerLoads,
+	RateLimits,
 	RetryAllowance,
 	type RetryBounds,
 } from '../../services/gateway/index.js';
@@ -121,6 +122,7 @@
 	readonly #loopLag = this.#disposables.add(new LoopLag());
 	readonly #queue = this.#disposables.add(new RequestQueueTask(this.#loopLag));
 	readonly #metrics: GatewayMetrics;
+	readonly #rateLimits: RateLimits;
 	readonly #exchanges = new Set<Exchange>();
 	#isDraining = false;
 	#drainStartedAt = 0;
@@ -140,6 +142,8 @@
 			droppedLines: options.droppedLines,
 		});
 		const loads = new PeerLoads();
+		const rateLimits = new RateLimits();
+		this.#rateLimits = rateLimits;
 		this.#platform = this.#disposables.add(
 			new PlatformCopy({
 				...options,
@@ -155,6 +159,7 @@
 				address: options.peerAddress,
 				endpoints: this.#platform.endpoints,
 				loads,
+				rateLimits,
 				log: options.log,
 				metrics: this.#metrics,
 				onDidReceiveReport: () => {
@@ -182,11 +187,15 @@
 			}),
 		);
 		const connections = this.#disposables.add(new ConnectionPools());
-		const signals = new EndpointSignals(
-			this.#platform.endpoints,
-			options.log,
-			this.#metrics,
-		);
+		const signals = new EndpointSignals({
+			endpoints: this.#platform.endpoints,
+			log: options.log,
+			metrics: this.#metrics,
+			rateLimits,
+			onDidChangeRateLimit: () => {
+				this.#peers.sendRateLimits();
+			},
+		});
 		this.#kvCachePoller = this.#disposables.add(
 			new KvCachePoller({
 				endpoints: this.#platform.endpoints,
@@ -207,9 +216,11 @@
 			peers: this.#peers,
 			metrics: this.#metrics,
 			signals,
+			rateLimits,
 		};
 		this.#platform.endpoints.onDidRemove(({upstream}) => {
 			connections.remove(upstream);
+			rateLimits.forget(upstream.key);
 		});
 		this.#platform.onDidChangeRouting(({configuration}) => {
 			applyLimits(this.#callerServer, configuration.limits);
@@ -343,6 +354,7 @@
 				stepMs: upstream.step.ms,
 				isLeaving: upstream.isLeaving,
 				restsMs: Math.max(0, upstream.backOffUntil - now),
+				requestsPerSecond: this.#rateLimits.perSecond(upstream.key),
 			})),
 		};
 	}
--- a/src/daemons/gateway/gateway-metrics.ts
+++ b/src/daemons/gateway/gateway-metrics.ts
@@ -68,6 +68,12 @@
 		['service'],
 	);
 
+	readonly #rateLimits = this.#counter(
+		'endpoint_limits_total',
+		'Changes of the request limits that endpoints name, by who told it',
+		['source'],
+	);
+
 	readonly #storeEraChanges = this.#counter(
 		'store_era_changes_total',
 		'Times that the platform store came back from an older copy',
@@ -141,6 +147,11 @@
 		this.#backOffs.inc({service});
 	}
 
+	/** Counts a change of the request limit of an endpoint, learned from an answer or from another gateway. */
+	rateLimited(source: 'answer' | 'peer'): void {
+		this.#rateLimits.inc({source});
+	}
+
 	/** Counts a restore of the platform store from an older backup. */
 	eraChanged(): void {
 		this.#storeEraChanges.inc();
--- a/src/daemons/gateway/peer-exchange.test.ts
+++ b/src/daemons/gateway/peer-exchange.test.ts
@@ -3,7 +3,11 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {freePort, waitUntil} from '../../lab/fleet/loopback.js';
-import {EndpointSet, PeerLoads} from '../../services/gateway/index.js';
+import {
+	EndpointSet,
+	PeerLoads,
+	RateLimits,
+} from '../../services/gateway/index.js';
 import {Log} from '../log.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {PeerExchange} from './peer-exchange.js';
@@ -18,6 +22,7 @@
 		address,
 		endpoints: new EndpointSet(() => undefined, loads),
 		loads,
+		rateLimits: new RateLimits(),
 		log: new Log({format: 'json', level: 'silent'}),
 		metrics: new GatewayMetrics({
 			requestsInProgress: () => 0,
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -11,6 +11,8 @@
 	type ReservationNeed,
 	type CopyFreshness,
 	isRecent,
+	type RateLimitNotice,
+	type RateLimits,
 	StoreReaders,
 	type Upstream,
 } from '../../services/gateway/index.js';
@@ -54,6 +56,7 @@
 	readonly address: string;
 	readonly endpoints: EndpointSet;
 	readonly loads: PeerLoads;
+	readonly rateLimits: RateLimits;
 	readonly log: Log;
 	readonly metrics: GatewayMetrics;
 	/** A report has updated the known load of the endpoints. */
@@ -113,6 +116,7 @@
 			options.instance,
 			options.endpoints,
 			options.loads,
+			options.rateLimits,
 		);
 		this.#storeReaders = new StoreReaders(options.instance);
 		this.#socket = createSocket('udp4');
@@ -173,7 +177,7 @@
 	reserve(upstream: Upstream, need: ReservationNeed): boolean {
 		const now = monotonicNow();
 		const result = this.#reservations.reserve(upstream, need, now);
-		if (result.type === 'full') {
+		if (result.type === 'full' || result.type === 'limited') {
 			this.#reservations.applyResult(
 				upstream,
 				need.uncachedTokens,
@@ -185,6 +189,15 @@
 		return result.type === 'granted';
 	}
 
+	/** Informs the other gateways of the request limits of endpoints, at once and with each report while they are recent. */
+	sendRateLimits(): void {
+		const notices = this.#options.rateLimits.notices(monotonicNow());
+		if (notices.length > 0) {
+			const gateway = this.#options.instance;
+			this.#sendToPeers(encodeMessage({type: 'rate limits', gateway, notices}));
+		}
+	}
+
 	/** Whether this gateway owns an engine and grants its capacity. */
 	owns(upstream: Upstream): boolean {
 		return this.#reservations.owns(upstream, monotonicNow());
@@ -316,6 +329,7 @@
 		this.#timer = setTimeout(
 			() => {
 				this.#sendReport();
+				this.sendRateLimits();
 				this.#scheduleReport();
 			},
 			Math.max(
@@ -362,6 +376,10 @@
 			leavingEndpoints,
 		});
 		this.#unreportedPrefills = [];
+		this.#sendToPeers(bytes);
+	}
+
+	#sendToPeers(bytes: Uint8Array): void {
 		for (const peer of this.#peers) {
 			const {host, port} = splitAddress(peer);
 			this.#send(bytes, host, port);
@@ -395,6 +413,22 @@
 		}
 	}
 
+	#applyRateLimits(
+		gateway: string,
+		notices: readonly RateLimitNotice[],
+		now: number,
+	): void {
+		const {endpoints, rateLimits, log, metrics} = this.#options;
+		for (const key of rateLimits.apply(gateway, notices, now)) {
+			metrics.rateLimited('peer');
+			log.info('endpoint_limit', {
+				endpoint: endpoints.byKey(key)?.id ?? key,
+				per_second: rateLimits.perSecond(key) ?? '',
+				by: gateway,
+			});
+		}
+	}
+
 	#receive(bytes: Uint8Array, from: RemoteInfo): void {
 		const message = decodeMessage(bytes);
 		const now = monotonicNow();
@@ -421,6 +455,11 @@
 				break;
 			}
 
+			case 'rate limits': {
+				this.#applyRateLimits(message.gateway, message.notices, now);
+				break;
+			}
+
 			case 'ask': {
 				const answer = this.#reservations.decide(message, now);
 				this.#send(
--- a/src/daemons/gateway/peer-messages.test.ts
+++ b/src/daemons/gateway/peer-messages.test.ts
@@ -35,6 +35,19 @@
 		answer: {type: 'denied', backlog: {leftMs: 50, pacedMs: 90}},
 	},
 	{type: 'answer', number: 6, answer: {type: 'full'}},
+	{
+		type: 'answer',
+		number: 6,
+		answer: {type: 'limited', retryAfterMs: 412.5},
+	},
+	{
+		type: 'rate limits',
+		gateway: 'g',
+		notices: [
+			{endpoint: 8, startedAt: 3, perSecond: 0.5, ageMs: 20, sent: 7},
+			{endpoint: 9, startedAt: 0, perSecond: undefined, ageMs: 0, sent: 0},
+		],
+	},
 	{type: 'proof ask', number: 7},
 	{
 		type: 'proof',
--- a/src/daemons/gateway/peer-messages.ts
+++ b/src/daemons/gateway/peer-messages.ts
@@ -3,6 +3,7 @@
 import type {
 	CopyFreshness,
 	PeerReport,
+	RateLimitNotice,
 	ReservationResult,
 	ReservationRequest,
 } from '../../services/gateway/index.js';
@@ -16,8 +17,13 @@
 	revalidationRequest: 4,
 	proof: 5,
 	full: 6,
+	rateLimits: 7,
+	limited: 8,
 } as const;
 
+/** Stands for an endpoint without a request limit on the wire. */
+const noLimit = -1;
+
 /** Messages on the wire. They are tuples without field names to keep reports small: every gateway sends them to all others, and the smallest gateways have little bandwidth. */
 const wireMessage = z.union([
 	z.tuple([
@@ -52,6 +58,26 @@
 	z.tuple([z.literal(messageTypes.denied), z.number(), z.number(), z.number()]),
 	/** Number of the reservation request. */
 	z.tuple([z.literal(messageTypes.full), z.number()]),
+	/** Gateway; endpoint, its start time, requests a second or -1 for no limit, age of the observation in milliseconds, requests sent. */
+	z.tuple([
+		z.literal(messageTypes.rateLimits),
+		z.string(),
+		z.array(
+			z.tuple([
+				z.number(),
+				z.number(),
+				z.number(),
+				z.number().nonnegative(),
+				z.number().nonnegative(),
+			]),
+		),
+	]),
+	/** Number of the reservation request, time until the request limit may allow one, in milliseconds. */
+	z.tuple([
+		z.literal(messageTypes.limited),
+		z.number(),
+		z.number().nonnegative(),
+	]),
 	/** Number of the revalidation request. */
 	z.tuple([z.literal(messageTypes.revalidationRequest), z.number()]),
 	/** Number of the revalidation request, era, version and age of the configuration, digest and age of the endpoints; ages in milliseconds. */
@@ -70,6 +96,11 @@
 export type PeerMessage =
 	| ({readonly type: 'report'} & PeerReport)
 	| ({readonly type: 'ask'} & ReservationRequest)
+	| {
+			readonly type: 'rate limits';
+			readonly gateway: string;
+			readonly notices: readonly RateLimitNotice[];
+	  }
 	| {
 			readonly type: 'answer';
 			/** Number of the reservation request. */
@@ -153,6 +184,21 @@
 			return answerToWire(message.number, message.answer);
 		}
 
+		case 'rate limits': {
+			const {gateway, notices} = message;
+			return [
+				messageTypes.rateLimits,
+				gateway,
+				notices.map(({endpoint, startedAt, perSecond, ageMs, sent}) => [
+					endpoint,
+					startedAt,
+					perSecond ?? noLimit,
+					Math.ceil(ageMs),
+					sent,
+				]),
+			];
+		}
+
 		case 'proof ask': {
 			return [messageTypes.revalidationRequest, message.number];
 		}
@@ -194,6 +240,10 @@
 		case 'full': {
 			return [messageTypes.full, number];
 		}
+
+		case 'limited': {
+			return [messageTypes.limited, number, answer.retryAfterMs];
+		}
 	}
 }
 
@@ -264,6 +314,28 @@
 			return {type: 'answer', number: wire[1], answer: {type: 'full'}};
 		}
 
+		case messageTypes.rateLimits: {
+			const [, gateway, notices] = wire;
+			return {
+				type: 'rate limits',
+				gateway,
+				notices: notices.map(
+					([endpoint, startedAt, perSecond, ageMs, sent]) => ({
+						endpoint,
+						startedAt,
+						perSecond: perSecond < 0 ? undefined : perSecond,
+						ageMs,
+						sent,
+					}),
+				),
+			};
+		}
+
+		case messageTypes.limited: {
+			const [, number, retryAfterMs] = wire;
+			return {type: 'answer', number, answer: {type: 'limited', retryAfterMs}};
+		}
+
 		case messageTypes.revalidationRequest: {
 			return {type: 'proof ask', number: wire[1]};
 		}
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -71,8 +71,8 @@
 	readonly checkMs: number | undefined;
 	/** Checks on a separate connection whether the endpoint is alive. */
 	readonly isAlive: () => Promise<boolean>;
-	/** Called with the head of each response on the connection, including one that belongs to another request. */
-	readonly onHead: (status: number, head: AnswerHead) => void;
+	/** Called with the head of each response on the connection; `isOwn` is false for one that belongs to another request. */
+	readonly onHead: (status: number, head: AnswerHead, isOwn: boolean) => void;
 };
 
 /** One attempt to send a request to one endpoint: reads the response, forwards stream events to the caller and reports how the attempt ended. */
@@ -150,7 +150,7 @@
 		const head = format.parseAnswer(status, this.#headers);
 		this.#head = head;
 		upstream.recordDataReceived(now);
-		this.#options.onHead(status, head);
+		this.#options.onHead(status, head, head.requestId === requestId);
 		const isSuccess = status < firstNonSuccessStatus;
 		if (head.requestId !== requestId && (isSuccess || head.requestId)) {
 			// A late duplicate response may carry the id of another request or none.
--- a/src/interfaces/ports/http-format.ts
+++ b/src/interfaces/ports/http-format.ts
@@ -76,6 +76,10 @@
 	readonly retryAfterMs: number | undefined;
 	/** The endpoint sent such a time in a form that cannot be parsed. */
 	readonly hasBadRetryAfter: boolean;
+	/** Requests a second that the endpoint takes from all gateways together; undefined when the header is absent or cannot be parsed. */
+	readonly requestsPerSecond: number | undefined;
+	/** The endpoint sent such a limit in a form that cannot be parsed. */
+	readonly hasBadRequestLimit: boolean;
 	/** An intermediary has encoded the body. */
 	readonly isEncoded: boolean;
 };
--- a/src/services/gateway/engine-reservations.ts
+++ b/src/services/gateway/engine-reservations.ts
@@ -3,6 +3,7 @@
 import type {OwnedBacklog, PeerLoads, Reservation} from './peer-loads.js';
 import {hasFreeSlot, prefillBacklog, timeToCapacityMs} from './placement.js';
 import type {Backlog} from './prefill-estimate.js';
+import {RateLimits} from './rate-limits.js';
 import type {Upstream} from './upstream.js';
 
 /** Minimum prompt tokens for which capacity is reserved at the owner; smaller prompts are prefilled before its reply matters. */
@@ -39,6 +40,8 @@
 	| {readonly type: 'denied'; readonly backlog: Backlog}
 	/** The engine's slots are taken, or its KV cache is full. */
 	| {readonly type: 'full'}
+	/** The request limit that the endpoint names is used up. */
+	| {readonly type: 'limited'; readonly retryAfterMs: number}
 	/** The owner did not reply in time. */
 	| {readonly type: 'unanswered'};
 
@@ -56,20 +59,28 @@
 	readonly #ownHash: number;
 	readonly #endpoints: EndpointSet;
 	readonly #loads: PeerLoads;
-
-	constructor(gateway: string, endpoints: EndpointSet, loads: PeerLoads) {
+	readonly #rateLimits: RateLimits;
+
+	constructor(
+		gateway: string,
+		endpoints: EndpointSet,
+		loads: PeerLoads,
+		rateLimits = new RateLimits(),
+	) {
 		this.#ownHash = hash32(gateway);
 		this.#endpoints = endpoints;
 		this.#loads = loads;
+		this.#rateLimits = rateLimits;
 	}
 
-	/** Name of the gateway that owns an engine; undefined if this one does, or if the prompt is too small to need a reservation. */
+	/** Name of the gateway that owns an endpoint; undefined if this one does, or if the prompt is too small to need a reservation at an endpoint without a request limit. */
 	owner(
 		upstream: Upstream,
 		uncachedTokens: number,
 		now: number,
 	): string | undefined {
-		return uncachedTokens < minReservationTokens
+		return uncachedTokens < minReservationTokens &&
+			this.#rateLimits.perSecond(upstream.key) === undefined
 			? undefined
 			: this.ownerOf(upstream, now);
 	}
@@ -89,19 +100,20 @@
 		return owner;
 	}
 
-	/** Handles a reservation request of another gateway, and counts what it grants. For an engine that is not listed here yet it grants every request, so that the other gateway's own estimate decides. */
+	/** Handles a reservation request of another gateway, and counts what it grants. For an engine that is not listed here yet it grants every request within the request limit, so that the other gateway's own estimate decides. */
 	decide(
 		request: ReservationRequest,
 		now: number,
 	): Exclude<ReservationResult, {type: 'unanswered'}> {
 		const upstream = this.#endpoints.byKey(request.endpoint);
 		const result = upstream
-			? this.reserve(
+			? this.#reserve(
 					upstream,
 					{...request, uncachedTokens: request.unreadTokens},
+					request.gateway,
 					now,
 				)
-			: granted;
+			: this.#takeRequest(request.endpoint, request.gateway, now);
 		if (result.type === 'granted') {
 			this.#loads.reserve(request, now);
 		}
@@ -109,10 +121,20 @@
 		return result;
 	}
 
-	/** Reserves capacity at an engine that this gateway owns, or returns why there is none. */
+	/** Reserves capacity for a request of this gateway at an endpoint that it owns, or returns why there is none. */
 	reserve(
+		upstream: Upstream,
+		need: ReservationNeed,
+		now: number,
+	): Exclude<ReservationResult, {type: 'unanswered'}> {
+		return this.#reserve(upstream, need, undefined, now);
+	}
+
+	/** Reserves capacity for a request of another gateway, or of this one when that is undefined. */
+	#reserve(
 		upstream: Upstream,
 		{uncachedTokens, kvCacheTokens, rank}: ReservationNeed,
+		gateway: string | undefined,
 		now: number,
 	): Exclude<ReservationResult, {type: 'unanswered'}> {
 		if (timeToCapacityMs(upstream, rank, uncachedTokens, now) > 0) {
@@ -130,11 +152,25 @@
 			return {type: 'full'};
 		}
 
+		const result = this.#takeRequest(upstream.key, gateway, now);
+		if (result.type === 'limited') {
+			return result;
+		}
+
 		kvCacheUsage?.reserve(kvCacheTokens, now);
 		this.#addPrefill(upstream, uncachedTokens, now);
 		return granted;
 	}
 
+	#takeRequest(
+		endpoint: number,
+		gateway: string | undefined,
+		now: number,
+	): Extract<ReservationResult, {type: 'granted' | 'limited'}> {
+		const retryAfterMs = this.#rateLimits.take(endpoint, gateway, now);
+		return retryAfterMs > 0 ? {type: 'limited', retryAfterMs} : granted;
+	}
+
 	/** Whether this gateway owns an engine. */
 	owns(upstream: Upstream, now: number): boolean {
 		return this.ownerOf(upstream, now) === undefined;
@@ -166,10 +202,16 @@
 	): boolean {
 		switch (result.type) {
 			case 'granted': {
+				this.#rateLimits.recordGranted(upstream.key, now);
 				this.#addPrefill(upstream, uncachedTokens, now);
 				return true;
 			}
 
+			case 'limited': {
+				upstream.limitRate(now + result.retryAfterMs);
+				return false;
+			}
+
 			case 'denied': {
 				upstream.plan.overwrite(result.backlog, now);
 				return false;
@@ -181,6 +223,11 @@
 			}
 
 			case 'unanswered': {
+				if (this.#rateLimits.perSecond(upstream.key) !== undefined) {
+					upstream.limitRate(now + unansweredBackoffMs);
+					return false;
+				}
+
 				if (upstream.unreadTokens(now) === 0) {
 					return true;
 				}
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -181,8 +181,9 @@
 
 	const responsive = available.filter((upstream) => !upstream.isSuspect(now));
 	const reachable = responsive.length > 0 ? responsive : available;
-	const withSlot = reachable.filter((upstream) =>
-		hasSlot(upstream, request, now),
+	const withSlot = reachable.filter(
+		(upstream) =>
+			upstream.rateLimitedMs(now) === 0 && hasSlot(upstream, request, now),
 	);
 	if (withSlot.length === 0) {
 		return {type: 'wait'};
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -68,6 +68,7 @@
 	#answering = 0;
 	#suspendedUntil = Number.NEGATIVE_INFINITY;
 	#backOffUntil = Number.NEGATIVE_INFINITY;
+	#rateLimitedUntil = Number.NEGATIVE_INFINITY;
 	#isLeaving = false;
 
 	constructor(
@@ -116,6 +117,16 @@
 		return Math.max(this.health.blockedMs(now), this.#backOffUntil - now, 0);
 	}
 
+	/** Stops requests from being sent there until the given time, because all gateways together have used its request limit. */
+	limitRate(until: number): void {
+		this.#rateLimitedUntil = until;
+	}
+
+	/** Time until its request limit may allow a request again, in milliseconds. */
+	rateLimitedMs(now: number): number {
+		return Math.max(0, this.#rateLimitedUntil - now);
+	}
+
 	/** Whether it sends no data in the middle of answers: it may be down or cut off. When all endpoints are suspect at once, the cause is this gateway's own connection. */
 	isSuspect(now: number): boolean {
 		return this.#answering > 0 && now - this.#lastReceivedAt > suspectMs;
