Share the connections of an endpoint among the gateways

Callers saw requests repeated after a reset that no endpoint's failure explained.

An endpoint accepts max_conns connections from all gateways together and resets those beyond; each gateway kept every connection that it had opened for 8 s and knew neither the bound nor the others' connections.

--- a/src/daemons/gateway/connection-pool.ts
+++ b/src/daemons/gateway/connection-pool.ts
@@ -86,12 +86,15 @@
 /** Pool of connections of this process to one endpoint. */
 export class ConnectionPool implements Disposable {
 	readonly #address: string;
+	readonly #maxIdle: () => number;
 	/** Idle connections, most recently used last. */
 	readonly #idle: Connection[] = [];
 	readonly #connections = new Set<Connection>();
 
-	constructor(address: string) {
+	/** `maxIdle` returns how many idle connections may be kept at present. */
+	constructor(address: string, maxIdle: () => number) {
 		this.#address = address;
+		this.#maxIdle = maxIdle;
 	}
 
 	/** Number of connections, idle and in use. */
@@ -129,9 +132,13 @@
 		return connection;
 	}
 
-	/** Returns a connection to the pool once its response has been read completely. */
+	/** Returns a connection to the pool once its response has been read completely, or closes it when enough are idle. */
 	release(connection: Connection): void {
-		if (!connection.isConnected || !this.#connections.has(connection)) {
+		if (
+			!connection.isConnected ||
+			!this.#connections.has(connection) ||
+			this.#idle.length >= this.#maxIdle()
+		) {
 			this.discard(connection);
 			return;
 		}
--- a/src/daemons/gateway/connection-pools.ts
+++ b/src/daemons/gateway/connection-pools.ts
@@ -1,16 +1,31 @@
 import type {Disposable} from '../../base/index.js';
-import type {Upstream} from '../../services/gateway/index.js';
+import {
+	maxIdleConnections,
+	type Upstream,
+} from '../../services/gateway/index.js';
 import {ConnectionPool} from './connection-pool.js';
 
 /** Connection pools of this process, one for each incarnation of an endpoint. */
 export class ConnectionPools implements Disposable {
 	readonly #pools = new Map<Upstream, ConnectionPool>();
+	/** Number of running gateways, which share the connections of an endpoint. */
+	readonly #gateways: () => number;
+
+	constructor(gateways: () => number) {
+		this.#gateways = gateways;
+	}
 
 	/** Returns the pool of an endpoint and creates it on first use. */
 	poolFor(upstream: Upstream): ConnectionPool {
 		let pool = this.#pools.get(upstream);
 		if (!pool) {
-			pool = new ConnectionPool(upstream.listed.address);
+			const {maxConnections, listed} = upstream;
+			pool = new ConnectionPool(listed.address, () =>
+				maxIdleConnections(
+					{maxConnections, slots: listed.slots},
+					this.#gateways(),
+				),
+			);
 			this.#pools.set(upstream, pool);
 		}
 
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -186,7 +186,9 @@
 				this.#roster.restored();
 			}),
 		);
-		const connections = this.#disposables.add(new ConnectionPools());
+		const connections = this.#disposables.add(
+			new ConnectionPools(() => this.#roster.count),
+		);
 		const signals = new EndpointSignals({
 			endpoints: this.#platform.endpoints,
 			log: options.log,
--- a/src/services/gateway/index.ts
+++ b/src/services/gateway/index.ts
@@ -2,6 +2,7 @@
 export * from './backup.js';
 export * from './configuration-copy.js';
 export * from './confirmation.js';
+export * from './connection-share.js';
 export * from './copy-freshness.js';
 export * from './endpoint-set.js';
 export * from './engine-losses.js';
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -50,6 +50,8 @@
 	readonly eventTokens: number;
 	/** How it copies cached prompt parts from other engines; undefined when it does not. */
 	readonly transfer: KvTransfer | undefined;
+	/** Connections that it accepts from all gateways together. */
+	readonly maxConnections: number;
 	/** Estimated use of its KV cache; undefined for plain services. */
 	readonly kvCacheUsage: KvCacheUsage | undefined;
 	/** Hash of its id, for messages between gateways. A collision only makes both endpoints seem busier than they are. */
@@ -82,6 +84,7 @@
 	) {
 		this.#peers = peers;
 		this.key = hash32(listed.id);
+		this.maxConnections = service?.maxConnections ?? Number.POSITIVE_INFINITY;
 		this.kvCacheUsage = service?.engine && new KvCacheUsage();
 		this.transfer = service?.engine?.transfer;
 		this.eventTokens = service?.engine?.eventTokens ?? 1;
