--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -1,61 +1,24 @@
 import type {Disposable} from '../../base/index.js';
 import {
 	backupFor,
-	hasFreeSlot,
 	nextStep,
 	sendTimeouts,
-	place,
-	prefixLinks,
-	resumedRank,
-	timeToCapacityMs,
 	type RequestState,
 	type NextStep,
-	type PrefixLink,
-	type ReservationNeed,
-	type Assignment,
 	type SendEnd,
 	type Upstream,
-	type QueuedRequest,
-	type ActiveRequest,
 } from '../../services/gateway/index.js';
 import {monotonicNow} from '../state-machine.js';
 import type {CallerOutput} from './caller-output.js';
 import type {CallerRequest, ExchangeContext} from './exchange-context.js';
 import {sendLocalReply} from './local-reply.js';
-import type {PeerAddress} from './peer-exchange.js';
 import {isAlive} from './engine-probe.js';
+import {RequestPlacement, type PlacedRequest} from './request-placement.js';
 import {Send, type BufferedAnswer, type StreamPosition} from './send.js';
 
 /** Width of the random jitter as a fraction of a Retry-After value, so that callers do not all retry at once. */
 const retryAfterJitter = 0.5;
 
-/** Fraction of its latency objective after which a request that could not be placed is refused. */
-const maxWaitObjectiveFraction = 1;
-
-/** Fraction of its latency objective after which a waiting request is unlikely to meet it: an engine near capacity needs the remaining time to produce the first token. */
-const lateObjectiveFraction = 0.5;
-
-/** Maximum wait for the placement of a retry, in milliseconds: the caller may have part of the response and gives up after some seconds without more. */
-const maxRetryWaitMs = 1500;
-
-/** Order in the queue of a run that waits to resume, before all tiers. */
-const resumedTier = -1;
-
-/** Upper bounds of Retry-After when there was no capacity, in milliseconds and as a fraction of the remaining time: bursts last for seconds, and a caller should not wait for more than a third of its time. */
-const maxNoCapacityRetryAfterMs = 3000;
-const maxNoCapacityRetryAfterFraction = 1 / 3;
-
-/** Endpoint chosen for a request, with the request as registered there. */
-type PlacedRequest = {
-	readonly type: 'send';
-	readonly upstream: Upstream;
-	readonly expectedMs: number;
-	readonly donor: Upstream | undefined;
-	readonly activeRequest: ActiveRequest;
-	/** Engine that resumes the run from its replica of the KV cache; absent when the request runs from the start. */
-	readonly resumeUpstream?: Upstream;
-};
-
 /** Handles one request of a caller: places it, sends it to endpoints, retries where allowed and responds. */
 export class Exchange implements Disposable {
 	readonly #context: ExchangeContext;
@@ -63,13 +26,10 @@
 	readonly #output: CallerOutput;
 	readonly #expiresAt: number;
 	readonly #position: StreamPosition;
-	readonly #links: readonly PrefixLink[];
-	readonly #tried = new Set<Upstream>();
+	readonly #placement: RequestPlacement;
 	#send: Send | undefined;
 	#sends = 0;
 	#failedConnections = 0;
-	/** Number of times that the gateway which owns an engine (this one or a peer, by rendezvous hash) denied capacity there. */
-	#denials = 0;
 	#mayHaveRun = false;
 	/** Engine that holds a replica of the run's KV cache; undefined when there is none or it has been used. */
 	#backup: Upstream | undefined;
@@ -77,8 +37,6 @@
 	#isAbandoned = false;
 	#firstByteAt: number | undefined;
 	#longestPauseMs = 0;
-	/** Time from arrival to the first placement, in milliseconds. */
-	#waitedMs = 0;
 
 	constructor(
 		context: ExchangeContext,
@@ -89,13 +47,18 @@
 		this.#request = request;
 		this.#output = output;
 		this.#position = {lastEventId: request.head.lastEventId};
-		this.#links = prefixLinks(request.head.prompt?.parts ?? []);
 		this.#expiresAt =
 			request.receivedAt +
 			Math.min(
 				request.route.timeoutMs,
 				request.head.deadlineMs ?? request.route.timeoutMs,
 			);
+		this.#placement = new RequestPlacement(context, request, () => ({
+			sends: this.#sends,
+			hasAnswer: output.hasSentHeaders,
+			isAbandoned: this.#isAbandoned,
+			expiresAt: this.#expiresAt,
+		}));
 	}
 
 	/** Handles the request until the response has ended; never rejects. */
@@ -106,7 +69,7 @@
 		retryAllowance.request(service.name, now);
 		endpoints.demand(service.name).recordRequest(
 			{
-				tier: this.#tier,
+				tier: this.#placement.tier,
 				objectiveMs: route.objectiveMs,
 				timeoutMs: route.timeoutMs,
 				outputTokens: head.prompt?.outputTokens ?? 0,
@@ -144,7 +107,7 @@
 			return nextStep({type: 'expired'}, this.#requestState(), () => false);
 		}
 
-		const placement = await this.#waitForPlacement();
+		const placement = await this.#placement.wait();
 		switch (placement.type) {
 			case 'refuse': {
 				const {reason, retryAfterMs} = placement;
@@ -166,16 +129,19 @@
 	async #resume(): Promise<NextStep> {
 		const upstream = this.#backup!;
 		this.#backup = undefined;
-		if (!(await this.#waitForCapacity(upstream))) {
+		if (!(await this.#placement.waitToResume(upstream))) {
 			return this.#giveUp('the copy of the run is out of reach', 0);
 		}
 
-		this.#tried.add(upstream);
-		const activeRequest = upstream.begin(this.#links, 0, monotonicNow());
+		const activeRequest = upstream.begin(
+			this.#placement.links,
+			0,
+			monotonicNow(),
+		);
 		const expectedMs = 0;
 		this.#log('resumed', {
 			endpoint: upstream.id,
-			tier: this.#requestedTier,
+			tier: this.#placement.requestedTier,
 			last_event: this.#position.lastEventId ?? '',
 		});
 		const end = await this.#sendTo({
@@ -189,246 +155,6 @@
 		return this.#chooseNextStep(end);
 	}
 
-	/** Queues the run until the engine that holds its replica has capacity to resume it. Resolves to false when it has none in time, or takes no requests. */
-	async #waitForCapacity(upstream: Upstream): Promise<boolean> {
-		const {queue, peers, endpoints} = this.#context;
-		const waitUntil = monotonicNow() + maxRetryWaitMs;
-		const need = {...this.#reservationNeed(0), rank: resumedRank};
-		return new Promise((resolve, reject) => {
-			const queuedRequest: QueuedRequest = {
-				tier: resumedTier,
-				arrivedAt: this.#request.receivedAt,
-				lateAt: Number.POSITIVE_INFINITY,
-				tryPlace: (now) => {
-					if (
-						now >= waitUntil ||
-						this.#isAbandonedOrExpired ||
-						!endpoints.canTakeRequests(upstream, now)
-					) {
-						resolve(false);
-						return true;
-					}
-
-					if (
-						upstream.suspendedMs(now) > 0 ||
-						upstream.rateLimitedMs(now) > 0 ||
-						!hasFreeSlot(upstream, resumedRank, now) ||
-						timeToCapacityMs(upstream, resumedRank, 0, now) > 0
-					) {
-						return false;
-					}
-
-					const owner = peers.ownerOf(upstream);
-					if (!owner) {
-						const isReserved = peers.reserve(upstream, need);
-						if (isReserved) {
-							resolve(true);
-						}
-
-						return isReserved;
-					}
-
-					this.#requestCapacity(owner, upstream, need)
-						.then((isReserved) => {
-							if (isReserved) {
-								resolve(true);
-							} else {
-								queue.submit(queuedRequest);
-							}
-						})
-						.catch(reject);
-					return true;
-				},
-			};
-			queue.submit(queuedRequest);
-		});
-	}
-
-	/** Queues the request until it is placed, refused or abandoned. */
-	async #waitForPlacement(): Promise<
-		PlacedRequest | Extract<Assignment, {type: 'refuse'}> | {type: 'abandoned'}
-	> {
-		const {queue, peers} = this.#context;
-		const {route, receivedAt} = this.#request;
-		const isFirstSend = this.#sends === 0;
-		const lateAt = isFirstSend
-			? receivedAt + route.objectiveMs * lateObjectiveFraction
-			: Number.POSITIVE_INFINITY;
-		const waitUntil = Math.min(
-			this.#expiresAt,
-			isFirstSend
-				? receivedAt + route.objectiveMs * maxWaitObjectiveFraction
-				: monotonicNow() + maxRetryWaitMs,
-		);
-		return new Promise((resolve, reject) => {
-			const queuedRequest: QueuedRequest = {
-				tier: this.#tier,
-				arrivedAt: receivedAt,
-				lateAt,
-				tryPlace: (now) => {
-					if (this.#isAbandoned) {
-						resolve({type: 'abandoned'});
-						return true;
-					}
-
-					if (now >= this.#expiresAt) {
-						resolve(noCapacity(0));
-						return true;
-					}
-
-					const assignment = this.#place(now);
-					switch (assignment.type) {
-						case 'send': {
-							const {upstream, uncachedTokens} = assignment;
-							const owner = peers.owner(upstream, uncachedTokens);
-							if (owner) {
-								this.#requestReservation(owner, assignment)
-									.then((placement) => {
-										if (placement) {
-											resolve(placement);
-										} else {
-											queue.submit(queuedRequest);
-										}
-									})
-									.catch(reject);
-								return true;
-							}
-
-							if (
-								!peers.reserve(upstream, this.#reservationNeed(uncachedTokens))
-							) {
-								this.#denials++;
-								return false;
-							}
-
-							resolve(this.#registerPlacement(assignment));
-							return true;
-						}
-
-						case 'refuse': {
-							resolve(assignment);
-							return true;
-						}
-
-						case 'wait': {
-							if (now < waitUntil) {
-								return false;
-							}
-
-							resolve(
-								noCapacity(
-									Math.min(
-										maxNoCapacityRetryAfterMs,
-										this.#remainingMs() * maxNoCapacityRetryAfterFraction,
-									),
-								),
-							);
-							return true;
-						}
-					}
-				},
-			};
-			queue.submit(queuedRequest);
-		});
-	}
-
-	/** Requests a reservation from the gateway that owns the engine. Places the request if capacity was reserved and the request is still wanted. */
-	async #requestReservation(
-		owner: PeerAddress,
-		assignment: Extract<Assignment, {type: 'send'}>,
-	): Promise<PlacedRequest | undefined> {
-		const {upstream, uncachedTokens} = assignment;
-		const need = this.#reservationNeed(uncachedTokens);
-		return (await this.#requestCapacity(owner, upstream, need))
-			? this.#registerPlacement(assignment)
-			: undefined;
-	}
-
-	/** Resolves to whether the owner of an engine reserved capacity there and the request is still wanted. */
-	async #requestCapacity(
-		owner: PeerAddress,
-		upstream: Upstream,
-		need: ReservationNeed,
-	): Promise<boolean> {
-		const {peers, loopLag, endpoints} = this.#context;
-		const isReserved = await peers.ask(owner, upstream, need);
-		if (!isReserved) {
-			this.#denials++;
-		}
-
-		// The caller or the endpoint may have left in the meantime.
-		await loopLag.catchUp();
-		return (
-			isReserved &&
-			!this.#isAbandonedOrExpired &&
-			endpoints.canTakeRequests(upstream, monotonicNow())
-		);
-	}
-
-	#reservationNeed(uncachedTokens: number): ReservationNeed {
-		const {promptTokens = 0, outputTokens = 0} =
-			this.#request.head.prompt ?? {};
-		return {
-			uncachedTokens,
-			kvCacheTokens: promptTokens + outputTokens,
-			rank: this.#rank(monotonicNow()),
-		};
-	}
-
-	#registerPlacement(
-		assignment: Extract<Assignment, {type: 'send'}>,
-	): PlacedRequest {
-		const {upstream, expectedMs, uncachedTokens, donor, home} = assignment;
-		const {head} = this.#request;
-		this.#tried.add(upstream);
-		const now = monotonicNow();
-		if (this.#sends === 0) {
-			this.#waitedMs = now - this.#request.receivedAt;
-		}
-
-		this.#log('placed', {
-			endpoint: upstream.id,
-			tier: this.#requestedTier,
-			expected_ms: Math.round(expectedMs),
-			waited_ms: Math.round(now - this.#request.receivedAt),
-			denials: this.#denials,
-			shared_part: this.#links.at(-2)?.hash ?? 0,
-			home,
-			copies_from: donor?.id ?? '',
-			prompt_tokens: head.prompt?.promptTokens ?? 0,
-			uncached_tokens: Math.round(uncachedTokens),
-			unread_tokens: Math.round(upstream.unreadTokens(now)),
-			running: Math.round(upstream.running(now) * 10) / 10,
-			failing: Math.round(upstream.health.failingPart(now) * 100) / 100,
-		});
-		const activeRequest = upstream.begin(this.#links, uncachedTokens, now);
-		this.#context.peers.queuePrefillNotices(
-			upstream,
-			this.#links.slice(0, -1),
-			false,
-		);
-		return {type: 'send', upstream, expectedMs, donor, activeRequest};
-	}
-
-	#place(now: number): Assignment {
-		const {endpoints, dataCentre} = this.#context;
-		const {head, receivedAt, route, service} = this.#request;
-		return place(
-			{
-				prompt: service.engine ? head.prompt : undefined,
-				links: this.#links,
-				waitedMs: now - receivedAt,
-				tried: this.#tried,
-				isOnce: route.retryMode === 'once',
-				dataCentre,
-				objectiveMs: route.objectiveMs,
-				rank: this.#rank(now),
-			},
-			endpoints.serving(service.name, now),
-			now,
-		);
-	}
-
 	async #sendTo(placement: PlacedRequest): Promise<SendEnd> {
 		const {upstream, expectedMs, donor, activeRequest, resumeUpstream} =
 			placement;
@@ -454,8 +180,12 @@
 		this.#send = send;
 		const startedAt = monotonicNow();
 		send.onDidReceiveOutput = () => {
-			upstream.answered(activeRequest, this.#links);
-			peers.queuePrefillNotices(upstream, this.#links.slice(0, -1), true);
+			upstream.answered(activeRequest, this.#placement.links);
+			peers.queuePrefillNotices(
+				upstream,
+				this.#placement.links.slice(0, -1),
+				true,
+			);
 			queue.dispatchSoon();
 		};
 
@@ -468,7 +198,7 @@
 				endpointId: upstream.id,
 				deadlineMs: this.#remainingMs(),
 				workspace: workspace?.name,
-				tier: this.#requestedTier,
+				tier: this.#placement.requestedTier,
 				lastEventId: this.#output.hasSentHeaders
 					? this.#position.lastEventId
 					: undefined,
@@ -642,8 +372,8 @@
 			outcome,
 			reason: 'reason' in step ? step.reason : '',
 			sends: this.#sends,
-			denials: this.#denials,
-			waited_ms: Math.round(this.#waitedMs),
+			denials: this.#placement.denials,
+			waited_ms: Math.round(this.#placement.waitedMs),
 			objective_ms: this.#request.route.objectiveMs,
 			gap_target_ms: this.#request.route.gapTargetMs ?? '',
 			total_ms: Math.round(summary.totalMs),
@@ -691,31 +421,6 @@
 		};
 	}
 
-	/** Priority tier, 0 first. A started response takes precedence over all new ones. */
-	get #tier(): number {
-		return this.#output.hasSentHeaders ? 0 : this.#requestedTier;
-	}
-
-	/** Tier of the request itself: the workspace's own tier overrides that of the route. */
-	get #requestedTier(): number {
-		const {route, workspace} = this.#request;
-		return workspace?.tier ?? route.tier;
-	}
-
-	#rank(now: number): number {
-		const {route, service} = this.#request;
-		return this.#output.hasSentHeaders
-			? 0
-			: this.#context.endpoints
-					.demand(service.name)
-					.rank(this.#tier, route.objectiveMs, now);
-	}
-
-	/** The caller has disconnected, or the request's time is over. */
-	get #isAbandonedOrExpired(): boolean {
-		return this.#isAbandoned || this.#remainingMs() === 0;
-	}
-
 	#remainingMs(): number {
 		return Math.max(0, this.#expiresAt - monotonicNow());
 	}
@@ -730,12 +435,6 @@
 	}
 }
 
-function noCapacity(
-	retryAfterMs: number,
-): Extract<Assignment, {type: 'refuse'}> {
-	return {type: 'refuse', reason: 'no room in time', retryAfterMs};
-}
-
 function withJitter(ms: number): number {
 	return ms * (1 + retryAfterJitter * (Math.random() - 0.5));
 }
--- /dev/null
+++ b/src/daemons/gateway/request-placement.ts
@@ -0,0 +1,361 @@
+import {
+	hasFreeSlot,
+	place,
+	prefixLinks,
+	resumedRank,
+	timeToCapacityMs,
+	type ActiveRequest,
+	type Assignment,
+	type PrefixLink,
+	type QueuedRequest,
+	type ReservationNeed,
+	type Upstream,
+} from '../../services/gateway/index.js';
+import {monotonicNow} from '../state-machine.js';
+import type {CallerRequest, ExchangeContext} from './exchange-context.js';
+import type {PeerAddress} from './peer-exchange.js';
+
+/** Fraction of its latency objective after which a request that could not be placed is refused. */
+const maxWaitObjectiveFraction = 1;
+
+/** Fraction of its latency objective after which a waiting request is unlikely to meet it: an engine near capacity needs the remaining time to produce the first token. */
+const lateObjectiveFraction = 0.5;
+
+/** Maximum wait for the placement of a retry, in milliseconds: the caller may have part of the response and gives up after some seconds without more. */
+const maxRetryWaitMs = 1500;
+
+/** Order in the queue of a run that waits to resume, before all tiers. */
+const resumedTier = -1;
+
+/** Upper bounds of Retry-After when there was no capacity, in milliseconds and as a fraction of the remaining time: bursts last for seconds, and a caller should not wait for more than a third of its time. */
+const maxNoCapacityRetryAfterMs = 3000;
+const maxNoCapacityRetryAfterFraction = 1 / 3;
+
+/** Endpoint chosen for a request, with the request as registered there. */
+export type PlacedRequest = {
+	readonly type: 'send';
+	readonly upstream: Upstream;
+	readonly expectedMs: number;
+	readonly donor: Upstream | undefined;
+	readonly activeRequest: ActiveRequest;
+	/** Engine that resumes the run from its replica of the KV cache; absent when the request runs from the start. */
+	readonly resumeUpstream?: Upstream;
+};
+
+/** State of a request that its placement depends on. */
+export type PlacementState = {
+	/** Sends that may have reached an endpoint. */
+	readonly sends: number;
+	/** The caller has a part of the answer. */
+	readonly hasAnswer: boolean;
+	readonly isAbandoned: boolean;
+	/** Time at which the request expires, on the monotonic clock, in milliseconds. */
+	readonly expiresAt: number;
+};
+
+/** Chooses endpoints for one request and waits until they have capacity for it. */
+export class RequestPlacement {
+	/** Hash chain of the prompt's parts. */
+	readonly links: readonly PrefixLink[];
+	/** Number of times that the gateway which owns an endpoint (this one or a peer, by rendezvous hash) denied capacity there. */
+	denials = 0;
+	/** Time from arrival to the first placement, in milliseconds. */
+	waitedMs = 0;
+	readonly #context: ExchangeContext;
+	readonly #request: CallerRequest;
+	readonly #state: () => PlacementState;
+	readonly #tried = new Set<Upstream>();
+
+	constructor(
+		context: ExchangeContext,
+		request: CallerRequest,
+		state: () => PlacementState,
+	) {
+		this.#context = context;
+		this.#request = request;
+		this.#state = state;
+		this.links = prefixLinks(request.head.prompt?.parts ?? []);
+	}
+
+	/** Queues the request until it is placed, refused or abandoned. */
+	async wait(): Promise<
+		PlacedRequest | Extract<Assignment, {type: 'refuse'}> | {type: 'abandoned'}
+	> {
+		const {queue, peers} = this.#context;
+		const {route, receivedAt} = this.#request;
+		const isFirstSend = this.#state().sends === 0;
+		const lateAt = isFirstSend
+			? receivedAt + route.objectiveMs * lateObjectiveFraction
+			: Number.POSITIVE_INFINITY;
+		const waitUntil = Math.min(
+			this.#state().expiresAt,
+			isFirstSend
+				? receivedAt + route.objectiveMs * maxWaitObjectiveFraction
+				: monotonicNow() + maxRetryWaitMs,
+		);
+		return new Promise((resolve, reject) => {
+			const queuedRequest: QueuedRequest = {
+				tier: this.tier,
+				arrivedAt: receivedAt,
+				lateAt,
+				tryPlace: (now) => {
+					if (this.#state().isAbandoned) {
+						resolve({type: 'abandoned'});
+						return true;
+					}
+
+					if (now >= this.#state().expiresAt) {
+						resolve(noCapacity(0));
+						return true;
+					}
+
+					const assignment = this.#place(now);
+					switch (assignment.type) {
+						case 'send': {
+							const {upstream, uncachedTokens} = assignment;
+							const owner = peers.owner(upstream, uncachedTokens);
+							if (owner) {
+								this.#requestReservation(owner, assignment)
+									.then((placement) => {
+										if (placement) {
+											resolve(placement);
+										} else {
+											queue.submit(queuedRequest);
+										}
+									})
+									.catch(reject);
+								return true;
+							}
+
+							if (
+								!peers.reserve(upstream, this.#reservationNeed(uncachedTokens))
+							) {
+								this.denials++;
+								return false;
+							}
+
+							resolve(this.#registerPlacement(assignment));
+							return true;
+						}
+
+						case 'refuse': {
+							resolve(assignment);
+							return true;
+						}
+
+						case 'wait': {
+							if (now < waitUntil) {
+								return false;
+							}
+
+							resolve(
+								noCapacity(
+									Math.min(
+										maxNoCapacityRetryAfterMs,
+										this.#remainingMs() * maxNoCapacityRetryAfterFraction,
+									),
+								),
+							);
+							return true;
+						}
+					}
+				},
+			};
+			queue.submit(queuedRequest);
+		});
+	}
+
+	/** Requests a reservation from the gateway that owns the engine. Places the request if capacity was reserved and the request is still wanted. */
+	async #requestReservation(
+		owner: PeerAddress,
+		assignment: Extract<Assignment, {type: 'send'}>,
+	): Promise<PlacedRequest | undefined> {
+		const {upstream, uncachedTokens} = assignment;
+		const need = this.#reservationNeed(uncachedTokens);
+		return (await this.#requestCapacity(owner, upstream, need))
+			? this.#registerPlacement(assignment)
+			: undefined;
+	}
+
+	/** Resolves to whether the owner of an engine reserved capacity there and the request is still wanted. */
+	async #requestCapacity(
+		owner: PeerAddress,
+		upstream: Upstream,
+		need: ReservationNeed,
+	): Promise<boolean> {
+		const {peers, loopLag, endpoints} = this.#context;
+		const isReserved = await peers.ask(owner, upstream, need);
+		if (!isReserved) {
+			this.denials++;
+		}
+
+		// The caller or the endpoint may have left in the meantime.
+		await loopLag.catchUp();
+		return (
+			isReserved &&
+			!this.#isAbandonedOrExpired &&
+			endpoints.canTakeRequests(upstream, monotonicNow())
+		);
+	}
+
+	#reservationNeed(uncachedTokens: number): ReservationNeed {
+		const {promptTokens = 0, outputTokens = 0} =
+			this.#request.head.prompt ?? {};
+		return {
+			uncachedTokens,
+			kvCacheTokens: promptTokens + outputTokens,
+			rank: this.#rank(monotonicNow()),
+		};
+	}
+
+	#registerPlacement(
+		assignment: Extract<Assignment, {type: 'send'}>,
+	): PlacedRequest {
+		const {upstream, expectedMs, uncachedTokens, donor, home} = assignment;
+		const {head} = this.#request;
+		this.#tried.add(upstream);
+		const now = monotonicNow();
+		if (this.#state().sends === 0) {
+			this.waitedMs = now - this.#request.receivedAt;
+		}
+
+		this.#context.log.info('placed', {
+			request: head.requestId,
+			route: this.#request.route.name,
+			endpoint: upstream.id,
+			tier: this.requestedTier,
+			expected_ms: Math.round(expectedMs),
+			waited_ms: Math.round(now - this.#request.receivedAt),
+			denials: this.denials,
+			shared_part: this.links.at(-2)?.hash ?? 0,
+			home,
+			copies_from: donor?.id ?? '',
+			prompt_tokens: head.prompt?.promptTokens ?? 0,
+			uncached_tokens: Math.round(uncachedTokens),
+			unread_tokens: Math.round(upstream.unreadTokens(now)),
+			running: Math.round(upstream.running(now) * 10) / 10,
+			failing: Math.round(upstream.health.failingPart(now) * 100) / 100,
+		});
+		const activeRequest = upstream.begin(this.links, uncachedTokens, now);
+		this.#context.peers.queuePrefillNotices(
+			upstream,
+			this.links.slice(0, -1),
+			false,
+		);
+		return {type: 'send', upstream, expectedMs, donor, activeRequest};
+	}
+
+	#place(now: number): Assignment {
+		const {endpoints, dataCentre} = this.#context;
+		const {head, receivedAt, route, service} = this.#request;
+		return place(
+			{
+				prompt: service.engine ? head.prompt : undefined,
+				links: this.links,
+				waitedMs: now - receivedAt,
+				tried: this.#tried,
+				isOnce: route.retryMode === 'once',
+				dataCentre,
+				objectiveMs: route.objectiveMs,
+				rank: this.#rank(now),
+			},
+			endpoints.serving(service.name, now),
+			now,
+		);
+	}
+
+	/** Queues the run until the engine that holds its replica has capacity to resume it. Resolves to false when it has none in time, or takes no requests. */
+	async waitToResume(upstream: Upstream): Promise<boolean> {
+		const {queue, peers, endpoints} = this.#context;
+		const waitUntil = monotonicNow() + maxRetryWaitMs;
+		const need = {...this.#reservationNeed(0), rank: resumedRank};
+		const isReserved = await new Promise<boolean>((resolve, reject) => {
+			const queuedRequest: QueuedRequest = {
+				tier: resumedTier,
+				arrivedAt: this.#request.receivedAt,
+				lateAt: Number.POSITIVE_INFINITY,
+				tryPlace: (now) => {
+					if (
+						now >= waitUntil ||
+						this.#isAbandonedOrExpired ||
+						!endpoints.canTakeRequests(upstream, now)
+					) {
+						resolve(false);
+						return true;
+					}
+
+					if (
+						upstream.suspendedMs(now) > 0 ||
+						upstream.rateLimitedMs(now) > 0 ||
+						!hasFreeSlot(upstream, resumedRank, now) ||
+						timeToCapacityMs(upstream, resumedRank, 0, now) > 0
+					) {
+						return false;
+					}
+
+					const owner = peers.ownerOf(upstream);
+					if (!owner) {
+						const isReserved = peers.reserve(upstream, need);
+						if (isReserved) {
+							resolve(true);
+						}
+
+						return isReserved;
+					}
+
+					this.#requestCapacity(owner, upstream, need)
+						.then((isReserved) => {
+							if (isReserved) {
+								resolve(true);
+							} else {
+								queue.submit(queuedRequest);
+							}
+						})
+						.catch(reject);
+					return true;
+				},
+			};
+			queue.submit(queuedRequest);
+		});
+		if (isReserved) {
+			this.#tried.add(upstream);
+		}
+
+		return isReserved;
+	}
+
+	/** Priority tier, 0 first. A started response takes precedence over all new ones. */
+	get tier(): number {
+		return this.#state().hasAnswer ? 0 : this.requestedTier;
+	}
+
+	/** Tier of the request itself: the workspace's own tier overrides that of the route. */
+	get requestedTier(): number {
+		const {route, workspace} = this.#request;
+		return workspace?.tier ?? route.tier;
+	}
+
+	#rank(now: number): number {
+		const {route, service} = this.#request;
+		return this.#state().hasAnswer
+			? 0
+			: this.#context.endpoints
+					.demand(service.name)
+					.rank(this.tier, route.objectiveMs, now);
+	}
+
+	/** The caller has disconnected, or the request's time is over. */
+	get #isAbandonedOrExpired(): boolean {
+		return this.#state().isAbandoned || this.#remainingMs() === 0;
+	}
+
+	#remainingMs(): number {
+		return Math.max(0, this.#state().expiresAt - monotonicNow());
+	}
+}
+
+function noCapacity(
+	retryAfterMs: number,
+): Extract<Assignment, {type: 'refuse'}> {
+	return {type: 'refuse', reason: 'no room in time', retryAfterMs};
+}
