--- a/xo.config.ts
+++ b/xo.config.ts
@@ -70,7 +70,7 @@
 		},
 	},
 	{
-		files: ['src/cli/**/*.ts', 'platform/main.ts'],
+		files: ['src/cli/**/*.ts', 'platform/main.ts', 'platform/soak/main.ts'],
 		rules: {
 			// Commands end with the exit status that operators' scripts rely on.
 			'unicorn/no-process-exit': 'off',
