Log the prompt parts of sends that end before any output

The hash in the line of the placement covers the leading parts of a prompt only, so a part behind different first ones could not be seen. The new line send_unanswered names the parts.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -19,6 +19,10 @@
 /** Width of the random jitter as a fraction of a Retry-After value, so that callers do not all retry at once. */
 const retryAfterJitter = 0.5;
 
+/** Bounds of the prompt parts in a log line: callers choose their number and length. */
+const maxLoggedParts = 8;
+const maxLoggedIdLength = 32;
+
 /** Handles one request of a caller: places it, sends it to endpoints, retries where allowed and responds. */
 export class Exchange implements Disposable {
 	readonly #context: ExchangeContext;
@@ -268,6 +272,7 @@
 
 		this.#mayHaveRun ||= send.isSent && end.type !== 'rejected';
 		upstream.ended(end, startedAt, now);
+		this.#logUnanswered(send, end, upstream);
 		if (
 			this.#request.route.isStream &&
 			(end.type === 'broken' || end.type === 'silent')
@@ -278,6 +283,24 @@
 		}
 	}
 
+	/** Logs the prompt parts of a request that was broken off before its first output, to find parts that engines fail on. */
+	#logUnanswered(send: Send, end: SendEnd, {id}: Upstream): void {
+		if (
+			send.isSent &&
+			send.firstByteAt === undefined &&
+			(end.type === 'broken' || end.type === 'silent')
+		) {
+			const parts = this.#request.head.prompt?.parts.slice(0, maxLoggedParts);
+			this.#log('send_unanswered', {
+				endpoint: id,
+				reason: end.reason,
+				parts:
+					parts?.map((part) => part.id.slice(0, maxLoggedIdLength)).join(',') ??
+					'',
+			});
+		}
+	}
+
 	#chooseNextStep(end: SendEnd): NextStep {
 		const {retryAllowance, gateways} = this.#context;
 		const {service} = this.#request;
