--- /dev/null
+++ b/src/daemons/gateway/crash-reports.ts
@@ -0,0 +1,122 @@
+import type {PromptPart} from '../../interfaces/index.js';
+import type {
+	CrashSuspects,
+	EndpointSet,
+	Upstream,
+} from '../../services/gateway/index.js';
+import type {Log} from '../log.js';
+import {probeEngine, type EngineProbeContext} from './engine-probe.js';
+import type {GatewayMetrics} from './gateway-metrics.js';
+import type {PeerNotices} from './peer-notices.js';
+
+export type CrashReportsOptions = {
+	readonly crashSuspects: CrashSuspects;
+	readonly endpoints: EndpointSet;
+	readonly probeContext: EngineProbeContext;
+	readonly notices: PeerNotices;
+	readonly log: Log;
+	readonly metrics: GatewayMetrics;
+	/** A crash or a survival has been recorded. */
+	readonly onDidChangeSuspects: () => void;
+};
+
+/** Request that ended without an answer, for the record of a crash. */
+export type UnansweredRequest = {
+	readonly requestId: string;
+	/** Keys of the parts of its prompt that other requests may share. */
+	readonly partKeys: readonly number[];
+	readonly parts: readonly PromptPart[];
+	/** Time at which its connection ended, in milliseconds of the monotonic clock. */
+	readonly at: number;
+};
+
+/** Bounds of the prompt parts in a log line: callers choose their number and length. */
+const maxLoggedParts = 8;
+const maxLoggedIdLength = 32;
+
+/** Records the prompt parts of unanswered requests once it is known that their engine has crashed, and not only lost a connection. */
+export class CrashReports {
+	readonly #options: CrashReportsOptions;
+	readonly #checks = new Map<Upstream, Promise<boolean>>();
+
+	constructor(options: CrashReportsOptions) {
+		this.#options = options;
+	}
+
+	/** Handles a request whose engine closed the connection or went silent before it had begun to answer; never rejects. */
+	async recordUnanswered(
+		upstream: Upstream,
+		{requestId, partKeys, parts, at}: UnansweredRequest,
+	): Promise<void> {
+		const {crashSuspects, notices, log, metrics} = this.#options;
+		if (
+			partKeys.length === 0 ||
+			upstream.isLeaving ||
+			!(await this.#hasCrashed(upstream))
+		) {
+			return;
+		}
+
+		const startedAt = upstream.listed.startedAt ?? 0;
+		if (crashSuspects.recordCrash(upstream.key, startedAt, partKeys, at)) {
+			metrics.crashSuspected(upstream.listed.service);
+			log.info('crash_suspects', {
+				endpoint: upstream.id,
+				request: requestId,
+				parts: loggedParts(parts),
+			});
+			notices.sendCrashes();
+			this.#options.onDidChangeSuspects();
+		}
+	}
+
+	/** Records that an engine has begun an answer on the parts and has not crashed. */
+	recordSurvival(partKeys: readonly number[], now: number): void {
+		if (this.#options.crashSuspects.recordSurvival(partKeys, now)) {
+			this.#options.notices.sendCrashes();
+			this.#options.onDidChangeSuspects();
+		}
+	}
+
+	/** Records that a request of this gateway probes the parts. */
+	beginProbe(partKeys: readonly number[], now: number): void {
+		this.#options.crashSuspects.beginProbe(partKeys, now);
+		this.#options.notices.sendCrashes();
+	}
+
+	/** Resolves to whether the incarnation of an engine has ended. One check serves all its requests. */
+	async #hasCrashed(upstream: Upstream): Promise<boolean> {
+		let check = this.#checks.get(upstream);
+		if (!check) {
+			check = this.#check(upstream);
+			this.#checks.set(upstream, check);
+			void check.finally(() => {
+				this.#checks.delete(upstream);
+			});
+		}
+
+		return check;
+	}
+
+	async #check(upstream: Upstream): Promise<boolean> {
+		const {endpoints, probeContext} = this.#options;
+		if (!endpoints.has(upstream)) {
+			return true;
+		}
+
+		const state = await probeEngine(upstream, probeContext, true);
+		const startedAt = state?.report?.startedAt;
+		return (
+			state === undefined ||
+			(startedAt !== undefined && startedAt !== upstream.listed.startedAt)
+		);
+	}
+}
+
+/** Ids of a prompt's parts for a log line. */
+export function loggedParts(parts: readonly PromptPart[]): string {
+	return parts
+		.slice(0, maxLoggedParts)
+		.map(({id}) => id.slice(0, maxLoggedIdLength))
+		.join(',');
+}
--- a/src/daemons/gateway/exchange-context.ts
+++ b/src/daemons/gateway/exchange-context.ts
@@ -6,11 +6,13 @@
 	Service,
 } from '../../interfaces/index.js';
 import type {
+	CrashSuspects,
 	EndpointSet,
 	RateLimits,
 	RetryAllowance,
 } from '../../services/gateway/index.js';
 import type {Log} from '../log.js';
+import type {CrashReports} from './crash-reports.js';
 import type {EndpointSignals} from './endpoint-signals.js';
 import type {ConnectionPools} from './connection-pools.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
@@ -51,6 +53,8 @@
 	readonly metrics: GatewayMetrics;
 	readonly signals: EndpointSignals;
 	readonly rateLimits: RateLimits;
+	readonly crashSuspects: CrashSuspects;
+	readonly crashReports: CrashReports;
 };
 
 /** Outcome and timing of a finished request, for the metrics. */
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -12,16 +12,20 @@
 import type {CallerOutput} from './caller-output.js';
 import type {CallerRequest, ExchangeContext} from './exchange-context.js';
 import {sendLocalReply} from './local-reply.js';
+import {loggedParts} from './crash-reports.js';
 import {isAlive} from './engine-probe.js';
-import {RequestPlacement, type PlacedRequest} from './request-placement.js';
+import {
+	RequestPlacement,
+	withheldReason,
+	type PlacedRequest,
+} from './request-placement.js';
 import {Send, type BufferedAnswer, type StreamPosition} from './send.js';
 
 /** Width of the random jitter as a fraction of a Retry-After value, so that callers do not all retry at once. */
 const retryAfterJitter = 0.5;
 
-/** Bounds of the prompt parts in a log line: callers choose their number and length. */
-const maxLoggedParts = 8;
-const maxLoggedIdLength = 32;
+/** Time after the first output for which an engine must live until the parts of the prompt count as harmless, in milliseconds. */
+const survivalMs = 250;
 
 /** Handles one request of a caller: places it, sends it to endpoints, retries where allowed and responds. */
 export class Exchange implements Disposable {
@@ -102,6 +106,17 @@
 		}
 	}
 
+	/** Cancels a send that an engine has not begun to answer when a part of the prompt turns out to crash engines. */
+	withdrawSuspect(): void {
+		const verdict = this.#context.crashSuspects.check(
+			this.#placement.partKeys,
+			monotonicNow(),
+		);
+		if (verdict.type === 'withheld' && this.#send?.firstByteAt === undefined) {
+			this.#send?.cancel({type: 'withdrawn', reason: withheldReason});
+		}
+	}
+
 	async #sendOnce(): Promise<NextStep> {
 		if (this.#isAbandoned) {
 			return {type: 'done'};
@@ -183,7 +198,9 @@
 		});
 		this.#send = send;
 		const startedAt = monotonicNow();
+		let survivalTimer: NodeJS.Timeout | undefined;
 		send.onDidReceiveOutput = () => {
+			survivalTimer = this.#scheduleSurvival();
 			upstream.answered(activeRequest, this.#placement.links);
 			peers.queuePrefillNotices(
 				upstream,
@@ -216,6 +233,7 @@
 			body: body.length > 0 ? body : null,
 		});
 		const end = await send.ended;
+		clearTimeout(survivalTimer);
 		upstream.end(activeRequest);
 		this.#recordEnd(send, end, placement, startedAt);
 		queue.dispatchSoon();
@@ -272,7 +290,7 @@
 
 		this.#mayHaveRun ||= send.isSent && end.type !== 'rejected';
 		upstream.ended(end, startedAt, now);
-		this.#logUnanswered(send, end, upstream);
+		this.#recordOutcome(send, end, upstream, now);
 		if (
 			this.#request.route.isStream &&
 			(end.type === 'broken' || end.type === 'silent')
@@ -283,21 +301,62 @@
 		}
 	}
 
-	/** Logs the prompt parts of a request that was broken off before its first output, to find parts that engines fail on. */
-	#logUnanswered(send: Send, end: SendEnd, {id}: Upstream): void {
-		if (
-			send.isSent &&
-			send.firstByteAt === undefined &&
-			(end.type === 'broken' || end.type === 'silent')
-		) {
-			const parts = this.#request.head.prompt?.parts.slice(0, maxLoggedParts);
-			this.#log('send_unanswered', {
-				endpoint: id,
-				reason: end.reason,
-				parts:
-					parts?.map((part) => part.id.slice(0, maxLoggedIdLength)).join(',') ??
-					'',
-			});
+	/** Schedules the record that the parts of the prompt are harmless, if they are suspected. */
+	#scheduleSurvival(): NodeJS.Timeout | undefined {
+		const {crashReports, crashSuspects} = this.#context;
+		const {partKeys} = this.#placement;
+		return crashSuspects.isSuspected(partKeys)
+			? setTimeout(() => {
+					crashReports.recordSurvival(partKeys, monotonicNow());
+				}, survivalMs)
+			: undefined;
+	}
+
+	/** Records what the end of a send shows about the parts of the prompt. */
+	#recordOutcome(
+		send: Send,
+		end: SendEnd,
+		upstream: Upstream,
+		now: number,
+	): void {
+		const {crashReports} = this.#context;
+		const {partKeys} = this.#placement;
+		const {requestId, prompt} = this.#request.head;
+		switch (end.type) {
+			case 'broken':
+			case 'silent': {
+				const answeredAt = send.firstByteAt ?? now;
+				if (prompt && send.isSent && now - answeredAt < survivalMs) {
+					const {parts} = prompt;
+					this.#log('send_unanswered', {
+						endpoint: upstream.id,
+						reason: end.reason,
+						parts: loggedParts(parts),
+					});
+					void crashReports.recordUnanswered(upstream, {
+						requestId,
+						partKeys,
+						parts,
+						at: now,
+					});
+				}
+
+				break;
+			}
+
+			case 'answered':
+			case 'delivered': {
+				crashReports.recordSurvival(partKeys, now);
+				break;
+			}
+
+			case 'unsent':
+			case 'rejected':
+			case 'withdrawn':
+			case 'expired':
+			case 'abandoned': {
+				break;
+			}
 		}
 	}
 
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -21,6 +21,7 @@
 } from '../../interfaces/index.js';
 import {
 	admit,
+	CrashSuspects,
 	maxFreshAgeMs,
 	PeerLoads,
 	RateLimits,
@@ -35,6 +36,7 @@
 import {CallerConnections} from './caller-connections.js';
 import {CallerOutput} from './caller-output.js';
 import {ConnectionPools} from './connection-pools.js';
+import {CrashReports} from './crash-reports.js';
 import type {ExchangeContext} from './exchange-context.js';
 import {Exchange} from './exchange.js';
 import {GatewayMetrics} from './gateway-metrics.js';
@@ -123,6 +125,7 @@
 	readonly #queue = this.#disposables.add(new RequestQueueTask(this.#loopLag));
 	readonly #metrics: GatewayMetrics;
 	readonly #rateLimits: RateLimits;
+	readonly #crashSuspects = new CrashSuspects();
 	readonly #exchanges = new Set<Exchange>();
 	#isDraining = false;
 	#drainStartedAt = 0;
@@ -160,6 +163,10 @@
 				endpoints: this.#platform.endpoints,
 				loads,
 				rateLimits,
+				crashSuspects: this.#crashSuspects,
+				onDidChangeSuspects: () => {
+					this.#applySuspects();
+				},
 				log: options.log,
 				metrics: this.#metrics,
 				onDidReceiveReport: () => {
@@ -195,13 +202,14 @@
 			metrics: this.#metrics,
 			rateLimits,
 			onDidChangeRateLimit: () => {
-				this.#peers.sendRateLimits();
+				this.#peers.notices.sendRateLimits();
 			},
 		});
+		const probeContext = {connections, format: options.format, signals};
 		this.#kvCachePoller = this.#disposables.add(
 			new KvCachePoller({
 				endpoints: this.#platform.endpoints,
-				probeContext: {connections, format: options.format, signals},
+				probeContext,
 				owns: (upstream) => this.#peers.owns(upstream),
 			}),
 		);
@@ -219,6 +227,18 @@
 			metrics: this.#metrics,
 			signals,
 			rateLimits,
+			crashSuspects: this.#crashSuspects,
+			crashReports: new CrashReports({
+				crashSuspects: this.#crashSuspects,
+				endpoints: this.#platform.endpoints,
+				probeContext,
+				notices: this.#peers.notices,
+				log: options.log,
+				metrics: this.#metrics,
+				onDidChangeSuspects: () => {
+					this.#applySuspects();
+				},
+			}),
 		};
 		this.#platform.endpoints.onDidRemove(({upstream}) => {
 			connections.remove(upstream);
@@ -301,6 +321,15 @@
 		this.#disposables.dispose();
 	}
 
+	/** Acts on a crash or a survival that has become known: requests in progress may have to be withdrawn, and waiting ones may be sent. */
+	#applySuspects(): void {
+		for (const exchange of this.#exchanges) {
+			exchange.withdrawSuspect();
+		}
+
+		this.#queue.dispatchSoon();
+	}
+
 	/** Closes connections as they become idle, until none is left or `endsAt` is reached. */
 	async #closeIdleCallers(endsAt: number): Promise<void> {
 		this.#callerConnections.closeIdle();
@@ -344,6 +373,7 @@
 			gateways: this.#roster.count,
 			requests: this.#exchanges.size,
 			waiting: this.#queue.size,
+			withheldParts: this.#crashSuspects.withheld(now),
 			endpoints: this.#platform.endpoints.all().map((upstream) => ({
 				...upstream.listed,
 				ownRunning: upstream.ownRunning,
--- a/src/daemons/gateway/gateway-metrics.ts
+++ b/src/daemons/gateway/gateway-metrics.ts
@@ -74,6 +74,18 @@
 		['source'],
 	);
 
+	readonly #crashSuspicions = this.#counter(
+		'crash_suspicions_total',
+		'Unanswered requests of this gateway at engines that crashed',
+		['service'],
+	);
+
+	readonly #withheldRequests = this.#counter(
+		'withheld_requests_total',
+		'Requests that were not sent because a part of their prompts crashes engines',
+		['route'],
+	);
+
 	readonly #storeEraChanges = this.#counter(
 		'store_era_changes_total',
 		'Times that the platform store came back from an older copy',
@@ -113,6 +125,16 @@
 		}
 	}
 
+	/** Counts an unanswered request at an engine that crashed. */
+	crashSuspected(service: string): void {
+		this.#crashSuspicions.inc({service});
+	}
+
+	/** Counts a request that was not sent because a part of its prompt crashes engines. */
+	withheld(route: string): void {
+		this.#withheldRequests.inc({route});
+	}
+
 	/** Counts a send to an endpoint by its result. */
 	sent(service: string, end: string): void {
 		this.#sends.inc({service, end});
--- a/src/daemons/gateway/peer-exchange.test.ts
+++ b/src/daemons/gateway/peer-exchange.test.ts
@@ -4,6 +4,7 @@
 import {expect} from 'earl';
 import {freePort, waitUntil} from '../../lab/fleet/loopback.js';
 import {
+	CrashSuspects,
 	EndpointSet,
 	PeerLoads,
 	RateLimits,
@@ -23,6 +24,8 @@
 		endpoints: new EndpointSet(() => undefined, loads),
 		loads,
 		rateLimits: new RateLimits(),
+		crashSuspects: new CrashSuspects(),
+		onDidChangeSuspects: () => undefined,
 		log: new Log({format: 'json', level: 'silent'}),
 		metrics: new GatewayMetrics({
 			requestsInProgress: () => 0,
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -2,7 +2,6 @@
 import type {Disposable} from '../../base/index.js';
 import {
 	EngineReservations,
-	type EndpointSet,
 	type PeerLoads,
 	type PeerReport,
 	type PrefixLink,
@@ -11,16 +10,13 @@
 	type ReservationNeed,
 	type CopyFreshness,
 	isRecent,
-	type RateLimitNotice,
-	type RateLimits,
 	StoreReaders,
 	type Upstream,
 } from '../../services/gateway/index.js';
 import {splitAddress} from '../listen.js';
-import type {Log} from '../log.js';
 import {monotonicNow} from '../state-machine.js';
-import type {GatewayMetrics} from './gateway-metrics.js';
 import {decodeMessage, encodeMessage} from './peer-messages.js';
+import {PeerNotices, type PeerNoticesOptions} from './peer-notices.js';
 
 /** Interval between reports of a changed load, in milliseconds for each peer: with more peers each one reports less often, which limits what a gateway receives to a few hundred reports a second. */
 const reportIntervalPerPeerMs = 5;
@@ -49,16 +45,10 @@
 /** Time after a revalidation request from another gateway for which this one counts as having followers, in milliseconds. */
 const followerTimeoutMs = 3000;
 
-export type PeerExchangeOptions = {
-	/** Name of this gateway. */
-	readonly instance: string;
+export type PeerExchangeOptions = PeerNoticesOptions & {
 	/** UDP address on which messages are received. */
 	readonly address: string;
-	readonly endpoints: EndpointSet;
 	readonly loads: PeerLoads;
-	readonly rateLimits: RateLimits;
-	readonly log: Log;
-	readonly metrics: GatewayMetrics;
 	/** A report has updated the known load of the endpoints. */
 	readonly onDidReceiveReport: () => void;
 	/** A report came from an address that is not among the peers. */
@@ -82,6 +72,8 @@
  * revalidation requests for the copies of the store.
  */
 export class PeerExchange implements Disposable {
+	/** Observations about endpoints, shared with the other gateways. */
+	readonly notices: PeerNotices;
 	readonly #options: PeerExchangeOptions;
 	readonly #reservations: EngineReservations;
 	readonly #socket: Socket;
@@ -112,6 +104,9 @@
 
 	constructor(options: PeerExchangeOptions) {
 		this.#options = options;
+		this.notices = new PeerNotices(options, (bytes) => {
+			this.#sendToPeers(bytes);
+		});
 		this.#reservations = new EngineReservations(
 			options.instance,
 			options.endpoints,
@@ -189,15 +184,6 @@
 		return result.type === 'granted';
 	}
 
-	/** Informs the other gateways of the request limits of endpoints, at once and with each report while they are recent. */
-	sendRateLimits(): void {
-		const notices = this.#options.rateLimits.notices(monotonicNow());
-		if (notices.length > 0) {
-			const gateway = this.#options.instance;
-			this.#sendToPeers(encodeMessage({type: 'rate limits', gateway, notices}));
-		}
-	}
-
 	/** Whether this gateway owns an engine and grants its capacity. */
 	owns(upstream: Upstream): boolean {
 		return this.#reservations.owns(upstream, monotonicNow());
@@ -329,7 +315,8 @@
 		this.#timer = setTimeout(
 			() => {
 				this.#sendReport();
-				this.sendRateLimits();
+				this.notices.sendRateLimits();
+				this.notices.sendCrashes();
 				this.#scheduleReport();
 			},
 			Math.max(
@@ -413,22 +400,6 @@
 		}
 	}
 
-	#applyRateLimits(
-		gateway: string,
-		notices: readonly RateLimitNotice[],
-		now: number,
-	): void {
-		const {endpoints, rateLimits, log, metrics} = this.#options;
-		for (const key of rateLimits.apply(gateway, notices, now)) {
-			metrics.rateLimited('peer');
-			log.info('endpoint_limit', {
-				endpoint: endpoints.byKey(key)?.id ?? key,
-				per_second: rateLimits.perSecond(key) ?? '',
-				by: gateway,
-			});
-		}
-	}
-
 	#receive(bytes: Uint8Array, from: RemoteInfo): void {
 		const message = decodeMessage(bytes);
 		const now = monotonicNow();
@@ -456,7 +427,12 @@
 			}
 
 			case 'rate limits': {
-				this.#applyRateLimits(message.gateway, message.notices, now);
+				this.notices.applyRateLimits(message.gateway, message.notices, now);
+				break;
+			}
+
+			case 'crashes': {
+				this.notices.applyCrashes(message.notices, now);
 				break;
 			}
 
--- a/src/daemons/gateway/peer-messages.test.ts
+++ b/src/daemons/gateway/peer-messages.test.ts
@@ -48,6 +48,15 @@
 			{endpoint: 9, startedAt: 0, perSecond: undefined, ageMs: 0, sent: 0},
 		],
 	},
+	{
+		type: 'crashes',
+		gateway: 'g',
+		notices: {
+			crashes: [{endpoint: 8, startedAt: 3, ageMs: 20, parts: [4, 5]}],
+			survivals: [{part: 4, ageMs: 10}],
+			probes: [{part: 5, ageMs: 0}],
+		},
+	},
 	{type: 'proof ask', number: 7},
 	{
 		type: 'proof',
--- a/src/daemons/gateway/peer-messages.ts
+++ b/src/daemons/gateway/peer-messages.ts
@@ -2,6 +2,8 @@
 import * as z from 'zod';
 import type {
 	CopyFreshness,
+	CrashNotices,
+	PartNotice,
 	PeerReport,
 	RateLimitNotice,
 	ReservationResult,
@@ -19,11 +21,15 @@
 	full: 6,
 	rateLimits: 7,
 	limited: 8,
+	crashes: 9,
 } as const;
 
 /** Stands for an endpoint without a request limit on the wire. */
 const noLimit = -1;
 
+/** Part and age of what was observed about it, in milliseconds. */
+const partNotice = z.tuple([z.number(), z.number().nonnegative()]);
+
 /** Messages on the wire. They are tuples without field names to keep reports small: every gateway sends them to all others, and the smallest gateways have little bandwidth. */
 const wireMessage = z.union([
 	z.tuple([
@@ -78,6 +84,21 @@
 		z.number(),
 		z.number().nonnegative(),
 	]),
+	/** Gateway; endpoint, its start time, age of its crash in milliseconds and parts of the unanswered requests; part and age of a survival; part and age of a probe. */
+	z.tuple([
+		z.literal(messageTypes.crashes),
+		z.string(),
+		z.array(
+			z.tuple([
+				z.number(),
+				z.number(),
+				z.number().nonnegative(),
+				z.array(z.number()),
+			]),
+		),
+		z.array(partNotice),
+		z.array(partNotice),
+	]),
 	/** Number of the revalidation request. */
 	z.tuple([z.literal(messageTypes.revalidationRequest), z.number()]),
 	/** Number of the revalidation request, era, version and age of the configuration, digest and age of the endpoints; ages in milliseconds. */
@@ -101,6 +122,11 @@
 			readonly gateway: string;
 			readonly notices: readonly RateLimitNotice[];
 	  }
+	| {
+			readonly type: 'crashes';
+			readonly gateway: string;
+			readonly notices: CrashNotices;
+	  }
 	| {
 			readonly type: 'answer';
 			/** Number of the reservation request. */
@@ -199,6 +225,22 @@
 			];
 		}
 
+		case 'crashes': {
+			const {gateway, notices} = message;
+			return [
+				messageTypes.crashes,
+				gateway,
+				notices.crashes.map(({endpoint, startedAt, ageMs, parts}) => [
+					endpoint,
+					startedAt,
+					Math.floor(ageMs),
+					[...parts],
+				]),
+				notices.survivals.map((notice) => partToWire(notice)),
+				notices.probes.map((notice) => partToWire(notice)),
+			];
+		}
+
 		case 'proof ask': {
 			return [messageTypes.revalidationRequest, message.number];
 		}
@@ -218,6 +260,10 @@
 	}
 }
 
+function partToWire({part, ageMs}: PartNotice): z.infer<typeof partNotice> {
+	return [part, Math.ceil(ageMs)];
+}
+
 function answerToWire(
 	number: number,
 	answer: Exclude<ReservationResult, {type: 'unanswered'}>,
@@ -331,6 +377,24 @@
 			};
 		}
 
+		case messageTypes.crashes: {
+			const [, gateway, crashes, survivals, probes] = wire;
+			return {
+				type: 'crashes',
+				gateway,
+				notices: {
+					crashes: crashes.map(([endpoint, startedAt, ageMs, parts]) => ({
+						endpoint,
+						startedAt,
+						ageMs,
+						parts,
+					})),
+					survivals: survivals.map(([part, ageMs]) => ({part, ageMs})),
+					probes: probes.map(([part, ageMs]) => ({part, ageMs})),
+				},
+			};
+		}
+
 		case messageTypes.limited: {
 			const [, number, retryAfterMs] = wire;
 			return {type: 'answer', number, answer: {type: 'limited', retryAfterMs}};
--- /dev/null
+++ b/src/daemons/gateway/peer-notices.ts
@@ -0,0 +1,93 @@
+import type {
+	CrashNotices,
+	CrashSuspects,
+	EndpointSet,
+	RateLimitNotice,
+	RateLimits,
+} from '../../services/gateway/index.js';
+import type {Log} from '../log.js';
+import {monotonicNow} from '../state-machine.js';
+import type {GatewayMetrics} from './gateway-metrics.js';
+import {encodeMessage} from './peer-messages.js';
+
+/** Interval at which all crashes that withhold a part are sent, in milliseconds; a gateway that has started since needs them. */
+const fullNoticeIntervalMs = 2000;
+
+export type PeerNoticesOptions = {
+	/** Name of this gateway. */
+	readonly instance: string;
+	readonly endpoints: EndpointSet;
+	readonly rateLimits: RateLimits;
+	readonly crashSuspects: CrashSuspects;
+	readonly log: Log;
+	readonly metrics: GatewayMetrics;
+	/** Another gateway has observed a crash or a survival that was not known here. */
+	readonly onDidChangeSuspects: () => void;
+};
+
+/** Sends what this gateway has observed about endpoints to the others and applies what they have observed. */
+export class PeerNotices {
+	readonly #options: PeerNoticesOptions;
+	readonly #broadcast: (bytes: Uint8Array) => void;
+	#lastFullNoticeAt = Number.NEGATIVE_INFINITY;
+
+	constructor(
+		options: PeerNoticesOptions,
+		/** Sends a datagram to each other gateway. */
+		broadcast: (bytes: Uint8Array) => void,
+	) {
+		this.#options = options;
+		this.#broadcast = broadcast;
+	}
+
+	/** Informs the other gateways of the request limits of endpoints, at once and with each report while they are recent. */
+	sendRateLimits(): void {
+		const {instance, rateLimits} = this.#options;
+		const notices = rateLimits.notices(monotonicNow());
+		if (notices.length > 0) {
+			this.#broadcast(
+				encodeMessage({type: 'rate limits', gateway: instance, notices}),
+			);
+		}
+	}
+
+	/** Informs the other gateways of crashes and the parts of prompts that they are held against, at once and with each report while they are recent. */
+	sendCrashes(): void {
+		const {instance, crashSuspects} = this.#options;
+		const now = monotonicNow();
+		const isFull = now - this.#lastFullNoticeAt >= fullNoticeIntervalMs;
+		const notices = crashSuspects.notices(now, isFull);
+		if (isFull) {
+			this.#lastFullNoticeAt = now;
+		}
+
+		if (notices) {
+			this.#broadcast(
+				encodeMessage({type: 'crashes', gateway: instance, notices}),
+			);
+		}
+	}
+
+	applyRateLimits(
+		gateway: string,
+		notices: readonly RateLimitNotice[],
+		now: number,
+	): void {
+		const {endpoints, rateLimits, log, metrics} = this.#options;
+		for (const key of rateLimits.apply(gateway, notices, now)) {
+			metrics.rateLimited('peer');
+			log.info('endpoint_limit', {
+				endpoint: endpoints.byKey(key)?.id ?? key,
+				per_second: rateLimits.perSecond(key) ?? '',
+				by: gateway,
+			});
+		}
+	}
+
+	applyCrashes(notices: CrashNotices, now: number): void {
+		const {crashSuspects, onDidChangeSuspects} = this.#options;
+		if (crashSuspects.apply(notices, now)) {
+			onDidChangeSuspects();
+		}
+	}
+}
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -1,5 +1,6 @@
 import {
 	hasFreeSlot,
+	partKeys,
 	place,
 	prefixLinks,
 	resumedRank,
@@ -31,6 +32,9 @@
 const maxNoCapacityRetryAfterMs = 3000;
 const maxNoCapacityRetryAfterFraction = 1 / 3;
 
+/** Reason of a refusal because of a prompt part that crashes engines. */
+export const withheldReason = 'prompt part crashes engines';
+
 /** Endpoint chosen for a request, with the request as registered there. */
 export type PlacedRequest = {
 	readonly type: 'send';
@@ -57,6 +61,8 @@
 export class RequestPlacement {
 	/** Hash chain of the prompt's parts. */
 	readonly links: readonly PrefixLink[];
+	/** Keys of the prompt's parts that other requests may share. */
+	readonly partKeys: readonly number[];
 	/** Number of times that the gateway which owns an endpoint (this one or a peer, by rendezvous hash) denied capacity there. */
 	denials = 0;
 	/** Time from arrival to the first placement, in milliseconds. */
@@ -74,7 +80,9 @@
 		this.#context = context;
 		this.#request = request;
 		this.#state = state;
-		this.links = prefixLinks(request.head.prompt?.parts ?? []);
+		const {parts = []} = request.head.prompt ?? {};
+		this.links = prefixLinks(parts);
+		this.partKeys = request.service.engine ? partKeys(parts) : [];
 	}
 
 	/** Queues the request until it is placed, refused or abandoned. */
@@ -109,7 +117,7 @@
 						return true;
 					}
 
-					const assignment = this.#place(now);
+					const assignment = this.#heldBack(now) ?? this.#place(now);
 					switch (assignment.type) {
 						case 'send': {
 							const {upstream, uncachedTokens} = assignment;
@@ -134,8 +142,12 @@
 								return false;
 							}
 
-							resolve(this.#registerPlacement(assignment));
-							return true;
+							const placement = this.#registerPlacement(assignment);
+							if (placement) {
+								resolve(placement);
+							}
+
+							return placement !== undefined;
 						}
 
 						case 'refuse': {
@@ -208,13 +220,18 @@
 		};
 	}
 
+	/** Returns undefined when the request must not be sent any more: another one has begun to probe its parts, or crashed an engine, since it was placed. */
 	#registerPlacement(
 		assignment: Extract<Assignment, {type: 'send'}>,
-	): PlacedRequest {
+	): PlacedRequest | undefined {
 		const {upstream, expectedMs, uncachedTokens, donor, home} = assignment;
 		const {head} = this.#request;
-		this.#tried.add(upstream);
 		const now = monotonicNow();
+		if (!this.#claimParts(now)) {
+			return undefined;
+		}
+
+		this.#tried.add(upstream);
 		if (this.#state().sends === 0) {
 			this.waitedMs = now - this.#request.receivedAt;
 		}
@@ -245,6 +262,60 @@
 		return {type: 'send', upstream, expectedMs, donor, activeRequest};
 	}
 
+	/** Refuses a request with a prompt part that crashes engines, and holds one back while another probes its parts; undefined when it may be placed. */
+	#heldBack(
+		now: number,
+	): Extract<Assignment, {type: 'refuse' | 'wait'}> | undefined {
+		const verdict = this.#context.crashSuspects.check(this.partKeys, now);
+		switch (verdict.type) {
+			case 'clear':
+			case 'probe': {
+				return undefined;
+			}
+
+			case 'wait': {
+				return {type: 'wait'};
+			}
+
+			case 'withheld': {
+				const {part, crashes, retryAfterMs} = verdict;
+				const {head, route} = this.#request;
+				this.#context.metrics.withheld(route.name);
+				this.#context.log.info('withheld', {
+					request: head.requestId,
+					route: route.name,
+					part,
+					crashes,
+					retry_ms: Math.round(retryAfterMs),
+				});
+				return {type: 'refuse', reason: withheldReason, retryAfterMs};
+			}
+		}
+	}
+
+	/** Claims suspected parts of the prompt for this request, which then probes them. Returns false when it may not be sent. */
+	#claimParts(now: number): boolean {
+		const {crashSuspects, crashReports, log} = this.#context;
+		const verdict = crashSuspects.check(this.partKeys, now);
+		switch (verdict.type) {
+			case 'clear': {
+				return true;
+			}
+
+			case 'probe': {
+				const {requestId} = this.#request.head;
+				log.info('crash_probe', {request: requestId});
+				crashReports.beginProbe(this.partKeys, now);
+				return true;
+			}
+
+			case 'wait':
+			case 'withheld': {
+				return false;
+			}
+		}
+	}
+
 	#place(now: number): Assignment {
 		const {endpoints, dataCentre} = this.#context;
 		const {head, receivedAt, route, service} = this.#request;
@@ -278,6 +349,7 @@
 					if (
 						now >= waitUntil ||
 						this.#isAbandonedOrExpired ||
+						this.#heldBack(now)?.type === 'refuse' ||
 						!endpoints.canTakeRequests(upstream, now)
 					) {
 						resolve(false);
--- /dev/null
+++ b/src/services/gateway/crash-suspects.test.ts
@@ -0,0 +1,146 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {CrashSuspects, type CrashNotices} from './crash-suspects.js';
+
+const first = 1;
+const deadly = 2;
+const other = 3;
+
+/** Suspects after two crashes under requests with a harmless first part and a deadly one. */
+function afterTwoCrashes(): CrashSuspects {
+	const suspects = new CrashSuspects();
+	suspects.recordCrash(10, 1, [first, deadly], 1000);
+	suspects.recordCrash(11, 1, [first, deadly, other], 2000);
+	return suspects;
+}
+
+// Guards against withholding whatever an engine was working on when it crashed for another reason.
+test('one crash withholds no part', () => {
+	const suspects = new CrashSuspects();
+	suspects.recordCrash(10, 1, [deadly], 1000);
+	expect(suspects.check([deadly], 1001)).toEqual({type: 'clear'});
+});
+
+// Guards against a popular part that is withheld because several engines lost power at once.
+test('engines that crash together count as one crash', () => {
+	const suspects = new CrashSuspects();
+	for (const [index, at] of [1000, 1100, 1200, 1240].entries()) {
+		suspects.recordCrash(index, 1, [deadly], at);
+	}
+
+	expect(suspects.check([deadly], 1300)).toEqual({type: 'clear'});
+});
+
+// Guards against requests that crash further engines, and against withholding sound ones that share their other parts.
+test('a request with all parts that explain the crashes is withheld, and one with some of them probes', () => {
+	const suspects = afterTwoCrashes();
+	expect(suspects.check([first, deadly], 2100)).toEqual({
+		type: 'withheld',
+		part: first,
+		crashes: 2,
+		retryAfterMs: 3900,
+	});
+	expect(suspects.check([first], 2100)).toEqual({type: 'probe'});
+	expect(suspects.check([other], 2100)).toEqual({type: 'clear'});
+	suspects.beginProbe([first], 2100);
+	expect(suspects.check([first], 2200)).toEqual({type: 'wait'});
+	expect(suspects.recordSurvival([first], 2500)).toEqual(true);
+	expect(suspects.check([first], 2600)).toEqual({type: 'clear'});
+	expect(suspects.check([first, deadly], 2600).type).toEqual('withheld');
+	expect(suspects.withheld(2600).map(({part}) => part)).toEqual([deadly]);
+});
+
+// Guards against a part that is withheld for good, and one that crashes an engine every few seconds.
+test('a withheld part is probed once its time is over, and withheld for longer after another crash', () => {
+	const suspects = afterTwoCrashes();
+	suspects.recordSurvival([first], 2500);
+	const parts = [first, deadly];
+	expect(suspects.check(parts, 6100)).toEqual({type: 'probe'});
+	suspects.beginProbe(parts, 6100);
+	expect(suspects.check(parts, 6200)).toEqual({type: 'wait'});
+	suspects.recordCrash(12, 1, parts, 6500);
+	expect(suspects.check(parts, 6600)).toEqual({
+		type: 'withheld',
+		part: deadly,
+		crashes: 3,
+		retryAfterMs: 59_900,
+	});
+});
+
+// Guards against a probe whose answer is lost and that keeps all others back.
+test('a probe without outcome is followed by another one', () => {
+	const suspects = afterTwoCrashes();
+	suspects.beginProbe([first], 2100);
+	expect(suspects.check([first], 5000)).toEqual({type: 'wait'});
+	expect(suspects.check([first], 5200)).toEqual({type: 'probe'});
+});
+
+// Guards against gateways that disagree because datagrams were lost, repeated or reordered.
+test('notices in any order and number lead to the same state', () => {
+	const crash = fc.record({
+		endpoint: fc.nat(5),
+		startedAt: fc.nat(1),
+		ageMs: fc.nat(5000),
+		parts: fc.array(fc.nat(4), {maxLength: 4}),
+	});
+	const survival = fc.record({part: fc.nat(4), ageMs: fc.nat(5000)});
+	const notices: fc.Arbitrary<CrashNotices> = fc.record({
+		crashes: fc.array(crash, {maxLength: 3}),
+		survivals: fc.array(survival, {maxLength: 2}),
+		probes: fc.constant([]),
+	});
+	const now = 10_000;
+	fc.assert(
+		fc.property(
+			fc.array(notices, {minLength: 1, maxLength: 6}),
+			fc.array(fc.nat(5), {maxLength: 12}),
+			(sent, repeats) => {
+				const inOrder = new CrashSuspects();
+				for (const notice of sent) {
+					inOrder.apply(notice, now);
+				}
+
+				const reordered = new CrashSuspects();
+				for (const index of repeats) {
+					reordered.apply(sent[index % sent.length]!, now);
+				}
+
+				for (const notice of sent.toReversed()) {
+					reordered.apply(notice, now);
+				}
+
+				for (const notice of sent) {
+					reordered.apply(notice, now);
+				}
+
+				const sorted = (suspects: CrashSuspects) =>
+					suspects.withheld(now).toSorted((a, b) => a.part - b.part);
+				expect(sorted(reordered)).toEqual(sorted(inOrder));
+			},
+		),
+		{numRuns: 2000, seed: 34},
+	);
+});
+
+// Guards against a gateway that joins later and sends a part that all others withhold.
+test('a full notice tells a new gateway what is withheld', () => {
+	const suspects = afterTwoCrashes();
+	suspects.recordSurvival([first], 2500);
+	expect(suspects.notices(60_000, false)).toEqual(undefined);
+	const joined = new CrashSuspects();
+	joined.apply(suspects.notices(60_000, true)!, 60_000);
+	expect(joined.withheld(60_000)).toEqual(suspects.withheld(60_000));
+});
+
+// Guards against memory that grows with the parts that callers name.
+test('the number of parts that are kept is bounded', () => {
+	const suspects = new CrashSuspects();
+	for (let index = 0; index < 1000; index++) {
+		const parts = Array.from({length: 100}, (_, part) => index * 100 + part);
+		suspects.recordCrash(index, 1, parts, index * 300);
+		suspects.recordCrash(index, 2, parts, index * 300 + 1000);
+	}
+
+	expect(suspects.withheld(300_000).length <= 200 * 64).toEqual(true);
+});
--- a/src/services/gateway/next-step.ts
+++ b/src/services/gateway/next-step.ts
@@ -18,6 +18,8 @@
 	| {readonly type: 'broken'; readonly reason: string}
 	/** Timeout: the request may be running, and the endpoint sends no data. */
 	| {readonly type: 'silent'; readonly reason: string}
+	/** The gateway has cancelled it, because it may crash the endpoint. */
+	| {readonly type: 'withdrawn'; readonly reason: string}
 	/** The deadline of the request has passed. */
 	| {readonly type: 'expired'}
 	/** The caller has disconnected. */
@@ -134,6 +136,10 @@
 			return sendAgain(state, takeRetry) ?? giveUp(state, 504, end.reason, 0);
 		}
 
+		case 'withdrawn': {
+			return giveUp(state, 502, end.reason, rejectedRetryAfterMs);
+		}
+
 		case 'expired': {
 			return giveUp(state, 504, 'expired', rejectedRetryAfterMs);
 		}
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -129,7 +129,8 @@
 				| 'no endpoint'
 				| 'all endpoints down'
 				| 'all endpoints rest'
-				| 'no room in time';
+				| 'no room in time'
+				| 'prompt part crashes engines';
 			/** Time after which there may be capacity, in milliseconds. */
 			readonly retryAfterMs: number;
 	  };
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -224,6 +224,7 @@
 				break;
 			}
 
+			case 'withdrawn':
 			case 'expired':
 			case 'abandoned': {
 				break;
