Take a refusal without an id on a reused connection for an earlier one (REFUSED)

What callers saw: 503, not run, for a request that was running, when a server wrote an earlier refusal once more on a kept connection without the request's id.

Cause: a response without an id was accepted for any status but a success. Change: on a connection that has carried another request, each response must name its request; otherwise the send counts as one that may have run. Why it works: the first response on a new connection cannot be an earlier one.

--- a/src/daemons/gateway/connection-pool.ts
+++ b/src/daemons/gateway/connection-pool.ts
@@ -18,6 +18,8 @@
 	/** The endpoint reset the connection: a response that is delimited by its close is incomplete. */
 	isReset = false;
 	isConnected = false;
+	/** It has carried an earlier request, whose answer may arrive once more. */
+	isReused = false;
 	/** Time on the monotonic clock at which the connection was last released, in milliseconds. */
 	idleSince = 0;
 	readonly #client: Client;
@@ -144,6 +146,7 @@
 		}
 
 		connection.idleSince = monotonicNow();
+		connection.isReused = true;
 		this.#idle.push(connection);
 	}
 
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -152,7 +152,9 @@
 		upstream.recordDataReceived(now);
 		this.#options.onHead(status, head, head.requestId === requestId);
 		const isSuccess = status < firstNonSuccessStatus;
-		if (head.requestId !== requestId && (isSuccess || head.requestId)) {
+		const mustNameRequest =
+			isSuccess || head.requestId !== undefined || this.#connection.isReused;
+		if (mustNameRequest && head.requestId !== requestId) {
 			// A late duplicate response may carry the id of another request or none.
 			this.cancel({type: 'broken', reason: 'answer to another request'});
 			return;
