--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -100,6 +100,8 @@
 	#headers: RawHeaders = [];
 	#isCloseDelimited = false;
 	#head: AnswerHead | undefined;
+	/** The caller has a part of the stream, and the next event must follow it. */
+	#mustContinue = false;
 	#mode: 'events' | 'buffered' | 'forwarded' = 'buffered';
 	#buffered: Uint8Array[] = [];
 	#bufferedBytes = 0;
@@ -171,6 +173,9 @@
 
 		if (this.#options.isStream && status === statusOk) {
 			this.#mode = 'events';
+			this.#mustContinue =
+				this.#options.output.hasSentHeaders &&
+				this.#options.position.lastEventId !== undefined;
 		}
 	}
 
@@ -297,6 +302,19 @@
 				continue;
 			}
 
+			if (id === undefined && this.#mustContinue) {
+				if (isComment(event.bytes)) {
+					continue;
+				}
+
+				this.cancel({
+					type: 'broken',
+					reason: 'event without id in place of the rest',
+				});
+				return;
+			}
+
+			this.#mustContinue = false;
 			if (id !== undefined && last !== undefined && id > last + 1) {
 				this.#forwardEvents(ready);
 				this.cancel({type: 'broken', reason: `event ${last + 1} is missing`});
@@ -348,6 +366,11 @@
 		if (this.#head!.isNotExecuted || notRunStatuses.has(this.#status)) {
 			// The head identifies a refusal; its body may be endless.
 			this.cancel(this.#classifyRefusal());
+		} else if (this.#options.output.hasSentHeaders) {
+			this.cancel({
+				type: 'broken',
+				reason: `status ${this.#status} in place of the rest`,
+			});
 		} else {
 			this.#mode = 'forwarded';
 			this.#recordFirstByte();
@@ -452,6 +475,11 @@
 	}
 }
 
+/** Whether an event is a comment line, such as a heartbeat. */
+function isComment(event: Uint8Array): boolean {
+	return event[0] === ':'.codePointAt(0);
+}
+
 /** Whether the response body ends only with the connection: it has neither a length nor chunked encoding. */
 function isCloseDelimited(status: number, headers: RawHeaders): boolean {
 	return (
