--- a/src/daemons/gateway/caller-output.ts
+++ b/src/daemons/gateway/caller-output.ts
@@ -81,8 +81,12 @@
 		this.#response.end(body);
 	}
 
-	/** Destroys the connection, so that the caller does not take the response for complete. */
+	/** Destroys the connection, so that the caller does not take the response for complete. A response that ends with its connection needs a reset, because any other end completes it. */
 	cut(): void {
+		if (this.#isCloseDelimited) {
+			this.#response.socket?.resetAndDestroy();
+		}
+
 		this.#response.destroy();
 	}
 }
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -106,6 +106,11 @@
 		}
 	}
 
+	/** Aborts the response when the process ends. */
+	cut(): void {
+		this.#output.cut();
+	}
+
 	/** Cancels a send that an engine has not begun to answer when a part of the prompt turns out to crash engines. */
 	withdrawSuspect(): void {
 		const verdict = this.#context.crashSuspects.check(
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -318,6 +318,10 @@
 	}
 
 	dispose(): void {
+		for (const exchange of this.#exchanges) {
+			exchange.cut();
+		}
+
 		this.#disposables.dispose();
 	}
 
