Let the owner of an engine grant its last slots to short prompts too

Change: when no more slots are free than there are other gateways, a short prompt needs the owner's grant as well. Why it works: as long as more are free, one unseen request of each gateway does not overfill the engine.

The test without a network failed before: 23 requests for 3 slots; now 3.

--- a/src/services/gateway/engine-reservations.test.ts
+++ b/src/services/gateway/engine-reservations.test.ts
@@ -20,7 +20,7 @@
 	tokens: number;
 };
 
-function gateways(count: number): Gateway[] {
+function gateways(count: number, slots = 64): Gateway[] {
 	const all = Array.from({length: count}, (_, index) => {
 		const name = `g${index}`;
 		const loads = new PeerLoads();
@@ -29,7 +29,7 @@
 				name: 's',
 				maxConnections: 100,
 				engine: {
-					slots: 64,
+					slots,
 					kvTokens: 500_000,
 					eventTokens: 1,
 					transfer: undefined,
@@ -47,7 +47,7 @@
 					address: '10.0.0.1:80',
 					dataCentre: 'd',
 					isDraining: false,
-					slots: 64,
+					slots,
 					startedAt: 1,
 					warmUpMs: 0,
 				},
@@ -251,3 +251,31 @@
 	// Each of the 30 others reports one request in progress, and 95% of 64 slots may be taken.
 	expect(granted).toEqual(31);
 });
+
+// Guards against short prompts that overfill the slots of an engine which many gateways see almost full at the same time.
+test('gateways that send short prompts at the same time fill the last slots of an engine once', () => {
+	const all = gateways(23, 26);
+	const need = {uncachedTokens: 100, kvCacheTokens: 200, rank: 0};
+	let sends = 0;
+	for (const {name, upstream, reservations} of all) {
+		const owner = reservations.owner(upstream, need.uncachedTokens, 0);
+		const result = owner
+			? all
+					.find((other) => other.name === owner)!
+					.reservations.decide(
+						{
+							...need,
+							gateway: name,
+							number: 1,
+							endpoint: engine,
+							unreadTokens: need.uncachedTokens,
+						},
+						0,
+					)
+			: reservations.reserve(upstream, need, 0);
+		sends += Number(result.type === 'granted');
+	}
+
+	// 22 requests are in progress, and the most urgent rank may use 95% of 26 slots.
+	expect(sends).toEqual(3);
+});
--- a/src/services/gateway/engine-reservations.ts
+++ b/src/services/gateway/engine-reservations.ts
@@ -1,12 +1,17 @@
 import {hash32, mix32} from '../../base/index.js';
 import type {EndpointSet} from './endpoint-set.js';
 import type {OwnedBacklog, PeerLoads, Reservation} from './peer-loads.js';
-import {hasFreeSlot, prefillBacklog, timeToCapacityMs} from './placement.js';
+import {
+	freeSlots,
+	hasFreeSlot,
+	prefillBacklog,
+	timeToCapacityMs,
+} from './placement.js';
 import type {Backlog} from './prefill-estimate.js';
 import {RateLimits} from './rate-limits.js';
 import type {Upstream} from './upstream.js';
 
-/** Minimum prompt tokens for which capacity is reserved at the owner; smaller prompts are prefilled before its reply matters. */
+/** Minimum prompt tokens for which capacity is always reserved at the owner; smaller prompts are prefilled before its reply matters. */
 const minReservationTokens = 500;
 
 /** Time in milliseconds until a gateway requests capacity at an engine again after its owner did not reply: a network path takes 1 ms. */
@@ -45,6 +50,9 @@
 	/** The owner did not reply in time. */
 	| {readonly type: 'unanswered'};
 
+/** Rank that may use most of an engine's slots. */
+const mostUrgentRank = 0;
+
 const granted = {type: 'granted'} as const;
 
 /**
@@ -73,16 +81,25 @@
 		this.#rateLimits = rateLimits;
 	}
 
-	/** Name of the gateway that owns an endpoint; undefined if this one does, or if the prompt is too small to need a reservation at an endpoint without a request limit. */
+	/** Name of the gateway that owns an endpoint; undefined if this one does, or if the request needs no reservation there. */
 	owner(
 		upstream: Upstream,
 		uncachedTokens: number,
 		now: number,
 	): string | undefined {
-		return uncachedTokens < minReservationTokens &&
-			this.#rateLimits.perSecond(upstream.key) === undefined
-			? undefined
-			: this.ownerOf(upstream, now);
+		return uncachedTokens >= minReservationTokens ||
+			this.#rateLimits.perSecond(upstream.key) !== undefined ||
+			this.#isAlmostFull(upstream, now)
+			? this.ownerOf(upstream, now)
+			: undefined;
+	}
+
+	/** Whether the other gateways could take the last slots of an engine with one request each before their next reports. */
+	#isAlmostFull(upstream: Upstream, now: number): boolean {
+		return (
+			upstream.kvCacheUsage !== undefined &&
+			freeSlots(upstream, mostUrgentRank, now) <= this.#loads.count(now)
+		);
 	}
 
 	/** Name of the gateway that owns an engine; undefined if this one does. */
@@ -228,7 +245,10 @@
 					return false;
 				}
 
-				if (upstream.unreadTokens(now) === 0) {
+				if (
+					upstream.unreadTokens(now) === 0 &&
+					!this.#isAlmostFull(upstream, now)
+				) {
 					return true;
 				}
 
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -260,11 +260,20 @@
 	rank: number,
 	now: number,
 ): boolean {
+	return freeSlots(upstream, rank, now) > 0;
+}
+
+/** Slots of an engine that requests of a rank may still take. */
+export function freeSlots(
+	upstream: Upstream,
+	rank: number,
+	now: number,
+): number {
 	const fraction = Math.max(
 		minSlotsFraction,
 		maxSlotsFraction - slotsFractionStep * rank,
 	);
-	return upstream.running(now) < upstream.listed.slots * fraction;
+	return upstream.listed.slots * fraction - upstream.running(now);
 }
 
 /** Whether an endpoint is healthy or may get the request as a half-open probe: one request at a time, and none that must not be repeated. */
