Probe an ejected endpoint with one request of all gateways at a time

Change: a gateway tells the others when its probe begins and when it succeeds; none begins another within a second of one that has not been answered. The notices are observations with an age, as for crashes. Why it works: a probe that fails costs one request instead of one of each gateway, and the first success lets all of them probe, as an endpoint may be down for some callers only.

The tests play 31 gateways without a network: one probe at 600 ms and one a second later. Before, every gateway whose ejection had ended probed, and no code could hold it back.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -294,7 +294,12 @@
 		}
 
 		this.#mayHaveRun ||= send.isSent && end.type !== 'rejected';
+		const wasOnTrial = upstream.health.isOnTrial;
 		upstream.ended(end, startedAt, now);
+		if (wasOnTrial && !upstream.health.isOnTrial) {
+			this.#context.peers.notices.sendHealth();
+		}
+
 		this.#recordOutcome(send, end, upstream, now);
 		if (
 			this.#request.route.isStream &&
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -317,6 +317,7 @@
 				this.#sendReport();
 				this.notices.sendRateLimits();
 				this.notices.sendCrashes();
+				this.notices.sendHealth();
 				this.#scheduleReport();
 			},
 			Math.max(
@@ -436,6 +437,11 @@
 				break;
 			}
 
+			case 'health': {
+				this.#options.endpoints.applyHealthNotices(message.notices, now);
+				break;
+			}
+
 			case 'ask': {
 				const answer = this.#reservations.decide(message, now);
 				this.#send(
--- a/src/daemons/gateway/peer-messages.test.ts
+++ b/src/daemons/gateway/peer-messages.test.ts
@@ -57,6 +57,14 @@
 			probes: [{part: 5, ageMs: 0}],
 		},
 	},
+	{
+		type: 'health',
+		gateway: 'g',
+		notices: [
+			{endpoint: 8, startedAt: 3, probeAgeMs: 20, successAgeMs: 5},
+			{endpoint: 9, startedAt: 0, probeAgeMs: 1, successAgeMs: undefined},
+		],
+	},
 	{type: 'proof ask', number: 7},
 	{
 		type: 'proof',
--- a/src/daemons/gateway/peer-messages.ts
+++ b/src/daemons/gateway/peer-messages.ts
@@ -3,6 +3,7 @@
 import type {
 	CopyFreshness,
 	CrashNotices,
+	HealthNotice,
 	PartNotice,
 	PeerReport,
 	RateLimitNotice,
@@ -22,11 +23,15 @@
 	rateLimits: 7,
 	limited: 8,
 	crashes: 9,
+	health: 10,
 } as const;
 
 /** Stands for an endpoint without a request limit on the wire. */
 const noLimit = -1;
 
+/** Stands for a probe that has not succeeded on the wire. */
+const noSuccess = -1;
+
 /** Part and age of what was observed about it, in milliseconds. */
 const partNotice = z.tuple([z.number(), z.number().nonnegative()]);
 
@@ -99,6 +104,14 @@
 		z.array(partNotice),
 		z.array(partNotice),
 	]),
+	/** Gateway; endpoint, its start time, age of the probe, age of its success or -1, in milliseconds. */
+	z.tuple([
+		z.literal(messageTypes.health),
+		z.string(),
+		z.array(
+			z.tuple([z.number(), z.number(), z.number().nonnegative(), z.number()]),
+		),
+	]),
 	/** Number of the revalidation request. */
 	z.tuple([z.literal(messageTypes.revalidationRequest), z.number()]),
 	/** Number of the revalidation request, era, version and age of the configuration, digest and age of the endpoints; ages in milliseconds. */
@@ -127,6 +140,11 @@
 			readonly gateway: string;
 			readonly notices: CrashNotices;
 	  }
+	| {
+			readonly type: 'health';
+			readonly gateway: string;
+			readonly notices: readonly HealthNotice[];
+	  }
 	| {
 			readonly type: 'answer';
 			/** Number of the reservation request. */
@@ -241,6 +259,20 @@
 			];
 		}
 
+		case 'health': {
+			const {gateway, notices} = message;
+			return [
+				messageTypes.health,
+				gateway,
+				notices.map(({endpoint, startedAt, probeAgeMs, successAgeMs}) => [
+					endpoint,
+					startedAt,
+					Math.ceil(probeAgeMs),
+					successAgeMs === undefined ? noSuccess : Math.floor(successAgeMs),
+				]),
+			];
+		}
+
 		case 'proof ask': {
 			return [messageTypes.revalidationRequest, message.number];
 		}
@@ -395,6 +427,22 @@
 			};
 		}
 
+		case messageTypes.health: {
+			const [, gateway, notices] = wire;
+			return {
+				type: 'health',
+				gateway,
+				notices: notices.map(
+					([endpoint, startedAt, probeAgeMs, successAgeMs]) => ({
+						endpoint,
+						startedAt,
+						probeAgeMs,
+						successAgeMs: successAgeMs < 0 ? undefined : successAgeMs,
+					}),
+				),
+			};
+		}
+
 		case messageTypes.limited: {
 			const [, number, retryAfterMs] = wire;
 			return {type: 'answer', number, answer: {type: 'limited', retryAfterMs}};
--- a/src/daemons/gateway/peer-notices.ts
+++ b/src/daemons/gateway/peer-notices.ts
@@ -68,6 +68,17 @@
 		}
 	}
 
+	/** Informs the other gateways of probes of ejected endpoints and their success, at once and with each report while they are recent. */
+	sendHealth(): void {
+		const {instance, endpoints} = this.#options;
+		const notices = endpoints.healthNotices(monotonicNow());
+		if (notices.length > 0) {
+			this.#broadcast(
+				encodeMessage({type: 'health', gateway: instance, notices}),
+			);
+		}
+	}
+
 	applyRateLimits(
 		gateway: string,
 		notices: readonly RateLimitNotice[],
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -254,6 +254,11 @@
 			failing: Math.round(upstream.health.failingPart(now) * 100) / 100,
 		});
 		const activeRequest = upstream.begin(this.links, uncachedTokens, now);
+		if (upstream.health.isOnTrial) {
+			upstream.health.beginProbe(now);
+			this.#context.peers.notices.sendHealth();
+		}
+
 		this.#context.peers.queuePrefillNotices(
 			upstream,
 			this.links.slice(0, -1),
--- a/src/services/gateway/endpoint-set.ts
+++ b/src/services/gateway/endpoint-set.ts
@@ -5,6 +5,7 @@
 	Service,
 } from '../../interfaces/index.js';
 import {EngineLosses} from './engine-losses.js';
+import type {HealthNotice} from './health.js';
 import type {OwnedBacklog, PeerLoads, PrefillNotice} from './peer-loads.js';
 import {ServiceDemand} from './service-demand.js';
 import {Upstream} from './upstream.js';
@@ -232,6 +233,26 @@
 		}
 	}
 
+	/** This gateway's recent probes of ejected endpoints, for the other gateways. */
+	healthNotices(now: number): HealthNotice[] {
+		return this.all().flatMap(({key, listed, health}) => {
+			const notice = health.probeNotice(now);
+			return notice
+				? [{endpoint: key, startedAt: startOf(listed), ...notice}]
+				: [];
+		});
+	}
+
+	/** Applies another gateway's recent probes. */
+	applyHealthNotices(notices: readonly HealthNotice[], now: number): void {
+		for (const {endpoint, startedAt, ...notice} of notices) {
+			const upstream = this.#byKey.get(endpoint);
+			if (upstream && startOf(upstream.listed) === startedAt) {
+				upstream.health.applyProbeNotice(notice, now);
+			}
+		}
+	}
+
 	/** Digest of all entries, independent of their order; two gateways with the same digest use the same endpoints. */
 	digest(): number {
 		let digest = 0;
--- a/src/services/gateway/health.test.ts
+++ b/src/services/gateway/health.test.ts
@@ -26,3 +26,59 @@
 	expect(health.failingPart(0) > 0.9).toEqual(true);
 	expect(health.failingPart(20_000) < 0.01).toEqual(true);
 });
+
+/** Health of one endpoint at several gateways, each of which has ejected it. */
+function ejectedAt(count: number): Health[] {
+	return Array.from({length: count}, () => {
+		const health = new Health();
+		health.block(0);
+		return health;
+	});
+}
+
+/** Probes at every gateway that may do so, each of which informs the others at once; returns how many did. */
+function probe(gateways: readonly Health[], now: number): number {
+	let probes = 0;
+	for (const health of gateways.filter(({isOnTrial}) => isOnTrial)) {
+		if (health.mayProbe(now)) {
+			probes++;
+			health.beginProbe(now);
+			for (const other of gateways.filter((item) => item !== health)) {
+				other.applyProbeNotice(health.probeNotice(now)!, now);
+			}
+		}
+	}
+
+	return probes;
+}
+
+// Guards against a request of each gateway that fails at an endpoint which is still down.
+test('all gateways together probe an ejected endpoint once', () => {
+	const gateways = ejectedAt(31);
+	expect(probe(gateways, 600)).toEqual(1);
+	expect(probe(gateways.slice(1), 900)).toEqual(0);
+	expect(probe(gateways.slice(1), 1700)).toEqual(1);
+});
+
+// Guards against an endpoint that is up and gets requests of one gateway after the other, a second apart.
+test('a successful probe lets all gateways probe', () => {
+	const gateways = ejectedAt(3);
+	const [prober, ...others] = gateways as [Health, ...Health[]];
+	expect(probe(gateways, 600)).toEqual(1);
+	prober.succeeded(650);
+	for (const other of others) {
+		other.applyProbeNotice(prober.probeNotice(660)!, 660);
+	}
+
+	expect(others.map((other) => other.mayProbe(660))).toEqual([true, true]);
+});
+
+// Guards against a late or repeated notice that holds an endpoint back.
+test('an older notice changes nothing', () => {
+	const health = new Health();
+	health.block(0);
+	const success = {probeAgeMs: 100, successAgeMs: 50};
+	health.applyProbeNotice(success, 700);
+	health.applyProbeNotice({probeAgeMs: 150, successAgeMs: undefined}, 710);
+	expect(health.mayProbe(710)).toEqual(true);
+});
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -194,7 +194,9 @@
 		return {type: 'wait'};
 	}
 
-	const eligible = withSlot.filter((upstream) => isEligible(upstream, request));
+	const eligible = withSlot.filter((upstream) =>
+		isEligible(upstream, request, now),
+	);
 	const chosen = eligible.length > 0 ? eligible : withSlot;
 	const candidates = estimate(request, chosen, reachable, now);
 	let [best] = candidates;
@@ -277,9 +279,15 @@
 }
 
 /** Whether an endpoint is healthy or may get the request as a half-open probe: one request at a time, and none that must not be repeated. */
-function isEligible(upstream: Upstream, request: PlacementRequest): boolean {
+function isEligible(
+	upstream: Upstream,
+	request: PlacementRequest,
+	now: number,
+): boolean {
+	const {health, ownRunning} = upstream;
 	return (
-		!upstream.health.isOnTrial || (!request.isOnce && upstream.ownRunning === 0)
+		!health.isOnTrial ||
+		(!request.isOnce && ownRunning === 0 && health.mayProbe(now))
 	);
 }
 
