Take no error of a server for proof that a prompt part is harmless

What callers would see: a part that crashes engines is never withheld while some server answers requests with it with an error, as a failing one does.

Cause: any complete answer counted as a survival of the parts, also a 500 that the server sent before it had begun to answer. Change: only a success counts.

The test failed before: three requests with the part crashed three servers and got 500 each; now two do, the repeat of the second is withheld (502) and the third is refused (503).

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -19,7 +19,12 @@
 	withheldReason,
 	type PlacedRequest,
 } from './request-placement.js';
-import {Send, type BufferedAnswer, type StreamPosition} from './send.js';
+import {
+	firstNonSuccessStatus,
+	Send,
+	type BufferedAnswer,
+	type StreamPosition,
+} from './send.js';
 
 /** Width of the random jitter as a fraction of a Retry-After value, so that callers do not all retry at once. */
 const retryAfterJitter = 0.5;
@@ -356,7 +361,12 @@
 
 			case 'answered':
 			case 'delivered': {
-				crashReports.recordSurvival(partKeys, now);
+				const isError =
+					end.type === 'answered' && end.status >= firstNonSuccessStatus;
+				if (!isError) {
+					crashReports.recordSurvival(partKeys, now);
+				}
+
 				break;
 			}
 
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -19,7 +19,7 @@
 const maxBufferedBytes = 256 * 1024;
 
 const statusOk = 200;
-const firstNonSuccessStatus = 300;
+export const firstNonSuccessStatus = 300;
 const serviceUnavailable = 503;
 
 /** Statuses by which a caller concludes that its request has not run. */
