Send only own observations of crashes, collected for 5 ms

Cause: each gateway sent all recent crashes that it knew, also those that others had observed, at once for every unanswered request and with each report for 2 s. With 31 gateways and 10 engines that crash together, that is several KB to 30 peers for each of some 50 requests (calculated), which the smallest links, 7 Mbit/s, cannot carry. Change: a notice holds what this gateway observed, is sent 5 ms after the first observation and repeated for 1 s; every 2 s the crashes that withhold a part are sent in full.

--- a/src/daemons/gateway/crash-reports.ts
+++ b/src/daemons/gateway/crash-reports.ts
@@ -65,7 +65,7 @@
 				request: requestId,
 				parts: loggedParts(parts),
 			});
-			notices.sendCrashes();
+			notices.sendCrashesSoon();
 			this.#options.onDidChangeSuspects();
 		}
 	}
@@ -73,7 +73,7 @@
 	/** Records that an engine has begun an answer on the parts and has not crashed. */
 	recordSurvival(partKeys: readonly number[], now: number): void {
 		if (this.#options.crashSuspects.recordSurvival(partKeys, now)) {
-			this.#options.notices.sendCrashes();
+			this.#options.notices.sendCrashesSoon();
 			this.#options.onDidChangeSuspects();
 		}
 	}
@@ -81,7 +81,7 @@
 	/** Records that a request of this gateway probes the parts. */
 	beginProbe(partKeys: readonly number[], now: number): void {
 		this.#options.crashSuspects.beginProbe(partKeys, now);
-		this.#options.notices.sendCrashes();
+		this.#options.notices.sendCrashesSoon();
 	}
 
 	/** Resolves to whether the incarnation of an engine has ended. One check serves all its requests. */
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -269,6 +269,7 @@
 
 	dispose(): void {
 		clearTimeout(this.#timer);
+		this.notices.dispose();
 		this.#addresses.clear();
 		for (const resolve of this.#pendingRevalidations.values()) {
 			resolve(undefined);
--- a/src/daemons/gateway/peer-notices.ts
+++ b/src/daemons/gateway/peer-notices.ts
@@ -1,3 +1,4 @@
+import type {Disposable} from '../../base/index.js';
 import type {
 	CrashNotices,
 	CrashSuspects,
@@ -13,6 +14,9 @@
 /** Interval at which all crashes that withhold a part are sent, in milliseconds; a gateway that has started since needs them. */
 const fullNoticeIntervalMs = 2000;
 
+/** Time in which observations of crashes are collected for one notice, in milliseconds: an engine that crashes breaks off many requests at once. */
+const collectMs = 5;
+
 export type PeerNoticesOptions = {
 	/** Name of this gateway. */
 	readonly instance: string;
@@ -26,10 +30,11 @@
 };
 
 /** Sends what this gateway has observed about endpoints to the others and applies what they have observed. */
-export class PeerNotices {
+export class PeerNotices implements Disposable {
 	readonly #options: PeerNoticesOptions;
 	readonly #broadcast: (bytes: Uint8Array) => void;
 	#lastFullNoticeAt = Number.NEGATIVE_INFINITY;
+	#crashTimer: NodeJS.Timeout | undefined;
 
 	constructor(
 		options: PeerNoticesOptions,
@@ -51,6 +56,14 @@
 		}
 	}
 
+	/** Sends a notice of crashes soon, with all that is observed until then. */
+	sendCrashesSoon(): void {
+		this.#crashTimer ??= setTimeout(() => {
+			this.#crashTimer = undefined;
+			this.sendCrashes();
+		}, collectMs);
+	}
+
 	/** Informs the other gateways of crashes and the parts of prompts that they are held against, at once and with each report while they are recent. */
 	sendCrashes(): void {
 		const {instance, crashSuspects} = this.#options;
@@ -101,4 +114,8 @@
 			onDidChangeSuspects();
 		}
 	}
+
+	dispose(): void {
+		clearTimeout(this.#crashTimer);
+	}
 }
--- a/src/services/gateway/crash-suspects.ts
+++ b/src/services/gateway/crash-suspects.ts
@@ -18,15 +18,15 @@
 /** Age at which a crash is forgotten, in milliseconds: beyond the longest time for which a part is withheld. */
 const maxCrashAgeMs = 3 * maxWithheldMs;
 
-/** Age up to which a crash, a survival or a probe is sent with each notice, in milliseconds, so that a lost datagram does not matter. */
-const recentMs = 2000;
+/** Age up to which an own observation is sent with each notice, in milliseconds, so that a lost datagram does not matter. */
+const recentMs = 1000;
 
 /** Minimum time between two searches for observations that have expired, in milliseconds. */
 const expiryIntervalMs = 1000;
 
 /** Limits of the state, against callers that name endless parts. */
 const maxCrashes = 200;
-const maxPartsPerCrash = 64;
+const maxPartsPerCrash = 128;
 const maxObservations = 2000;
 
 /** Crashes in one notice at most, the latest ones, so that it fits a datagram. */
@@ -89,6 +89,8 @@
 	at: number;
 	/** Parts that have not survived since. */
 	readonly parts: Set<number>;
+	/** Those of requests of this gateway. */
+	readonly ownParts: Set<number>;
 };
 
 /** Latest time of an observation, by any gateway and by this one. */
@@ -120,6 +122,21 @@
 		startedAt: number,
 		parts: readonly number[],
 		at: number,
+	): boolean {
+		const isChanged = this.#addCrash(endpoint, startedAt, parts, at);
+		const crash = this.#crashOf(endpoint, startedAt, at);
+		for (const part of parts.filter((item) => crash.parts.has(item))) {
+			crash.ownParts.add(part);
+		}
+
+		return isChanged;
+	}
+
+	#addCrash(
+		endpoint: number,
+		startedAt: number,
+		parts: readonly number[],
+		at: number,
 	): boolean {
 		const crash = this.#crashOf(endpoint, startedAt, at);
 		crash.at = Math.min(crash.at, at);
@@ -209,21 +226,21 @@
 			}));
 	}
 
-	/** What to tell the other gateways; undefined when there is nothing. `isFull` includes older crashes that still withhold a part, for gateways that have started since. */
+	/** What to tell the other gateways; undefined when there is nothing. `isFull` means all crashes that still withhold a part, for gateways that have started since, instead of the recent ones that this gateway observed. */
 	notices(now: number, isFull: boolean): CrashNotices | undefined {
 		this.#expire(now);
 		const crashes = [...this.#crashes.values()]
-			.filter(
-				({at, parts}) =>
-					parts.size > 0 &&
-					(now - at < recentMs || (isFull && this.#withholds(parts))),
+			.filter(({at, parts, ownParts}) =>
+				isFull
+					? this.#withholds(parts)
+					: ownParts.size > 0 && now - at < recentMs,
 			)
 			.slice(-maxCrashesPerNotice)
-			.map(({endpoint, startedAt, at, parts}) => ({
+			.map(({endpoint, startedAt, at, parts, ownParts}) => ({
 				endpoint,
 				startedAt,
 				ageMs: now - at,
-				parts: [...parts],
+				parts: [...(isFull ? parts : ownParts)],
 			}));
 		const survivals = ownNotices(this.#survivals, now, recentMs);
 		const probes = ownNotices(this.#probes, now, probeTimeoutMs);
@@ -246,7 +263,7 @@
 
 		for (const {endpoint, startedAt, ageMs, parts} of crashes) {
 			if (ageMs < maxCrashAgeMs) {
-				const isNew = this.recordCrash(endpoint, startedAt, parts, now - ageMs);
+				const isNew = this.#addCrash(endpoint, startedAt, parts, now - ageMs);
 				isChanged ||= isNew;
 			}
 		}
@@ -324,7 +341,13 @@
 		const id = `${endpoint} ${startedAt}`;
 		let crash = this.#crashes.get(id);
 		if (!crash) {
-			crash = {endpoint, startedAt, at, parts: new Set()};
+			crash = {
+				endpoint,
+				startedAt,
+				at,
+				parts: new Set(),
+				ownParts: new Set(),
+			};
 			this.#crashes.set(id, crash);
 			this.#dropOldest();
 		}
@@ -349,6 +372,7 @@
 
 	#dropPart(crash: Crash, part: number): void {
 		crash.parts.delete(part);
+		crash.ownParts.delete(part);
 		const crashes = this.#byPart.get(part);
 		crashes?.delete(crash);
 		if (crashes?.size === 0) {
