--- a/src/services/gateway/crash-suspects.test.ts
+++ b/src/services/gateway/crash-suspects.test.ts
@@ -1,7 +1,8 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
-import {CrashSuspects, type CrashNotices} from './crash-suspects.js';
+import type {CrashNotices} from './crash-notices.js';
+import {CrashSuspects} from './crash-suspects.js';
 
 const first = 1;
 const deadly = 2;
--- a/src/services/gateway/crash-suspects.ts
+++ b/src/services/gateway/crash-suspects.ts
@@ -1,5 +1,16 @@
 import {hash32} from '../../base/index.js';
 import type {PromptPart} from '../../interfaces/index.js';
+import type {
+	CrashNotices,
+	CrashVerdict,
+	WithheldPart,
+} from './crash-notices.js';
+import {
+	expireObservations,
+	observe,
+	ownNotices,
+	type Observation,
+} from './part-observations.js';
 
 /** Crashes under unanswered requests with a part after which the part is withheld. One crash may have any cause. */
 const minCrashes = 2;
@@ -27,61 +38,10 @@
 /** Limits of the state, against callers that name endless parts. */
 const maxCrashes = 200;
 const maxPartsPerCrash = 128;
-const maxObservations = 2000;
 
 /** Crashes in one notice at most, the latest ones, so that it fits a datagram. */
 const maxCrashesPerNotice = 24;
 
-/** Crash of one incarnation of an endpoint. */
-export type CrashNotice = {
-	/** Key of the endpoint. */
-	readonly endpoint: number;
-	/** Unix time of its start in milliseconds; 0 when unknown. */
-	readonly startedAt: number;
-	readonly ageMs: number;
-	/** Keys of the parts of the requests that it had not begun to answer. */
-	readonly parts: readonly number[];
-};
-
-/** Something that a gateway observed about one part of prompts. */
-export type PartNotice = {
-	/** Key of the part. */
-	readonly part: number;
-	readonly ageMs: number;
-};
-
-/** What a gateway tells the others about crashes. */
-export type CrashNotices = {
-	readonly crashes: readonly CrashNotice[];
-	/** Parts on which an engine has begun an answer without a crash, as this gateway observed. */
-	readonly survivals: readonly PartNotice[];
-	/** Parts that a request of this gateway probes. */
-	readonly probes: readonly PartNotice[];
-};
-
-/** Whether a request with certain parts may be sent. */
-export type CrashVerdict =
-	| {readonly type: 'clear'}
-	/** It may be sent as the only request with its suspected parts. */
-	| {readonly type: 'probe'}
-	/** Another request probes its suspected parts. */
-	| {readonly type: 'wait'}
-	/** One of its parts crashes engines, as far as is known. */
-	| {
-			readonly type: 'withheld';
-			readonly part: number;
-			readonly crashes: number;
-			/** Time until a request may probe the part, in milliseconds. */
-			readonly retryAfterMs: number;
-	  };
-
-/** Part that is withheld, for operators. */
-export type WithheldPart = {
-	readonly part: number;
-	readonly crashes: number;
-	readonly retryAfterMs: number;
-};
-
 type Crash = {
 	readonly endpoint: number;
 	readonly startedAt: number;
@@ -93,9 +53,6 @@
 	readonly ownParts: Set<number>;
 };
 
-/** Latest time of an observation, by any gateway and by this one. */
-type Observation = {at: number; ownAt: number};
-
 /**
  * Finds the prompt parts that crash engines, from the parts of the requests that
  * engines had not begun to answer when they crashed. A part is suspected while
@@ -415,45 +372,7 @@
 	}
 }
 
-function expireObservations(
-	observations: Map<number, Observation>,
-	now: number,
-	maxAgeMs: number,
-): void {
-	for (const [part, {at}] of observations) {
-		if (now - at >= maxAgeMs || observations.size > maxObservations) {
-			observations.delete(part);
-		}
-	}
-}
-
 /** Keys of the parts of a prompt that other requests may share. The last part is the request's own. */
 export function partKeys(parts: readonly PromptPart[]): number[] {
 	return parts.slice(0, -1).map(({id}) => hash32(id));
 }
-
-/** Keeps the latest times of an observation, the most recently observed part last. */
-function observe(
-	observations: Map<number, Observation>,
-	part: number,
-	at: number,
-	ownAt: number,
-): void {
-	const known = observations.get(part);
-	observations.delete(part);
-	observations.set(part, {
-		at: Math.max(at, known?.at ?? at),
-		ownAt: Math.max(ownAt, known?.ownAt ?? ownAt),
-	});
-}
-
-/** Own observations only: what others observed would look more recent each time it is passed on. */
-function ownNotices(
-	observations: ReadonlyMap<number, Observation>,
-	now: number,
-	maxAgeMs: number,
-): PartNotice[] {
-	return [...observations]
-		.map(([part, {ownAt}]) => ({part, ageMs: now - ownAt}))
-		.filter(({ageMs}) => ageMs < maxAgeMs);
-}
--- a/src/services/gateway/index.ts
+++ b/src/services/gateway/index.ts
@@ -4,6 +4,7 @@
 export * from './confirmation.js';
 export * from './connection-share.js';
 export * from './copy-freshness.js';
+export type * from './crash-notices.js';
 export * from './crash-suspects.js';
 export * from './endpoint-set.js';
 export * from './engine-losses.js';
