Report the success of an ejected endpoint with finite ages

What operators would see: peer_message_unreadable, and no gateway learns of the success. Cause: when a request from before the ejection succeeds first, there is no probe, and its age was infinite, which the others reject. Change: the ejection stands for the missing probe. The test failed before (age Infinity) and passes now.

--- a/src/services/gateway/health.test.ts
+++ b/src/services/gateway/health.test.ts
@@ -82,3 +82,11 @@
 	health.applyProbeNotice({probeAgeMs: 150, successAgeMs: undefined}, 710);
 	expect(health.mayProbe(710)).toEqual(true);
 });
+
+// Guards against a notice that no gateway can decode, because no probe preceded the success.
+test('the success of a request from before the ejection is reported with finite ages', () => {
+	const health = new Health();
+	health.block(100);
+	health.succeeded(200);
+	expect(health.probeNotice(250)).toEqual({probeAgeMs: 150, successAgeMs: 50});
+});
--- a/src/services/gateway/health.ts
+++ b/src/services/gateway/health.ts
@@ -51,6 +51,8 @@
 	succeeded(now: number): void {
 		this.#addOutcome(0, now);
 		if (this.#isOnTrial) {
+			// A request from before the ejection may be the first to succeed.
+			this.#probedAt = Math.max(this.#probedAt, this.#lastBlockAt);
 			this.#probeSucceededAt = now;
 		}
 
@@ -108,7 +110,7 @@
 		const latestAt = Math.max(this.#probedAt, this.#probeSucceededAt);
 		return now - latestAt < reportedMs
 			? {
-					probeAgeMs: now - Math.min(latestAt, this.#probedAt),
+					probeAgeMs: now - this.#probedAt,
 					successAgeMs: hasSucceeded ? now - this.#probeSucceededAt : undefined,
 				}
 			: undefined;
