Tell engines the urgency of the route within a workspace's tier (TIER)

Callers saw chats, the most urgent requests, preempted and read in again while drafts of ten times their size ran on at the same engine.

Cause: the tier of a workspace replaced that of the route. An engine whose memory runs out preempts the newest of the least urgent requests; among equals that is a chat, the most frequent and shortest kind.

The priority now orders first by the tier of the workspace and then by that of the route, so that drafts of the same workspaces are preempted first. It is a position among the combinations in the configuration, so that no range of tiers is assumed.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -171,6 +171,7 @@
 		this.#log('resumed', {
 			endpoint: upstream.id,
 			tier: this.#placement.requestedTier,
+			priority: this.#request.priority,
 			last_event: this.#position.lastEventId ?? '',
 		});
 		const end = await this.#sendTo({
@@ -188,7 +189,7 @@
 		const {upstream, expectedMs, donor, activeRequest, resumeUpstream} =
 			placement;
 		const {format, connections, peers, queue, signals} = this.#context;
-		const {method, target, headers, body, head, route, workspace} =
+		const {method, target, headers, body, head, route, workspace, priority} =
 			this.#request;
 		const canSendAgain = this.#sends + 1 < route.maxSends;
 		const send = new Send({
@@ -229,7 +230,7 @@
 				endpointId: upstream.id,
 				deadlineMs: this.#remainingMs(),
 				workspace: workspace?.name,
-				tier: this.#placement.requestedTier,
+				priority,
 				lastEventId: this.#output.hasSentHeaders
 					? this.#position.lastEventId
 					: undefined,
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -483,7 +483,7 @@
 			}
 
 			case 'admitted': {
-				const {route, service, workspace} = admission;
+				const {route, service, workspace, priority} = admission;
 				const exchange = new Exchange(
 					this.#context,
 					{
@@ -495,6 +495,7 @@
 						route,
 						service,
 						workspace,
+						priority,
 						receivedAt,
 						configurationVersion: routing?.configuration.version ?? 0,
 					},
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -241,6 +241,7 @@
 			route: this.#request.route.name,
 			endpoint: upstream.id,
 			tier: this.requestedTier,
+			priority: this.#request.priority,
 			expected_ms: Math.round(expectedMs),
 			waited_ms: Math.round(now - this.#request.receivedAt),
 			denials: this.denials,
--- a/src/interfaces/ports/http-format.ts
+++ b/src/interfaces/ports/http-format.ts
@@ -43,7 +43,8 @@
 	/** Time left, in milliseconds. */
 	readonly deadlineMs: number;
 	readonly workspace: string | undefined;
-	readonly tier: number;
+	/** Priority that the endpoint is told, 0 first. */
+	readonly priority: number;
 	/** Number of the event after which the stream resumes. */
 	readonly lastEventId: number | undefined;
 	/** "IP:port" of an engine from which the endpoint copies the part of the prompt's KV cache that it lacks. */
--- a/src/services/gateway/admission.ts
+++ b/src/services/gateway/admission.ts
@@ -37,6 +37,8 @@
 			readonly route: Route;
 			readonly service: Service;
 			readonly workspace: KeyHolder | undefined;
+			/** Priority that engines are told, 0 first. */
+			readonly priority: number;
 	  }
 	| {
 			readonly type: 'rejected';
@@ -91,7 +93,13 @@
 
 	const service = routing.target(route, head.requestId);
 	return service
-		? {type: 'admitted', route, service, workspace}
+		? {
+				type: 'admitted',
+				route,
+				service,
+				workspace,
+				priority: routing.priority(route, workspace),
+			}
 		: deferred('route without service', startupRetryAfterMs);
 }
 
--- a/src/services/gateway/routing-table.ts
+++ b/src/services/gateway/routing-table.ts
@@ -5,6 +5,7 @@
 	Service,
 	KeyHolder,
 } from '../../interfaces/index.js';
+import {EnginePriorities} from './engine-priorities.js';
 
 /** Index for lookups in one version of the configuration, built once for each version. */
 export class RoutingTable {
@@ -12,8 +13,10 @@
 	readonly #routes = new Map<string, Map<string, Route>>();
 	readonly #services = new Map<string, Service>();
 	readonly #workspaces = new Map<string, KeyHolder>();
+	readonly #priorities: EnginePriorities;
 
 	constructor(readonly configuration: Configuration) {
+		this.#priorities = new EnginePriorities(configuration);
 		for (const route of configuration.routes) {
 			const host = route.host.toLowerCase();
 			const prefixes = this.#routes.get(host) ?? new Map<string, Route>();
@@ -67,6 +70,11 @@
 		return this.#services.get(name);
 	}
 
+	/** Priority that engines are told for a request, 0 first. */
+	priority(route: Route, workspace: KeyHolder | undefined): number {
+		return this.#priorities.of(route, workspace);
+	}
+
 	/** Chooses the service for a request by the weights of its route; the same request id always gets the same service. */
 	target(route: Route, requestId: string): Service | undefined {
 		const total = route.targets.reduce((sum, {weight}) => sum + weight, 0);
