End no answer because its engine is silent for a second

Callers saw a stream cut, or 504 'endpoint does not answer', when its engine sent nothing on any connection for 0.8 s, although the engine was sound and went on: a stream was ended when two probes had no answer within 0.4 s.

One check, shared by all requests at an engine, now judges whether it is alive, silent or gone (liveness.ts). Refused connections end its streams at once, as before, and so does the report of another incarnation, which counted as alive. Mere silence counts as the end after 2.5 s: sound engines pause for about a second, and callers abandon a stream after two seconds or more. The probes stay open until then and are repeated while they cannot connect. A connection that is accepted and closed is no proof of the end, as a sound engine does that beyond its number of connections. The idle timer moves out of send.ts; a timeout is no longer held up by a check in progress.

'a stream whose server becomes unreachable is broken off although it cannot resume' passes unchanged, with the same two probes.

--- a/src/daemons/gateway/crash-reports.ts
+++ b/src/daemons/gateway/crash-reports.ts
@@ -30,6 +30,9 @@
 	readonly at: number;
 };
 
+/** Timeout of a probe, in milliseconds. */
+const probeTimeoutMs = 400;
+
 /** Bounds of the prompt parts in a log line: callers choose their number and length. */
 const maxLoggedParts = 8;
 const maxLoggedIdLength = 32;
@@ -104,12 +107,16 @@
 			return true;
 		}
 
-		const state = await probeEngine(upstream, probeContext, true);
-		const startedAt = state?.report?.startedAt;
-		return (
-			state === undefined ||
-			(startedAt !== undefined && startedAt !== upstream.listed.startedAt)
-		);
+		const outcome = await probeEngine(upstream, probeContext, {
+			isNewConnection: true,
+			timeoutMs: probeTimeoutMs,
+		});
+		if (outcome.type !== 'answered') {
+			return true;
+		}
+
+		const startedAt = outcome.report?.startedAt;
+		return startedAt !== undefined && startedAt !== upstream.listed.startedAt;
 	}
 }
 
--- a/src/daemons/gateway/exchange-context.ts
+++ b/src/daemons/gateway/exchange-context.ts
@@ -16,6 +16,7 @@
 import type {EndpointSignals} from './endpoint-signals.js';
 import type {ConnectionPools} from './connection-pools.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
+import type {LivenessChecks} from './liveness-checks.js';
 import type {LoopLag} from './loop-lag.js';
 import type {PeerExchange} from './peer-exchange.js';
 import type {RequestQueueTask} from './request-queue-task.js';
@@ -55,6 +56,7 @@
 	readonly rateLimits: RateLimits;
 	readonly crashSuspects: CrashSuspects;
 	readonly crashReports: CrashReports;
+	readonly livenessChecks: LivenessChecks;
 };
 
 /** Outcome and timing of a finished request, for the metrics. */
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -13,7 +13,6 @@
 import type {CallerRequest, ExchangeContext} from './exchange-context.js';
 import {sendLocalReply} from './local-reply.js';
 import {loggedParts} from './crash-reports.js';
-import {isAlive} from './engine-probe.js';
 import {
 	RequestPlacement,
 	withheldReason,
@@ -187,7 +186,8 @@
 	async #sendTo(placement: PlacedRequest): Promise<SendEnd> {
 		const {upstream, expectedMs, donor, activeRequest, resumeUpstream} =
 			placement;
-		const {format, connections, peers, queue, signals} = this.#context;
+		const {format, connections, peers, queue, signals, livenessChecks} =
+			this.#context;
 		const {method, target, headers, body, head, route, workspace} =
 			this.#request;
 		const canSendAgain = this.#sends + 1 < route.maxSends;
@@ -200,7 +200,8 @@
 			isStream: route.isStream,
 			isOnce: route.retryMode === 'once',
 			position: this.#position,
-			isAlive: async () => isAlive(upstream, this.#context),
+			checkLiveness: async (silentSince) =>
+				livenessChecks.check(upstream, silentSince),
 			onHead(status, answerHead, isOwn) {
 				signals.applyHead(upstream, status, answerHead, isOwn);
 			},
@@ -308,7 +309,7 @@
 		this.#recordOutcome(send, end, upstream, now);
 		if (
 			this.#request.route.isStream &&
-			(end.type === 'broken' || end.type === 'silent')
+			(end.type === 'broken' || end.type === 'silent' || end.type === 'gone')
 		) {
 			this.#context.endpoints
 				.losses(this.#request.service.name)
@@ -339,7 +340,8 @@
 		const {requestId, prompt} = this.#request.head;
 		switch (end.type) {
 			case 'broken':
-			case 'silent': {
+			case 'silent':
+			case 'gone': {
 				const answeredAt = send.firstByteAt ?? now;
 				if (prompt && send.isSent && now - answeredAt < survivalMs) {
 					const {parts} = prompt;
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -36,6 +36,7 @@
 import {CallerConnections} from './caller-connections.js';
 import {CallerOutput} from './caller-output.js';
 import {ConnectionPools} from './connection-pools.js';
+import {LivenessChecks} from './liveness-checks.js';
 import {CrashReports} from './crash-reports.js';
 import type {ExchangeContext} from './exchange-context.js';
 import {Exchange} from './exchange.js';
@@ -206,6 +207,7 @@
 			},
 		});
 		const probeContext = {connections, format: options.format, signals};
+		const livenessChecks = new LivenessChecks({probeContext, log: options.log});
 		this.#kvCachePoller = this.#disposables.add(
 			new KvCachePoller({
 				endpoints: this.#platform.endpoints,
@@ -228,6 +230,7 @@
 			signals,
 			rateLimits,
 			crashSuspects: this.#crashSuspects,
+			livenessChecks,
 			crashReports: new CrashReports({
 				crashSuspects: this.#crashSuspects,
 				endpoints: this.#platform.endpoints,
--- /dev/null
+++ b/src/daemons/gateway/idle-watch.ts
@@ -0,0 +1,107 @@
+import type {Disposable} from '../../base/index.js';
+import type {
+	Alive,
+	Gone,
+	GoneCause,
+	Upstream,
+} from '../../services/gateway/index.js';
+import {monotonicNow} from '../state-machine.js';
+
+export type IdleWatchOptions = {
+	readonly upstream: Upstream;
+	/** Idle time after which the endpoint's liveness is checked, in milliseconds; undefined to never check it. */
+	readonly checkMs: number | undefined;
+	/** Finds out on other connections whether an endpoint that has been silent since a time on the monotonic clock is alive. */
+	readonly checkLiveness: (silentSince: number) => Promise<Alive | Gone>;
+	readonly onDidTimeOut: (timeoutMs: number) => void;
+	readonly onDidLoseEndpoint: (cause: GoneCause) => void;
+};
+
+/** Watches the idle time of one send: reports a timeout, and an endpoint that is gone. */
+export class IdleWatch implements Disposable {
+	readonly #options: IdleWatchOptions;
+	#timer: NodeJS.Timeout | undefined;
+	/** Changes with each restart, so that the result of an earlier check is ignored. */
+	#period = 0;
+	#idleSince = 0;
+	#timeoutMs = 0;
+	/** Time of the last check, or of the start of the period. Compared with the time at which data was last received, as timers may fire a little early. */
+	#checkedAt = 0;
+	#isChecking = false;
+
+	constructor(options: IdleWatchOptions) {
+		this.#options = options;
+	}
+
+	/** Begins an idle period with a timeout in milliseconds. */
+	restart(timeoutMs: number): void {
+		this.dispose();
+		this.#idleSince = monotonicNow();
+		this.#checkedAt = this.#idleSince;
+		this.#timeoutMs = timeoutMs;
+		this.#isChecking = false;
+		this.#schedule();
+	}
+
+	/** Stops watching until the next `restart`. */
+	dispose(): void {
+		clearTimeout(this.#timer);
+		this.#period++;
+	}
+
+	#schedule(): void {
+		clearTimeout(this.#timer);
+		const {checkMs} = this.#options;
+		const now = monotonicNow();
+		const timeoutAt = this.#idleSince + this.#timeoutMs;
+		const checkAt =
+			checkMs === undefined || this.#isChecking
+				? Number.POSITIVE_INFINITY
+				: this.#checkedAt + checkMs;
+		this.#timer = setTimeout(
+			() => {
+				if (checkAt < timeoutAt) {
+					void this.#check();
+				} else {
+					this.#options.onDidTimeOut(this.#timeoutMs);
+				}
+			},
+			Math.max(0, Math.min(checkAt, timeoutAt) - now),
+		);
+	}
+
+	/** Checks whether the endpoint is alive, unless bytes from it have arrived on another connection in the meantime. */
+	async #check(): Promise<void> {
+		const {upstream, checkLiveness, onDidLoseEndpoint} = this.#options;
+		const hasReceivedData = upstream.lastReceivedAt > this.#checkedAt;
+		this.#checkedAt = monotonicNow();
+		if (hasReceivedData) {
+			this.#schedule();
+			return;
+		}
+
+		const period = this.#period;
+		this.#isChecking = true;
+		this.#schedule();
+		const liveness = await checkLiveness(
+			Math.max(this.#idleSince, upstream.lastReceivedAt),
+		);
+		if (period !== this.#period) {
+			return;
+		}
+
+		this.#isChecking = false;
+		switch (liveness.type) {
+			case 'alive': {
+				this.#checkedAt = monotonicNow();
+				this.#schedule();
+				break;
+			}
+
+			case 'gone': {
+				onDidLoseEndpoint(liveness.cause);
+				break;
+			}
+		}
+	}
+}
--- a/src/daemons/gateway/kv-cache-poller.ts
+++ b/src/daemons/gateway/kv-cache-poller.ts
@@ -6,6 +6,9 @@
 /** Time between two probes of an engine, in milliseconds; its KV cache fills over seconds. */
 const pollIntervalMs = 400;
 
+/** Timeout of a probe, in milliseconds. */
+const probeTimeoutMs = 400;
+
 /** Fraction of an engine's slots that must be in use for it to be probed; with fewer its KV cache is not short. */
 const minBusySlotsFraction = 0.2;
 
@@ -48,13 +51,12 @@
 
 	async #poll(upstream: Upstream): Promise<void> {
 		const sentAt = monotonicNow();
-		const state = await probeEngine(
-			upstream,
-			this.#options.probeContext,
-			false,
-		);
-		if (state?.report) {
-			upstream.kvCacheUsage?.report(state.report, sentAt);
+		const outcome = await probeEngine(upstream, this.#options.probeContext, {
+			isNewConnection: false,
+			timeoutMs: probeTimeoutMs,
+		});
+		if (outcome.type === 'answered' && outcome.report) {
+			upstream.kvCacheUsage?.report(outcome.report, sentAt);
 		}
 	}
 }
--- /dev/null
+++ b/src/daemons/gateway/liveness-checks.ts
@@ -0,0 +1,107 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	judgeLiveness,
+	maxPauseMs,
+	type Alive,
+	type Gone,
+	type ProbeOutcome,
+	type Upstream,
+} from '../../services/gateway/index.js';
+import type {Log} from '../log.js';
+import {monotonicNow} from '../state-machine.js';
+import {probeEngine, type EngineProbeContext} from './engine-probe.js';
+
+/** Time after which a probe without connection or answer is repeated, in milliseconds. */
+const repeatMs = 100;
+
+/** Time within which a sound endpoint usually answers a probe, in milliseconds; a later answer is logged. */
+const usualAnswerMs = 400;
+
+export type LivenessChecksOptions = {
+	readonly probeContext: EngineProbeContext;
+	readonly log: Log;
+};
+
+/** Finds out whether silent engines are alive. One check at a time serves all requests at an engine. */
+export class LivenessChecks {
+	readonly #options: LivenessChecksOptions;
+	readonly #checks = new Map<Upstream, Promise<Alive | Gone>>();
+
+	constructor(options: LivenessChecksOptions) {
+		this.#options = options;
+	}
+
+	/** Resolves once it is known whether an engine that has sent nothing since `silentSince`, on the monotonic clock, is alive; never rejects. */
+	async check(upstream: Upstream, silentSince: number): Promise<Alive | Gone> {
+		let check = this.#checks.get(upstream);
+		if (!check) {
+			check = this.#check(upstream, silentSince);
+			this.#checks.set(upstream, check);
+			void check.finally(() => {
+				this.#checks.delete(upstream);
+			});
+		}
+
+		return check;
+	}
+
+	async #check(upstream: Upstream, silentSince: number): Promise<Alive | Gone> {
+		const startedAt = monotonicNow();
+		const liveness = await this.#probe(upstream, silentSince);
+		const now = monotonicNow();
+		const silentMs = Math.round(now - silentSince);
+		const {log} = this.#options;
+		const endpoint = upstream.id;
+		if (liveness.type === 'gone') {
+			const {cause} = liveness;
+			log.info('endpoint_gone', {endpoint, cause, silent_ms: silentMs});
+		} else if (now - startedAt > usualAnswerMs) {
+			log.info('endpoint_was_silent', {endpoint, silent_ms: silentMs});
+		}
+
+		return liveness;
+	}
+
+	/** Sends two probes at once, because the first packet of a connection may be lost, and repeats each one that fails. */
+	async #probe(upstream: Upstream, silentSince: number): Promise<Alive | Gone> {
+		const outcomes: ProbeOutcome[] = [{type: 'silent'}, {type: 'silent'}];
+		const abort = new AbortController();
+		return new Promise((resolve) => {
+			const probeRepeatedly = async (index: number) => {
+				while (!abort.signal.aborted) {
+					const silentMs = this.#silentMs(upstream, silentSince);
+					outcomes[index] = await probeEngine(
+						upstream,
+						this.#options.probeContext,
+						{
+							isNewConnection: true,
+							timeoutMs: Math.max(repeatMs, maxPauseMs - silentMs),
+							signal: abort.signal,
+						},
+					);
+					const liveness = judgeLiveness(
+						outcomes,
+						upstream.listed.startedAt,
+						this.#silentMs(upstream, silentSince),
+					);
+					if (liveness.type !== 'silent') {
+						abort.abort();
+						resolve(liveness);
+						return;
+					}
+
+					await delay(repeatMs);
+				}
+			};
+
+			for (const index of outcomes.keys()) {
+				void probeRepeatedly(index);
+			}
+		});
+	}
+
+	/** Time without a byte of an engine on any connection, in milliseconds. */
+	#silentMs({lastReceivedAt}: Upstream, silentSince: number): number {
+		return monotonicNow() - Math.max(silentSince, lastReceivedAt);
+	}
+}
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -7,11 +7,13 @@
 } from '../../interfaces/index.js';
 import {
 	EventSplitter,
+	type GoneCause,
 	type SendEnd,
 	type Upstream,
 } from '../../services/gateway/index.js';
 import {monotonicNow} from '../state-machine.js';
 import type {CallerOutput} from './caller-output.js';
+import {IdleWatch, type IdleWatchOptions} from './idle-watch.js';
 import type {Connection, ConnectionPool} from './connection-pool.js';
 import {decodeRawHeaders} from './raw-headers.js';
 
@@ -33,6 +35,13 @@
 /** Statuses whose responses have no body. */
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
+/** Reasons in the log and in answers for each way in which an endpoint is gone. */
+const reasons: Readonly<Record<GoneCause, string>> = {
+	silent: 'endpoint is silent on all connections',
+	refused: 'endpoint refuses connections',
+	'newer incarnation': 'endpoint has restarted',
+};
+
 /** Headers that mark the end of a body within the connection. */
 const framingHeaders: ReadonlySet<string> = new Set([
 	'content-length',
@@ -67,10 +76,9 @@
 	readonly firstByteMs: number;
 	/** Idle timeout between later data or events, in milliseconds. */
 	readonly gapMs: number;
-	/** Idle time after which `isAlive` is called, in milliseconds; undefined to never call it. */
+	/** Idle time after which `checkLiveness` is called, in milliseconds; undefined to never call it. */
 	readonly checkMs: number | undefined;
-	/** Checks on a separate connection whether the endpoint is alive. */
-	readonly isAlive: () => Promise<boolean>;
+	readonly checkLiveness: IdleWatchOptions['checkLiveness'];
 	/** Called with the head of each response on the connection; `isOwn` is false for one that belongs to another request. */
 	readonly onHead: (status: number, head: AnswerHead, isOwn: boolean) => void;
 };
@@ -105,14 +113,19 @@
 	#mode: 'events' | 'buffered' | 'forwarded' = 'buffered';
 	#buffered: Uint8Array[] = [];
 	#bufferedBytes = 0;
-	#idleTimer: NodeJS.Timeout | undefined;
-	#idleSince = 0;
-	/** Time of the last liveness check, or of the start of the idle period. Compared with the time at which data was last received, as timers may fire a little early. */
-	#livenessCheckedAt = 0;
-	#idleTimeoutMs = 0;
+	readonly #idleWatch: IdleWatch;
 
 	constructor(options: SendOptions) {
 		this.#options = options;
+		this.#idleWatch = new IdleWatch({
+			...options,
+			onDidTimeOut: (timeoutMs) => {
+				this.#fail('silent', `nothing for ${Math.round(timeoutMs)} ms`);
+			},
+			onDidLoseEndpoint: (cause) => {
+				this.#fail(cause === 'silent' ? 'silent' : 'gone', reasons[cause]);
+			},
+		});
 		this.#connection = options.connections.acquire(options.isOnce);
 		this.ended = new Promise((resolve) => {
 			this.#resolveEnded = resolve;
@@ -121,7 +134,7 @@
 
 	start(options: Dispatcher.DispatchOptions): void {
 		this.#connection.dispatch(options, this);
-		this.#restartIdleTimer(this.#options.firstByteMs);
+		this.#idleWatch.restart(this.#options.firstByteMs);
 	}
 
 	/** Aborts the send by closing the connection, on which the endpoint drops the request. */
@@ -190,19 +203,19 @@
 		this.#options.upstream.recordDataReceived(monotonicNow());
 		switch (this.#mode) {
 			case 'events': {
-				// Only complete events reset the idle timer: a stalled endpoint may still send single bytes.
+				// Only complete events restart the idle watch: a stalled endpoint may still send single bytes.
 				this.#readEvents(chunk);
 				break;
 			}
 
 			case 'buffered': {
-				this.#restartIdleTimer(this.#options.gapMs);
+				this.#idleWatch.restart(this.#options.gapMs);
 				this.#buffer(chunk);
 				break;
 			}
 
 			case 'forwarded': {
-				this.#restartIdleTimer(this.#options.gapMs);
+				this.#idleWatch.restart(this.#options.gapMs);
 				this.#recordFirstByte();
 				this.#write(chunk);
 				break;
@@ -338,7 +351,7 @@
 
 		const now = monotonicNow();
 		this.#recordPause(now, events.length);
-		this.#restartIdleTimer(this.#options.gapMs);
+		this.#idleWatch.restart(this.#options.gapMs);
 		this.#recordFirstByte();
 		this.#writeHead();
 		this.#write(events.length === 1 ? events[0]! : Buffer.concat(events));
@@ -402,65 +415,17 @@
 		const controller = this.#controller!;
 		const canContinue = this.#options.output.write(bytes, () => {
 			controller.resume();
-			this.#restartIdleTimer(this.#options.gapMs);
+			this.#idleWatch.restart(this.#options.gapMs);
 		});
 		if (!canContinue) {
 			controller.pause();
-			clearTimeout(this.#idleTimer);
+			this.#idleWatch.dispose();
 		}
 	}
 
-	/** Restarts the idle timer. The send ends when it expires, or earlier when a liveness check fails. */
-	#restartIdleTimer(timeoutMs: number): void {
-		clearTimeout(this.#idleTimer);
-		this.#idleSince = monotonicNow();
-		this.#livenessCheckedAt = this.#idleSince;
-		this.#idleTimeoutMs = timeoutMs;
-		this.#scheduleIdleTimer();
-	}
-
-	#scheduleIdleTimer(): void {
-		const timeoutMs = this.#idleTimeoutMs;
-		if (this.#isEnded) {
-			return;
-		}
-
-		const remainingMs = this.#idleSince + timeoutMs - monotonicNow();
-		const {checkMs = Number.POSITIVE_INFINITY} = this.#options;
-		this.#idleTimer = setTimeout(
-			() => {
-				if (remainingMs > checkMs) {
-					void this.#checkLiveness();
-				} else {
-					this.#timeOut(`nothing for ${Math.round(timeoutMs)} ms`);
-				}
-			},
-			Math.max(0, Math.min(remainingMs, checkMs)),
-		);
-	}
-
-	/** Checks whether the endpoint is alive, unless bytes from it have arrived on another connection in the meantime. */
-	async #checkLiveness(): Promise<void> {
-		const idleSince = this.#idleSince;
-		const {upstream, isAlive} = this.#options;
-		const hasReceivedData = upstream.lastReceivedAt > this.#livenessCheckedAt;
-		this.#livenessCheckedAt = monotonicNow();
-		const isDead = !hasReceivedData && !(await isAlive());
-		if (idleSince !== this.#idleSince) {
-			return;
-		}
-
-		if (isDead) {
-			this.#timeOut('endpoint does not answer');
-		} else {
-			this.#scheduleIdleTimer();
-		}
-	}
-
-	#timeOut(reason: string): void {
-		this.cancel(
-			this.isSent ? {type: 'silent', reason} : {type: 'unsent', reason},
-		);
+	/** Gives up the endpoint. */
+	#fail(type: 'silent' | 'gone', reason: string): void {
+		this.cancel({type: this.isSent ? type : 'unsent', reason});
 	}
 
 	#finish(end: SendEnd): boolean {
@@ -469,7 +434,7 @@
 		}
 
 		this.#isEnded = true;
-		clearTimeout(this.#idleTimer);
+		this.#idleWatch.dispose();
 		this.#resolveEnded(end);
 		return true;
 	}
--- a/src/services/gateway/index.ts
+++ b/src/services/gateway/index.ts
@@ -11,6 +11,7 @@
 export * from './kv-cache-usage.js';
 export * from './event-splitter.js';
 export * from './health.js';
+export * from './liveness.js';
 export * from './loss-table.js';
 export * from './missing-entries.js';
 export * from './next-step.js';
--- /dev/null
+++ b/src/services/gateway/liveness.test.ts
@@ -0,0 +1,63 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {
+	judgeLiveness,
+	maxPauseMs,
+	type Liveness,
+	type ProbeOutcome,
+} from './liveness.js';
+
+const startedAt = 7;
+const alive: Liveness = {type: 'alive'};
+const silent: Liveness = {type: 'silent'};
+const none: ProbeOutcome = {type: 'silent'};
+const refused: ProbeOutcome = {type: 'refused'};
+const closed: ProbeOutcome = {type: 'closed'};
+
+function answered(start: number | undefined): ProbeOutcome {
+	return {
+		type: 'answered',
+		report: {usedTokens: 0, totalTokens: 1, startedAt: start},
+	};
+}
+
+// Guards against answers that are ended at a sound server because it pauses, and against a dead one that is waited for until the deadline.
+test('mere silence counts as the end of an endpoint only after the longest pause', () => {
+	expect(judgeLiveness([none, none], startedAt, 1200)).toEqual(silent);
+	expect(judgeLiveness([none, none], startedAt, maxPauseMs)).toEqual({
+		type: 'gone',
+		cause: 'silent',
+	});
+});
+
+// Guards against callers who wait for a process that has ended.
+test('a refused connection or a newer incarnation shows at once that an endpoint is gone', () => {
+	expect(judgeLiveness([refused, refused], startedAt, 400)).toEqual({
+		type: 'gone',
+		cause: 'refused',
+	});
+	expect(judgeLiveness([answered(8), none], startedAt, 400)).toEqual({
+		type: 'gone',
+		cause: 'newer incarnation',
+	});
+});
+
+// Guards against a single lost or refused probe that outweighs an answer.
+test('one answer of the incarnation shows that it is alive', () => {
+	for (const other of [none, refused, closed, answered(8)]) {
+		for (const start of [startedAt, undefined]) {
+			expect(
+				judgeLiveness([other, answered(start)], startedAt, maxPauseMs),
+			).toEqual(alive);
+		}
+	}
+
+	expect(judgeLiveness([answered(8)], undefined, 400)).toEqual(alive);
+	expect(judgeLiveness([refused, none], startedAt, 400)).toEqual(silent);
+});
+
+// Guards against answers that are ended at a server that has as many connections as it accepts.
+test('an endpoint that closes new connections is not gone', () => {
+	expect(judgeLiveness([closed, closed], startedAt, 400)).toEqual(silent);
+	expect(judgeLiveness([closed, none], startedAt, maxPauseMs)).toEqual(alive);
+});
--- /dev/null
+++ b/src/services/gateway/liveness.ts
@@ -0,0 +1,57 @@
+import type {EngineReport} from '../../interfaces/index.js';
+
+/** Time without a byte on any connection after which an endpoint counts as gone, in milliseconds: a sound one may be silent for a second or so and go on, and callers abandon a stream after two seconds or more. */
+export const maxPauseMs = 2500;
+
+/** Result of a probe on a new connection. */
+export type ProbeOutcome =
+	/** `report` is undefined when the answer cannot be parsed. */
+	| {
+			readonly type: 'answered';
+			readonly report: EngineReport | undefined;
+	  }
+	/** Nothing listens at the address. */
+	| {readonly type: 'refused'}
+	/** The connection was accepted and closed again, as those are that exceed an endpoint's limit. */
+	| {readonly type: 'closed'}
+	/** No connection or no answer in time. */
+	| {readonly type: 'silent'};
+
+/** Why an endpoint counts as gone. */
+export type GoneCause = 'silent' | 'refused' | 'newer incarnation';
+
+export type Alive = {readonly type: 'alive'};
+export type Gone = {readonly type: 'gone'; readonly cause: GoneCause};
+
+/** Whether an incarnation of an endpoint is alive; `silent` as long as that is not known. */
+export type Liveness = Alive | Gone | {readonly type: 'silent'};
+
+/** Judges the incarnation of an endpoint that was started at a Unix time (undefined if unknown) by the latest outcomes of probes that began at the same time, as a packet of one may be lost. `silentMs` is the time since its last byte on any connection, while bytes were due. */
+export function judgeLiveness(
+	outcomes: readonly ProbeOutcome[],
+	startedAt: number | undefined,
+	silentMs: number,
+): Liveness {
+	const starts = outcomes.flatMap((outcome) =>
+		outcome.type === 'answered' ? [outcome.report?.startedAt] : [],
+	);
+	if (starts.length > 0) {
+		return startedAt === undefined ||
+			starts.some((start) => start === undefined || start === startedAt)
+			? {type: 'alive'}
+			: {type: 'gone', cause: 'newer incarnation'};
+	}
+
+	if (outcomes.every(({type}) => type === 'refused')) {
+		return {type: 'gone', cause: 'refused'};
+	}
+
+	if (silentMs < maxPauseMs) {
+		return {type: 'silent'};
+	}
+
+	// Only a running process closes connections for so long.
+	return outcomes.some(({type}) => type === 'closed')
+		? {type: 'alive'}
+		: {type: 'gone', cause: 'silent'};
+}
--- a/src/services/gateway/next-step.ts
+++ b/src/services/gateway/next-step.ts
@@ -18,6 +18,8 @@
 	| {readonly type: 'broken'; readonly reason: string}
 	/** Timeout: the request may be running, and the endpoint sends no data. */
 	| {readonly type: 'silent'; readonly reason: string}
+	/** The request may have run, and the incarnation of the endpoint has ended. */
+	| {readonly type: 'gone'; readonly reason: string}
 	/** The gateway has cancelled it, because it may crash the endpoint. */
 	| {readonly type: 'withdrawn'; readonly reason: string}
 	/** The deadline of the request has passed. */
@@ -114,14 +116,7 @@
 		}
 
 		case 'answered': {
-			const isFailure = end.status >= minServerErrorStatus;
-			if (isFailure && canRepeat(state, takeRetry)) {
-				return {type: 'send'};
-			}
-
-			return state.isPartlyDelivered
-				? {type: 'cut', reason: `status ${end.status} in place of the rest`}
-				: {type: 'deliver'};
+			return afterAnswer(end.status, state, takeRetry);
 		}
 
 		case 'delivered': {
@@ -132,7 +127,8 @@
 			return sendAgain(state, takeRetry) ?? giveUp(state, 502, end.reason, 0);
 		}
 
-		case 'silent': {
+		case 'silent':
+		case 'gone': {
 			return sendAgain(state, takeRetry) ?? giveUp(state, 504, end.reason, 0);
 		}
 
@@ -150,6 +146,21 @@
 	}
 }
 
+function afterAnswer(
+	status: number,
+	state: RequestState,
+	takeRetry: () => boolean,
+): NextStep {
+	const isFailure = status >= minServerErrorStatus;
+	if (isFailure && canRepeat(state, takeRetry)) {
+		return {type: 'send'};
+	}
+
+	return state.isPartlyDelivered
+		? {type: 'cut', reason: `status ${status} in place of the rest`}
+		: {type: 'deliver'};
+}
+
 function canConnect(state: RequestState): boolean {
 	return (
 		state.failedConnections < maxFailedConnections &&
--- a/src/services/gateway/send-timeouts.ts
+++ b/src/services/gateway/send-timeouts.ts
@@ -7,7 +7,7 @@
 /** Minimum of that timeout, as a multiple of the objective: an overloaded engine answers late, and sending its requests elsewhere as well adds to the overload. */
 const minStreamObjectiveFactor = 1.5;
 
-/** Time without data from an engine after which it is probed, in milliseconds. */
+/** Time without data from an engine after which it is probed, in milliseconds, so that one that has ended is noticed soon. */
 const livenessCheckMs = 400;
 
 /** First-byte timeout of a plain service, as a multiple of the expected time; its slowest hundredth takes five times the mean. */
@@ -26,11 +26,11 @@
 	readonly firstByteMs: number;
 	/** Maximum time without data within the answer. */
 	readonly gapMs: number;
-	/** Time without data after which the endpoint is probed, which ends the send to a dead one at once; undefined for no probe. */
+	/** Time without data after which the endpoint is probed, which ends the send to one that is gone; undefined for no probe. */
 	readonly checkMs: number | undefined;
 };
 
-/** Timeouts of a send. When the request cannot be sent again, giving up an endpoint that is alive gains nothing and only the route's timeout applies; a stream from a dead engine still ends at once, so that its caller does not wait in vain. */
+/** Timeouts of a send. When the request cannot be sent again, giving up an endpoint that is alive gains nothing and only the route's timeout applies; a stream from an engine that is gone still ends early, so that its caller does not wait in vain. */
 export function sendTimeouts(
 	route: Route,
 	expectedMs: number,
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -188,7 +188,8 @@
 	/** Updates the endpoint's health by the end of a send. */
 	ended(end: SendEnd, startedAt: number, now: number): void {
 		switch (end.type) {
-			case 'unsent': {
+			case 'unsent':
+			case 'gone': {
 				this.health.block(now);
 				break;
 			}
