Take no silent engine for a crashed one

Callers of sound requests got 503 'prompt part crashes engines', or 502, after their engines had been silent: a request whose connection ended without an answer counted as the cause of a crash when one probe had no answer within 0.4 s.

Crash reports use the same check as streams: refused connections and another incarnation show a crash at once, mere silence after 2.5 s.

--- a/src/daemons/gateway/crash-reports.ts
+++ b/src/daemons/gateway/crash-reports.ts
@@ -5,14 +5,15 @@
 	Upstream,
 } from '../../services/gateway/index.js';
 import type {Log} from '../log.js';
-import {probeEngine, type EngineProbeContext} from './engine-probe.js';
+import {monotonicNow} from '../state-machine.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
+import type {LivenessChecks} from './liveness-checks.js';
 import type {PeerNotices} from './peer-notices.js';
 
 export type CrashReportsOptions = {
 	readonly crashSuspects: CrashSuspects;
 	readonly endpoints: EndpointSet;
-	readonly probeContext: EngineProbeContext;
+	readonly livenessChecks: LivenessChecks;
 	readonly notices: PeerNotices;
 	readonly log: Log;
 	readonly metrics: GatewayMetrics;
@@ -28,11 +29,10 @@
 	readonly parts: readonly PromptPart[];
 	/** Time at which its connection ended, in milliseconds of the monotonic clock. */
 	readonly at: number;
+	/** It ended because its engine had been judged to be gone. */
+	readonly isEngineGone: boolean;
 };
 
-/** Timeout of a probe, in milliseconds. */
-const probeTimeoutMs = 400;
-
 /** Bounds of the prompt parts in a log line: callers choose their number and length. */
 const maxLoggedParts = 8;
 const maxLoggedIdLength = 32;
@@ -40,7 +40,6 @@
 /** Records the prompt parts of unanswered requests once it is known that their engine has crashed, and not only lost a connection. */
 export class CrashReports {
 	readonly #options: CrashReportsOptions;
-	readonly #checks = new Map<Upstream, Promise<boolean>>();
 
 	constructor(options: CrashReportsOptions) {
 		this.#options = options;
@@ -49,13 +48,13 @@
 	/** Handles a request whose engine closed the connection or went silent before it had begun to answer; never rejects. */
 	async recordUnanswered(
 		upstream: Upstream,
-		{requestId, partKeys, parts, at}: UnansweredRequest,
+		{requestId, partKeys, parts, at, isEngineGone}: UnansweredRequest,
 	): Promise<void> {
 		const {crashSuspects, notices, log, metrics} = this.#options;
 		if (
 			partKeys.length === 0 ||
 			upstream.isLeaving ||
-			!(await this.#hasCrashed(upstream))
+			!(isEngineGone || (await this.#hasCrashed(upstream)))
 		) {
 			return;
 		}
@@ -87,36 +86,15 @@
 		this.#options.notices.sendCrashesSoon();
 	}
 
-	/** Resolves to whether the incarnation of an engine has ended. One check serves all its requests. */
+	/** Resolves to whether the incarnation of an engine has ended. */
 	async #hasCrashed(upstream: Upstream): Promise<boolean> {
-		let check = this.#checks.get(upstream);
-		if (!check) {
-			check = this.#check(upstream);
-			this.#checks.set(upstream, check);
-			void check.finally(() => {
-				this.#checks.delete(upstream);
-			});
-		}
-
-		return check;
-	}
-
-	async #check(upstream: Upstream): Promise<boolean> {
-		const {endpoints, probeContext} = this.#options;
+		const {endpoints, livenessChecks} = this.#options;
 		if (!endpoints.has(upstream)) {
 			return true;
 		}
 
-		const outcome = await probeEngine(upstream, probeContext, {
-			isNewConnection: true,
-			timeoutMs: probeTimeoutMs,
-		});
-		if (outcome.type !== 'answered') {
-			return true;
-		}
-
-		const startedAt = outcome.report?.startedAt;
-		return startedAt !== undefined && startedAt !== upstream.listed.startedAt;
+		const liveness = await livenessChecks.check(upstream, monotonicNow());
+		return liveness.type === 'gone';
 	}
 }
 
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -355,6 +355,7 @@
 						partKeys,
 						parts,
 						at: now,
+						isEngineGone: end.type === 'gone',
 					});
 				}
 
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -234,7 +234,7 @@
 			crashReports: new CrashReports({
 				crashSuspects: this.#crashSuspects,
 				endpoints: this.#platform.endpoints,
-				probeContext,
+				livenessChecks,
 				notices: this.#peers.notices,
 				log: options.log,
 				metrics: this.#metrics,
