Keep a request at its slow endpoint when the retry budget is used up

Callers got 504 'nothing for ... ms' when a request that may be repeated had waited for its endpoint for several times the expected time, and the retry was then refused: the send was ended before it was known whether another one may follow.

The send now asks first. The retry is taken then, and the send ends as 'moved', for which nextStep takes no second one; without a retry the request goes on waiting until its timeout, and asks again every 250 ms. A plain answer of which the caller has a part stays where it is, as it cannot start again. 'silent' now only means that the endpoint was judged to be gone.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -1,6 +1,7 @@
 import type {Disposable} from '../../base/index.js';
 import {
 	backupFor,
+	mayMove,
 	nextStep,
 	sendTimeouts,
 	type RequestState,
@@ -31,6 +32,14 @@
 /** Time after the first output for which an engine must live until the parts of the prompt count as harmless, in milliseconds. */
 const survivalMs = 250;
 
+/** Ends of a stream's send by which an answer of its engine is lost. */
+const lossTypes: ReadonlySet<SendEnd['type']> = new Set([
+	'broken',
+	'silent',
+	'gone',
+	'moved',
+]);
+
 /** Handles one request of a caller: places it, sends it to endpoints, retries where allowed and responds. */
 export class Exchange implements Disposable {
 	readonly #context: ExchangeContext;
@@ -202,6 +211,7 @@
 			position: this.#position,
 			checkLiveness: async (silentSince) =>
 				livenessChecks.check(upstream, silentSince),
+			tryMove: () => this.#tryMove(),
 			onHead(status, answerHead, isOwn) {
 				signals.applyHead(upstream, status, answerHead, isOwn);
 			},
@@ -251,6 +261,21 @@
 		return end;
 	}
 
+	/** Takes a retry when the request may leave its slow endpoint for another one. */
+	#tryMove(): boolean {
+		const state = {...this.#requestState(), sends: this.#sends + 1};
+		return mayMove(state, () => this.#takeRetry());
+	}
+
+	#takeRetry(): boolean {
+		const {retryAllowance, gateways} = this.#context;
+		return retryAllowance.take(
+			this.#request.service.name,
+			monotonicNow(),
+			gateways(),
+		);
+	}
+
 	/** Chooses an engine for a replica of the run's KV cache: only for a stream that runs at most once, as any other request can be retried when its engine fails, and only while failures are likely. */
 	#chooseBackup(upstream: Upstream): Upstream | undefined {
 		const {endpoints, rateLimits} = this.#context;
@@ -307,10 +332,7 @@
 		}
 
 		this.#recordOutcome(send, end, upstream, now);
-		if (
-			this.#request.route.isStream &&
-			(end.type === 'broken' || end.type === 'silent' || end.type === 'gone')
-		) {
+		if (this.#request.route.isStream && lossTypes.has(end.type)) {
 			this.#context.endpoints
 				.losses(this.#request.service.name)
 				.recordLoss(now);
@@ -341,7 +363,8 @@
 		switch (end.type) {
 			case 'broken':
 			case 'silent':
-			case 'gone': {
+			case 'gone':
+			case 'moved': {
 				const answeredAt = send.firstByteAt ?? now;
 				if (prompt && send.isSent && now - answeredAt < survivalMs) {
 					const {parts} = prompt;
@@ -355,7 +378,7 @@
 						partKeys,
 						parts,
 						at: now,
-						isEngineGone: end.type === 'gone',
+						isEngineGone: end.type === 'silent' || end.type === 'gone',
 					});
 				}
 
@@ -384,11 +407,8 @@
 	}
 
 	#chooseNextStep(end: SendEnd): NextStep {
-		const {retryAllowance, gateways} = this.#context;
 		const {service} = this.#request;
-		const step = nextStep(end, this.#requestState(), () =>
-			retryAllowance.take(service.name, monotonicNow(), gateways()),
-		);
+		const step = nextStep(end, this.#requestState(), () => this.#takeRetry());
 		if (end.type === 'answered' && step.type === 'send') {
 			this.#failedAnswer = this.#send!.answer;
 		}
--- a/src/daemons/gateway/idle-watch.ts
+++ b/src/daemons/gateway/idle-watch.ts
@@ -7,12 +7,16 @@
 } from '../../services/gateway/index.js';
 import {monotonicNow} from '../state-machine.js';
 
+/** Time after which a timeout is reported again while the send continues, in milliseconds. */
+const repeatMs = 250;
+
 export type IdleWatchOptions = {
 	readonly upstream: Upstream;
 	/** Idle time after which the endpoint's liveness is checked, in milliseconds; undefined to never check it. */
 	readonly checkMs: number | undefined;
 	/** Finds out on other connections whether an endpoint that has been silent since a time on the monotonic clock is alive. */
 	readonly checkLiveness: (silentSince: number) => Promise<Alive | Gone>;
+	/** Called when the timeout has passed, and again while the period lasts. */
 	readonly onDidTimeOut: (timeoutMs: number) => void;
 	readonly onDidLoseEndpoint: (cause: GoneCause) => void;
 };
@@ -25,6 +29,8 @@
 	#period = 0;
 	#idleSince = 0;
 	#timeoutMs = 0;
+	/** Time on the monotonic clock at which the timeout is reported next. */
+	#timeoutAt = 0;
 	/** Time of the last check, or of the start of the period. Compared with the time at which data was last received, as timers may fire a little early. */
 	#checkedAt = 0;
 	#isChecking = false;
@@ -39,6 +45,7 @@
 		this.#idleSince = monotonicNow();
 		this.#checkedAt = this.#idleSince;
 		this.#timeoutMs = timeoutMs;
+		this.#timeoutAt = this.#idleSince + timeoutMs;
 		this.#isChecking = false;
 		this.#schedule();
 	}
@@ -53,7 +60,7 @@
 		clearTimeout(this.#timer);
 		const {checkMs} = this.#options;
 		const now = monotonicNow();
-		const timeoutAt = this.#idleSince + this.#timeoutMs;
+		const timeoutAt = this.#timeoutAt;
 		const checkAt =
 			checkMs === undefined || this.#isChecking
 				? Number.POSITIVE_INFINITY
@@ -63,13 +70,22 @@
 				if (checkAt < timeoutAt) {
 					void this.#check();
 				} else {
-					this.#options.onDidTimeOut(this.#timeoutMs);
+					this.#timeOut();
 				}
 			},
 			Math.max(0, Math.min(checkAt, timeoutAt) - now),
 		);
 	}
 
+	#timeOut(): void {
+		const period = this.#period;
+		this.#options.onDidTimeOut(this.#timeoutMs);
+		if (period === this.#period) {
+			this.#timeoutAt = monotonicNow() + repeatMs;
+			this.#schedule();
+		}
+	}
+
 	/** Checks whether the endpoint is alive, unless bytes from it have arrived on another connection in the meantime. */
 	async #check(): Promise<void> {
 		const {upstream, checkLiveness, onDidLoseEndpoint} = this.#options;
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -79,6 +79,8 @@
 	/** Idle time after which `checkLiveness` is called, in milliseconds; undefined to never call it. */
 	readonly checkMs: number | undefined;
 	readonly checkLiveness: IdleWatchOptions['checkLiveness'];
+	/** Called after a timeout: returns whether another endpoint gets the request, which ends this send. */
+	readonly tryMove: () => boolean;
 	/** Called with the head of each response on the connection; `isOwn` is false for one that belongs to another request. */
 	readonly onHead: (status: number, head: AnswerHead, isOwn: boolean) => void;
 };
@@ -120,10 +122,19 @@
 		this.#idleWatch = new IdleWatch({
 			...options,
 			onDidTimeOut: (timeoutMs) => {
-				this.#fail('silent', `nothing for ${Math.round(timeoutMs)} ms`);
+				const reason = `nothing for ${Math.round(timeoutMs)} ms`;
+				if (!this.isSent) {
+					this.cancel({type: 'unsent', reason});
+				} else if (options.tryMove()) {
+					this.cancel({type: 'moved', reason});
+				}
 			},
 			onDidLoseEndpoint: (cause) => {
-				this.#fail(cause === 'silent' ? 'silent' : 'gone', reasons[cause]);
+				const type = cause === 'silent' ? 'silent' : 'gone';
+				this.cancel({
+					type: this.isSent ? type : 'unsent',
+					reason: reasons[cause],
+				});
 			},
 		});
 		this.#connection = options.connections.acquire(options.isOnce);
@@ -423,11 +434,6 @@
 		}
 	}
 
-	/** Gives up the endpoint. */
-	#fail(type: 'silent' | 'gone', reason: string): void {
-		this.cancel({type: this.isSent ? type : 'unsent', reason});
-	}
-
 	#finish(end: SendEnd): boolean {
 		if (this.#isEnded) {
 			return false;
--- a/src/services/gateway/next-step.test.ts
+++ b/src/services/gateway/next-step.test.ts
@@ -1,6 +1,11 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
-import {nextStep, type RequestState, type SendEnd} from './next-step.js';
+import {
+	mayMove,
+	nextStep,
+	type RequestState,
+	type SendEnd,
+} from './next-step.js';
 
 const state: RequestState = {
 	retryMode: 'idempotent',
@@ -21,6 +26,7 @@
 	{type: 'broken', reason: ''},
 	{type: 'silent', reason: ''},
 	{type: 'gone', reason: ''},
+	{type: 'moved', reason: ''},
 	{type: 'expired'},
 ];
 
@@ -119,3 +125,21 @@
 	const late = {...copied, remainingMs: 10};
 	expect(nextStep(ends[3]!, late, yes).type).toEqual('cut');
 });
+
+// Guards against a request that is given up at a silent but sound endpoint although it cannot go elsewhere, and against a retry that is taken twice for one repeat.
+test('a request leaves a slow endpoint only with a retry, which is taken once', () => {
+	expect(mayMove(state, yes)).toEqual(true);
+	const begun: RequestState = {...state, isPartlyDelivered: true};
+	expect(mayMove({...begun, retryMode: 'resumable'}, yes)).toEqual(true);
+	for (const fixed of [
+		begun,
+		{...state, sends: 2},
+		{...state, remainingMs: 1},
+		{...state, retryMode: 'once'},
+	] as const) {
+		expect(mayMove(fixed, yes)).toEqual(false);
+	}
+
+	expect(mayMove(state, no)).toEqual(false);
+	expect(nextStep({type: 'moved', reason: ''}, state, no).type).toEqual('send');
+});
--- a/src/services/gateway/next-step.ts
+++ b/src/services/gateway/next-step.ts
@@ -16,8 +16,10 @@
 	| {readonly type: 'delivered'}
 	/** The request may have run, and its answer is lost or unusable. */
 	| {readonly type: 'broken'; readonly reason: string}
-	/** Timeout: the request may be running, and the endpoint sends no data. */
+	/** The request may have run, and the endpoint has been silent for longer than a sound one. */
 	| {readonly type: 'silent'; readonly reason: string}
+	/** The request may be running at an endpoint that is slow, and another one gets it; its retry has been taken. */
+	| {readonly type: 'moved'; readonly reason: string}
 	/** The request may have run, and the incarnation of the endpoint has ended. */
 	| {readonly type: 'gone'; readonly reason: string}
 	/** The gateway has cancelled it, because it may crash the endpoint. */
@@ -132,6 +134,12 @@
 			return sendAgain(state, takeRetry) ?? giveUp(state, 504, end.reason, 0);
 		}
 
+		case 'moved': {
+			return mayMove(state, () => true)
+				? {type: 'send'}
+				: giveUp(state, 504, end.reason, 0);
+		}
+
 		case 'withdrawn': {
 			return giveUp(state, 502, end.reason, rejectedRetryAfterMs);
 		}
@@ -146,6 +154,16 @@
 	}
 }
 
+/** Whether a request whose endpoint is slow may be sent to another one; its current send counts among the sends. Otherwise it goes on waiting, as its endpoint may be sound. `takeRetry` is called last. */
+export function mayMove(
+	state: RequestState,
+	takeRetry: () => boolean,
+): boolean {
+	const mustContinue =
+		state.isPartlyDelivered && state.retryMode !== 'resumable';
+	return !mustContinue && canRepeat(state, takeRetry);
+}
+
 function afterAnswer(
 	status: number,
 	state: RequestState,
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -215,7 +215,8 @@
 				break;
 			}
 
-			case 'silent': {
+			case 'silent':
+			case 'moved': {
 				if (this.#lastReceivedAt < startedAt) {
 					this.health.block(now);
 				} else {
