Keep a request at its slow endpoint while no other has capacity

Callers got 502 'no endpoint' or 'no room in time' when a request that may be repeated had left its slow endpoint and no other one took it, although the first would have answered.

Before it leaves, the placement is asked whether an endpoint that has not been tried would get the request now. The gateway that owns that endpoint may still deny capacity; then the request waits for 1.5 s as before and may fail.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -261,10 +261,13 @@
 		return end;
 	}
 
-	/** Takes a retry when the request may leave its slow endpoint for another one. */
+	/** Takes a retry when the request may leave its slow endpoint for another one that has capacity. */
 	#tryMove(): boolean {
 		const state = {...this.#requestState(), sends: this.#sends + 1};
-		return mayMove(state, () => this.#takeRetry());
+		return mayMove(
+			state,
+			() => this.#placement.hasUntriedPlace() && this.#takeRetry(),
+		);
 	}
 
 	#takeRetry(): boolean {
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -177,6 +177,16 @@
 		});
 	}
 
+	/** Whether an endpoint that has not been tried would get the request now; the gateway that owns it may still deny capacity. */
+	hasUntriedPlace(): boolean {
+		const now = monotonicNow();
+		const verdict = this.#context.crashSuspects.check(this.partKeys, now);
+		return (
+			(verdict.type === 'clear' || verdict.type === 'probe') &&
+			this.#place(now).type === 'send'
+		);
+	}
+
 	/** Requests a reservation from the gateway that owns the engine. Places the request if capacity was reserved and the request is still wanted. */
 	async #requestReservation(
 		owner: PeerAddress,
