Eject no endpoint that is silent for a second

Work moved away from a sound endpoint for 0.5 to 8 s when it had sent nothing since the start of a request that then moved to another one; when several were silent at once, few or none were left for new requests.

'an endpoint is ejected for silence only after the longest pause' failed before (ejected after 1.2 s) and passes now.

--- /dev/null
+++ b/src/services/gateway/upstream.test.ts
@@ -0,0 +1,37 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {maxPauseMs} from './liveness.js';
+import type {SendEnd} from './next-step.js';
+import {PeerLoads} from './peer-loads.js';
+import {Upstream} from './upstream.js';
+
+/** Whether an endpoint that has sent nothing since the start of a send at 1000 is ejected when the send ends. */
+function isEjected(end: SendEnd, silentMs: number): boolean {
+	const upstream = new Upstream(
+		{
+			id: 'e',
+			service: 's',
+			address: '10.0.0.1:80',
+			dataCentre: 'd',
+			isDraining: false,
+			slots: 8,
+			startedAt: 1,
+			warmUpMs: 0,
+		},
+		0,
+		undefined,
+		new PeerLoads(),
+	);
+	upstream.recordDataReceived(900);
+	upstream.ended(end, 1000, 1000 + silentMs);
+	return upstream.unavailableMs(1000 + silentMs) > 0;
+}
+
+// Guards against the ejection of sound endpoints that pause, which moves all work to the others, and against requests to endpoints that have ended.
+test('an endpoint is ejected for silence only after the longest pause', () => {
+	const moved: SendEnd = {type: 'moved', reason: ''};
+	expect(isEjected(moved, 1200)).toEqual(false);
+	expect(isEjected(moved, maxPauseMs)).toEqual(true);
+	expect(isEjected({type: 'silent', reason: ''}, maxPauseMs)).toEqual(true);
+	expect(isEjected({type: 'gone', reason: ''}, 400)).toEqual(true);
+});
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -7,6 +7,7 @@
 } from '../../interfaces/index.js';
 import {KvCacheUsage} from './kv-cache-usage.js';
 import {Health} from './health.js';
+import {maxPauseMs} from './liveness.js';
 import {minServerErrorStatus, type SendEnd} from './next-step.js';
 import type {PeerLoads} from './peer-loads.js';
 import {PrefixIndex, type PrefixLink} from './prefix-index.js';
@@ -189,6 +190,7 @@
 	ended(end: SendEnd, startedAt: number, now: number): void {
 		switch (end.type) {
 			case 'unsent':
+			case 'silent':
 			case 'gone': {
 				this.health.block(now);
 				break;
@@ -215,9 +217,9 @@
 				break;
 			}
 
-			case 'silent':
 			case 'moved': {
-				if (this.#lastReceivedAt < startedAt) {
+				const silentSince = Math.max(startedAt, this.#lastReceivedAt);
+				if (now - silentSince >= maxPauseMs) {
 					this.health.block(now);
 				} else {
 					this.health.failed(now);
