--- a/src/daemons/gateway/crash-reports.ts
+++ b/src/daemons/gateway/crash-reports.ts
@@ -5,14 +5,15 @@
 	Upstream,
 } from '../../services/gateway/index.js';
 import type {Log} from '../log.js';
-import {probeEngine, type EngineProbeContext} from './engine-probe.js';
+import {monotonicNow} from '../state-machine.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
+import type {LivenessChecks} from './liveness-checks.js';
 import type {PeerNotices} from './peer-notices.js';
 
 export type CrashReportsOptions = {
 	readonly crashSuspects: CrashSuspects;
 	readonly endpoints: EndpointSet;
-	readonly probeContext: EngineProbeContext;
+	readonly livenessChecks: LivenessChecks;
 	readonly notices: PeerNotices;
 	readonly log: Log;
 	readonly metrics: GatewayMetrics;
@@ -28,6 +29,8 @@
 	readonly parts: readonly PromptPart[];
 	/** Time at which its connection ended, in milliseconds of the monotonic clock. */
 	readonly at: number;
+	/** It ended because its engine had been judged to be gone. */
+	readonly isEngineGone: boolean;
 };
 
 /** Bounds of the prompt parts in a log line: callers choose their number and length. */
@@ -37,7 +40,6 @@
 /** Records the prompt parts of unanswered requests once it is known that their engine has crashed, and not only lost a connection. */
 export class CrashReports {
 	readonly #options: CrashReportsOptions;
-	readonly #checks = new Map<Upstream, Promise<boolean>>();
 
 	constructor(options: CrashReportsOptions) {
 		this.#options = options;
@@ -46,13 +48,13 @@
 	/** Handles a request whose engine closed the connection or went silent before it had begun to answer; never rejects. */
 	async recordUnanswered(
 		upstream: Upstream,
-		{requestId, partKeys, parts, at}: UnansweredRequest,
+		{requestId, partKeys, parts, at, isEngineGone}: UnansweredRequest,
 	): Promise<void> {
 		const {crashSuspects, notices, log, metrics} = this.#options;
 		if (
 			partKeys.length === 0 ||
 			upstream.isLeaving ||
-			!(await this.#hasCrashed(upstream))
+			!(isEngineGone || (await this.#hasCrashed(upstream)))
 		) {
 			return;
 		}
@@ -84,32 +86,15 @@
 		this.#options.notices.sendCrashesSoon();
 	}
 
-	/** Resolves to whether the incarnation of an engine has ended. One check serves all its requests. */
+	/** Resolves to whether the incarnation of an engine has ended. */
 	async #hasCrashed(upstream: Upstream): Promise<boolean> {
-		let check = this.#checks.get(upstream);
-		if (!check) {
-			check = this.#check(upstream);
-			this.#checks.set(upstream, check);
-			void check.finally(() => {
-				this.#checks.delete(upstream);
-			});
-		}
-
-		return check;
-	}
-
-	async #check(upstream: Upstream): Promise<boolean> {
-		const {endpoints, probeContext} = this.#options;
+		const {endpoints, livenessChecks} = this.#options;
 		if (!endpoints.has(upstream)) {
 			return true;
 		}
 
-		const state = await probeEngine(upstream, probeContext, true);
-		const startedAt = state?.report?.startedAt;
-		return (
-			state === undefined ||
-			(startedAt !== undefined && startedAt !== upstream.listed.startedAt)
-		);
+		const liveness = await livenessChecks.check(upstream, monotonicNow());
+		return liveness.type === 'gone';
 	}
 }
 
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -1,6 +1,7 @@
 import type {Disposable} from '../../base/index.js';
 import {
 	backupFor,
+	mayMove,
 	nextStep,
 	sendTimeouts,
 	type RequestState,
@@ -13,7 +14,6 @@
 import type {CallerRequest, ExchangeContext} from './exchange-context.js';
 import {sendLocalReply} from './local-reply.js';
 import {loggedParts} from './crash-reports.js';
-import {isAlive} from './engine-probe.js';
 import {
 	RequestPlacement,
 	withheldReason,
@@ -32,6 +32,14 @@
 /** Time after the first output for which an engine must live until the parts of the prompt count as harmless, in milliseconds. */
 const survivalMs = 250;
 
+/** Ends of a stream's send by which an answer of its engine is lost. */
+const lossTypes: ReadonlySet<SendEnd['type']> = new Set([
+	'broken',
+	'silent',
+	'gone',
+	'moved',
+]);
+
 /** Handles one request of a caller: places it, sends it to endpoints, retries where allowed and responds. */
 export class Exchange implements Disposable {
 	readonly #context: ExchangeContext;
@@ -189,7 +197,8 @@
 	async #sendTo(placement: PlacedRequest): Promise<SendEnd> {
 		const {upstream, expectedMs, donor, activeRequest, resumeUpstream} =
 			placement;
-		const {format, connections, peers, queue, signals} = this.#context;
+		const {format, connections, peers, queue, signals, livenessChecks} =
+			this.#context;
 		const {method, target, headers, body, head, route, workspace, priority} =
 			this.#request;
 		const canSendAgain = this.#sends + 1 < route.maxSends;
@@ -202,7 +211,9 @@
 			isStream: route.isStream,
 			isOnce: route.retryMode === 'once',
 			position: this.#position,
-			isAlive: async () => isAlive(upstream, this.#context),
+			checkLiveness: async (silentSince) =>
+				livenessChecks.check(upstream, silentSince),
+			tryMove: () => this.#tryMove(),
 			onHead(status, answerHead, isOwn) {
 				signals.applyHead(upstream, status, answerHead, isOwn);
 			},
@@ -252,6 +263,24 @@
 		return end;
 	}
 
+	/** Takes a retry when the request may leave its slow endpoint for another one that has capacity. */
+	#tryMove(): boolean {
+		const state = {...this.#requestState(), sends: this.#sends + 1};
+		return mayMove(
+			state,
+			() => this.#placement.hasUntriedPlace() && this.#takeRetry(),
+		);
+	}
+
+	#takeRetry(): boolean {
+		const {retryAllowance, gateways} = this.#context;
+		return retryAllowance.take(
+			this.#request.service.name,
+			monotonicNow(),
+			gateways(),
+		);
+	}
+
 	/** Chooses an engine for a replica of the run's KV cache: only for a stream that runs at most once, as any other request can be retried when its engine fails, and only while failures are likely. */
 	#chooseBackup(upstream: Upstream): Upstream | undefined {
 		const {endpoints, rateLimits} = this.#context;
@@ -308,10 +337,7 @@
 		}
 
 		this.#recordOutcome(send, end, upstream, now);
-		if (
-			this.#request.route.isStream &&
-			(end.type === 'broken' || end.type === 'silent')
-		) {
+		if (this.#request.route.isStream && lossTypes.has(end.type)) {
 			this.#context.endpoints
 				.losses(this.#request.service.name)
 				.recordLoss(now);
@@ -341,7 +367,9 @@
 		const {requestId, prompt} = this.#request.head;
 		switch (end.type) {
 			case 'broken':
-			case 'silent': {
+			case 'silent':
+			case 'gone':
+			case 'moved': {
 				const answeredAt = send.firstByteAt ?? now;
 				if (prompt && send.isSent && now - answeredAt < survivalMs) {
 					const {parts} = prompt;
@@ -355,6 +383,7 @@
 						partKeys,
 						parts,
 						at: now,
+						isEngineGone: end.type === 'silent' || end.type === 'gone',
 					});
 				}
 
@@ -383,11 +412,8 @@
 	}
 
 	#chooseNextStep(end: SendEnd): NextStep {
-		const {retryAllowance, gateways} = this.#context;
 		const {service} = this.#request;
-		const step = nextStep(end, this.#requestState(), () =>
-			retryAllowance.take(service.name, monotonicNow(), gateways()),
-		);
+		const step = nextStep(end, this.#requestState(), () => this.#takeRetry());
 		if (end.type === 'answered' && step.type === 'send') {
 			this.#failedAnswer = this.#send!.answer;
 		}
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -7,6 +7,7 @@
 } from '../../interfaces/index.js';
 import {KvCacheUsage} from './kv-cache-usage.js';
 import {Health} from './health.js';
+import {maxPauseMs} from './liveness.js';
 import {minServerErrorStatus, type SendEnd} from './next-step.js';
 import type {PeerLoads} from './peer-loads.js';
 import {PrefixIndex, type PrefixLink} from './prefix-index.js';
@@ -188,7 +189,9 @@
 	/** Updates the endpoint's health by the end of a send. */
 	ended(end: SendEnd, startedAt: number, now: number): void {
 		switch (end.type) {
-			case 'unsent': {
+			case 'unsent':
+			case 'silent':
+			case 'gone': {
 				this.health.block(now);
 				break;
 			}
@@ -214,8 +217,9 @@
 				break;
 			}
 
-			case 'silent': {
-				if (this.#lastReceivedAt < startedAt) {
+			case 'moved': {
+				const silentSince = Math.max(startedAt, this.#lastReceivedAt);
+				if (now - silentSince >= maxPauseMs) {
 					this.health.block(now);
 				} else {
 					this.health.failed(now);
