Report no lost store for calls that a planned stop cuts off

Operators saw store_lost in the log at every planned stop: the calls in progress end when the client of the store is disposed of, and the watch reported that like any other failure.

Test: 'a watch that is disposed of during a call reports no failure of it' failed before with ["list", "lost"] for ["list"]. The watch now returns when a call fails after it has been disposed of.

--- a/src/daemons/gateway/table-watch.test.ts
+++ b/src/daemons/gateway/table-watch.test.ts
@@ -4,10 +4,10 @@
 import {waitUntil} from '../../lab/fleet/loopback.js';
 import {TableWatch} from './table-watch.js';
 
-/** Starts a watch whose revalidations return the given results in turn and then repeat the last one. Each of the feed's first `failures` calls fails. */
+/** Starts a watch whose revalidations return the given results in turn and then repeat the last one. Each of the feed's calls takes `feedMs`, and the first `failures` of them fail. */
 function startWatch(
 	results: Array<RevalidationResult | undefined>,
-	{isFeedCompacted = false, failures = 0} = {},
+	{isFeedCompacted = false, failures = 0, feedMs = 10} = {},
 ) {
 	const counts = {
 		lists: 0,
@@ -15,6 +15,7 @@
 		revalidations: 0,
 		confirmed: [] as number[],
 		events: [] as string[],
+		failed: false,
 	};
 	const startedAt = performance.now();
 	const watch = new TableWatch<string>({
@@ -26,13 +27,16 @@
 			},
 			async feed(position) {
 				counts.feeds++;
+				await new Promise((resolve) => {
+					setTimeout(resolve, feedMs);
+				});
 				if (counts.feeds <= failures) {
+					setImmediate(() => {
+						counts.failed = true;
+					});
 					throw new Error('no answer');
 				}
 
-				await new Promise((resolve) => {
-					setTimeout(resolve, 10);
-				});
 				return isFeedCompacted
 					? {type: 'lost'}
 					: {type: 'changes', changes: [], position};
@@ -106,3 +110,15 @@
 		'list',
 	]);
 });
+
+// Guards against a line at every planned stop which says that the store was lost.
+test('a watch that is disposed of during a call reports no failure of it', async () => {
+	const {watch, counts} = startWatch([undefined], {
+		failures: 1,
+		feedMs: 300,
+	});
+	await waitUntil('called', async () => counts.feeds === 1);
+	watch.dispose();
+	await waitUntil('failed', async () => counts.failed);
+	expect(counts.events).toEqual(['list']);
+});
--- a/src/daemons/gateway/table-watch.ts
+++ b/src/daemons/gateway/table-watch.ts
@@ -74,6 +74,10 @@
 					await pause(pauseMs);
 				}
 			} catch (error) {
+				if (this.#isDisposed) {
+					return;
+				}
+
 				this.#position = undefined;
 				this.#options.onFailure();
 				if (!this.#hasFailed) {
