Send load reports past an odd row in the gateways' table

One row with a value that is no IP and port, or with a port of 0 or above 65535, ended the load reports of every gateway that read it, for good: Node's datagram socket throws for such a port, within the timer that schedules the next report. The other gateways then took its engines over and its loads as none, and reservations went wrong. Each gateway also counted the row as a gateway, so its share of the retry allowance and of connections was too small. The process itself lived on with one unexpected_error.

Test: 'an odd row of the gateways names no gateway' failed before with an uncaught ERR_SOCKET_BAD_PORT from PeerExchange.#sendToPeers. Rows are now checked like the servers' addresses; an odd one names no gateway and is logged once as roster_row_unreadable.

--- a/src/daemons/gateway/roster-task.ts
+++ b/src/daemons/gateway/roster-task.ts
@@ -2,6 +2,7 @@
 import type {Roster} from '../../interfaces/index.js';
 import type {Log} from '../log.js';
 import {monotonicNow} from '../state-machine.js';
+import {UnreadableRows} from './unreadable-rows.js';
 
 /** Interval between reads of the roster, in milliseconds; a report from an unknown gateway brings the next read forward. */
 const readIntervalMs = 30_000;
@@ -28,6 +29,7 @@
 export class RosterTask implements Disposable {
 	readonly #roster: Roster;
 	readonly #log: Log;
+	readonly #unreadable: UnreadableRows;
 	#count = assumedGateways;
 	/** Minimum count until a time, in force after a restore of the store. */
 	#minCount = {count: 0, until: Number.NEGATIVE_INFINITY};
@@ -49,6 +51,7 @@
 		this.#roster = roster;
 		this.#address = address;
 		this.#log = log;
+		this.#unreadable = new UnreadableRows(log, 'roster_row_unreadable', 'row');
 		this.#onDidRead = onDidRead;
 	}
 
@@ -113,7 +116,13 @@
 				this.#hasEntered = true;
 			}
 
-			const addresses = await this.#roster.addresses();
+			const entries = await this.#roster.entries();
+			this.#unreadable.replace(
+				entries.filter((entry) => entry.type === 'unreadable'),
+			);
+			const addresses = entries.flatMap((entry) =>
+				entry.type === 'listed' ? [entry.address] : [],
+			);
 			this.#reads++;
 			this.#onDidRead(addresses);
 			if (!addresses.includes(this.#address)) {
--- a/src/interfaces/ports/routing.ts
+++ b/src/interfaces/ports/routing.ts
@@ -164,10 +164,16 @@
 	  }
 	| {readonly type: 'unreadable'; readonly reason: string};
 
+/** Row of the roster. */
+export type RosterEntry =
+	| {readonly type: 'listed'; readonly address: string}
+	/** The row is corrupt or from an unknown writer: it names no gateway. */
+	| {readonly type: 'unreadable'; readonly id: string; readonly reason: string};
+
 /** Registry of the running gateways. Calls that fail reject with `TableUnavailable` or `TableUncertain`; all of them are idempotent. */
 export type Roster = {
 	enter(): Promise<void>;
 	leave(): Promise<void>;
-	/** Addresses of the gateways that have entered and not left; a gateway that crashed stays listed. */
-	addresses(): Promise<readonly string[]>;
+	/** Gateways that have entered and not left; a gateway that crashed stays listed. */
+	entries(): Promise<readonly RosterEntry[]>;
 };
