Log an unreadable row once and in one bounded line

The configuration's row, if unreadable, was logged at every full read, so at least every 10 s, with all issues of the schema, whatever their number. Unreadable servers were logged once each, but without a bound on their number, in the log and in memory, and one that was repaired and broke again was not logged again.

--- a/src/daemons/gateway/platform-copy.ts
+++ b/src/daemons/gateway/platform-copy.ts
@@ -22,6 +22,7 @@
 import {readClocks} from './clocks.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import {TableWatch, type TableWatchOptions} from './table-watch.js';
+import {UnreadableRows} from './unreadable-rows.js';
 
 /** Long-poll time of the configuration feed, in milliseconds; also the interval at which the copy is confirmed. */
 const configurationWaitMs = 1000;
@@ -58,8 +59,8 @@
 	readonly #store = new DisposableStore();
 	readonly #configurationConfirmation = new Confirmation();
 	readonly #endpointsConfirmation = new Confirmation();
-	/** Reason logged for each unreadable entry, by id. */
-	readonly #loggedUnreadable = new Map<string, string>();
+	readonly #unreadableEndpoints: UnreadableRows;
+	readonly #unreadableConfiguration: UnreadableRows;
 	readonly #onDidChangeRouting = this.#store.add(new Emitter<RoutingTable>());
 	readonly #configuration = new ConfigurationCopy();
 	/** Eras of the store that the copies belong to; undefined until the table has been read. */
@@ -76,6 +77,17 @@
 
 	constructor(options: PlatformCopyOptions) {
 		this.#options = options;
+		const {log} = options;
+		this.#unreadableEndpoints = new UnreadableRows(
+			log,
+			'endpoint_unreadable',
+			'endpoint',
+		);
+		this.#unreadableConfiguration = new UnreadableRows(
+			log,
+			'configuration_unreadable',
+			'row',
+		);
 		this.endpoints = new EndpointSet(
 			(name) => this.routing?.service(name),
 			options.loads,
@@ -153,6 +165,9 @@
 					this.#options.log.warn('store_era_changed', {era, before});
 				}
 
+				this.#unreadableConfiguration.replace(
+					changes.filter((change) => change.type === 'unreadable'),
+				);
 				for (const change of changes) {
 					this.#onConfiguration(change);
 				}
@@ -185,7 +200,9 @@
 			},
 			pauseMs: endpointPollPauseMs,
 			onList: ({changes, position: {era, version}}) => {
-				this.#logUnreadable(changes);
+				this.#unreadableEndpoints.replace(
+					changes.filter((change) => change.type === 'unreadable'),
+				);
 				const before = this.#endpointsEra;
 				this.#endpointsEra = era;
 				const isRestored = before !== undefined && before !== era;
@@ -206,7 +223,10 @@
 				);
 			},
 			onChange: (change) => {
-				this.#logUnreadable([change]);
+				if (change.type === 'unreadable') {
+					this.#unreadableEndpoints.add(change);
+				}
+
 				this.endpoints.apply(change, monotonicNow());
 			},
 			onConfirmed: (sentAt) => {
@@ -258,10 +278,9 @@
 	}
 
 	#onConfiguration(change: ConfigurationChange): void {
-		const {log} = this.#options;
 		switch (change.type) {
 			case 'unreadable': {
-				log.warn('configuration_unreadable', {reason: change.reason});
+				this.#unreadableConfiguration.add(change);
 				break;
 			}
 
@@ -328,20 +347,6 @@
 			log.info('endpoint_left', {endpoint: upstream.id, why});
 		});
 	}
-
-	/** Logs each unreadable entry once, not at every read. */
-	#logUnreadable(changes: readonly EndpointChange[]): void {
-		for (const change of changes) {
-			if (
-				change.type === 'unreadable' &&
-				this.#loggedUnreadable.get(change.id) !== change.reason
-			) {
-				const {id: endpoint, reason} = change;
-				this.#loggedUnreadable.set(endpoint, reason);
-				this.#options.log.warn('endpoint_unreadable', {endpoint, reason});
-			}
-		}
-	}
 }
 
 /** Confirms a copy as of `sentAt` unless it was confirmed later: another gateway's confirmation may be older than the last known one. */
--- a/src/interfaces/ports/routing.ts
+++ b/src/interfaces/ports/routing.ts
@@ -162,7 +162,7 @@
 			/** Version of the store at which the operator wrote it, as opposed to that of the configuration. */
 			readonly writtenAt: number;
 	  }
-	| {readonly type: 'unreadable'; readonly reason: string};
+	| {readonly type: 'unreadable'; readonly id: string; readonly reason: string};
 
 /** Row of the roster. */
 export type RosterEntry =
