--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -1,6 +1,7 @@
 import type {Disposable} from '../../base/index.js';
 import {
 	backupFor,
+	expiresAt,
 	nextStep,
 	sendTimeouts,
 	type RequestState,
@@ -60,12 +61,11 @@
 		this.#request = request;
 		this.#output = output;
 		this.#position = {lastEventId: request.head.lastEventId};
-		this.#expiresAt =
-			request.receivedAt +
-			Math.min(
-				request.route.timeoutMs,
-				request.head.deadlineMs ?? request.route.timeoutMs,
-			);
+		this.#expiresAt = expiresAt(
+			request.route,
+			request.head,
+			request.receivedAt,
+		);
 		this.#placement = new RequestPlacement(context, request, () => ({
 			sends: this.#sends,
 			hasAnswer: output.hasSentHeaders,
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -22,6 +22,7 @@
 import {
 	admit,
 	CrashSuspects,
+	DrainSchedule,
 	maxFreshAgeMs,
 	PeerLoads,
 	RateLimits,
@@ -49,18 +50,9 @@
 import {RosterTask} from './roster-task.js';
 import {RequestQueueTask} from './request-queue-task.js';
 
-/** Time after the start of a drain for which idle connections stay open, in milliseconds: until then the platform still routes new connections here. */
-const idleCloseDelayMs = 3000;
-
-/** Time after the start of a drain for which every request is admitted, in milliseconds: the platform routes callers elsewhere only after two failed readiness checks, a second apart. */
-const drainAdmissionMs = 2500;
-
 /** Interval at which a drain closes connections that have become idle, in milliseconds. */
 const drainPollMs = 50;
 
-/** Time between the end of the drain, when requests in progress are cut, and the end of the grace period, in milliseconds. */
-const graceMarginMs = 700;
-
 /** Time for which a connection stays open beyond the idle timeout announced to callers, in milliseconds. */
 const keepAliveMarginMs = 2000;
 
@@ -127,8 +119,8 @@
 	readonly #rateLimits: RateLimits;
 	readonly #crashSuspects = new CrashSuspects();
 	readonly #exchanges = new Set<Exchange>();
-	#isDraining = false;
-	#drainStartedAt = 0;
+	/** Undefined unless a drain is in progress. */
+	#drain: DrainSchedule | undefined;
 	#bounds: GatewayBounds;
 
 	constructor(options: GatewayOptions) {
@@ -266,7 +258,7 @@
 	/** Readiness for new connections: the configuration has been read and is recent, and no drain is in progress. */
 	get isReady(): boolean {
 		return (
-			!this.#isDraining &&
+			!this.#drain &&
 			this.#platform.isComplete &&
 			this.#platform.ageMs < maxFreshAgeMs * 1.25
 		);
@@ -299,21 +291,18 @@
 	/** Finishes the requests in progress and closes the callers' connections; resolves when the process may exit. */
 	async drain(): Promise<void> {
 		const {log} = this.#options;
-		const {graceMs} = this.#bounds;
-		const startedAt = monotonicNow();
-		this.#isDraining = true;
-		this.#drainStartedAt = startedAt;
+		const drain = new DrainSchedule(monotonicNow(), this.#bounds.graceMs);
+		this.#drain = drain;
 		log.info('draining', {requests: this.#exchanges.size});
 		void this.#roster.leave();
-		await delay(idleCloseDelayMs);
-		const endsAt = startedAt + graceMs - graceMarginMs;
-		await this.#closeIdleCallers(endsAt);
+		await delay(drain.idleCloseAt - drain.startedAt);
+		await this.#closeIdleCallers(drain.answersEndAt);
 		// A connection accepted from now on would be cut when the process exits.
 		this.#callerServer.close();
-		await this.#closeIdleCallers(endsAt);
+		await this.#closeIdleCallers(drain.answersEndAt);
 		log.info('stopped', {
 			requests: this.#exchanges.size,
-			ms: Math.round(monotonicNow() - startedAt),
+			ms: Math.round(monotonicNow() - drain.startedAt),
 		});
 	}
 
@@ -343,14 +332,6 @@
 		}
 	}
 
-	/** Time until requests in progress are cut, in milliseconds; undefined unless a drain is in progress and callers have had time to go elsewhere. */
-	#remainingDrainMs(): number | undefined {
-		const elapsedMs = monotonicNow() - this.#drainStartedAt;
-		return this.#isDraining && elapsedMs > drainAdmissionMs
-			? this.#bounds.graceMs - graceMarginMs - elapsedMs
-			: undefined;
-	}
-
 	async #startAdmin(): Promise<void> {
 		const {admin} = this.#options;
 		if (admin) {
@@ -370,7 +351,7 @@
 		const now = monotonicNow();
 		return {
 			isReady: this.isReady,
-			isDraining: this.#isDraining,
+			isDraining: this.#drain !== undefined,
 			configuration: this.#platform.routing?.configuration.version,
 			configurationAgeMs: Math.round(this.#platform.ageMs),
 			storeEra: this.#platform.era,
@@ -434,7 +415,7 @@
 			return;
 		}
 
-		if (this.#isDraining) {
+		if (this.#drain) {
 			output.disableKeepAlive();
 		}
 
@@ -465,7 +446,9 @@
 			routing,
 			ageMs,
 			revocationMs,
-			remainingDrainMs: this.#remainingDrainMs(),
+			drain: this.#drain,
+			receivedAt,
+			now: monotonicNow(),
 		});
 		switch (admission.type) {
 			case 'rejected': {
--- a/src/services/gateway/admission.test.ts
+++ b/src/services/gateway/admission.test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'earl';
 import type {RequestHead, Route} from '../../interfaces/ports/index.js';
 import {admit} from './admission.js';
+import {DrainSchedule} from './drain-schedule.js';
 import {RoutingTable} from './routing-table.js';
 
 const route: Route = {
@@ -35,10 +36,12 @@
 	},
 });
 
-function head(key?: string): RequestHead {
+const now = 10_000;
+
+function head(key?: string, deadlineMs?: number): RequestHead {
 	return {
 		requestId: 'r',
-		deadlineMs: undefined,
+		deadlineMs,
 		key,
 		lastEventId: undefined,
 		prompt: undefined,
@@ -50,7 +53,9 @@
 		routing,
 		ageMs,
 		revocationMs: 5000,
-		remainingDrainMs: undefined,
+		drain: undefined,
+		receivedAt: now,
+		now,
 	};
 	const admission = admit('h', target, head(key), view);
 	return admission.type === 'rejected' ? admission.status : admission.type;
@@ -78,16 +83,31 @@
 		routing: undefined,
 		ageMs: Number.POSITIVE_INFINITY,
 		revocationMs: 5000,
-		remainingDrainMs: undefined,
+		drain: undefined,
+		receivedAt: now,
+		now,
 	});
 	expect(admission.type).toEqual('deferred');
 });
 
-// Guards against a request that is accepted shortly before the process exits and is cut off by it.
+// Guards against a request that is accepted shortly before the process exits and is cut off by it, and against the refusal of one that has time enough.
 test('a stopping gateway defers requests that may outlast it', () => {
-	const view = {routing, ageMs: 0, revocationMs: 5000};
-	const at = (remainingDrainMs: number) =>
-		admit('h', '/keyed/', head('k'), {...view, remainingDrainMs}).type;
+	const drain = new DrainSchedule(now, 20_000);
+	const at = (remainingMs: number, deadlineMs?: number, bodyMs = 0) => {
+		const readAt = drain.answersEndAt - remainingMs;
+		return admit('h', '/keyed/', head('k', deadlineMs), {
+			routing,
+			ageMs: 0,
+			revocationMs: 5000,
+			drain,
+			receivedAt: readAt - bodyMs,
+			now: readAt,
+		}).type;
+	};
+
 	expect(at(1500)).toEqual('admitted');
 	expect(at(500)).toEqual('deferred');
+	expect(at(500, 400)).toEqual('admitted');
+	expect(at(500, 600)).toEqual('deferred');
+	expect(at(500, undefined, 600)).toEqual('admitted');
 });
--- a/src/services/gateway/admission.ts
+++ b/src/services/gateway/admission.ts
@@ -4,6 +4,7 @@
 	Route,
 	Service,
 } from '../../interfaces/ports/index.js';
+import type {DrainSchedule} from './drain-schedule.js';
 import type {RoutingTable} from './routing-table.js';
 
 /** Age of the configuration in milliseconds up to which an unknown route or key is rejected; an older configuration may just not have it yet. */
@@ -18,16 +19,19 @@
 /** Retry-After in milliseconds while this gateway is still loading its configuration. */
 const startupRetryAfterMs = 500;
 
-/** State of the gateway's configuration when a request arrives. */
-export type ConfigurationView = {
+/** State of the gateway that the admission of a request depends on. */
+export type AdmissionState = {
 	/** Undefined until the first configuration has been read. */
 	readonly routing: RoutingTable | undefined;
 	/** Time since the configuration was last confirmed as current, in milliseconds. */
 	readonly ageMs: number;
 	/** Time after which a removed key must no longer be accepted, in milliseconds. */
 	readonly revocationMs: number;
-	/** Time until requests in progress are cut, in milliseconds. Undefined unless a drain is in progress and callers have had time to go elsewhere. */
-	readonly remainingDrainMs: number | undefined;
+	/** Undefined unless a drain is in progress. */
+	readonly drain: DrainSchedule | undefined;
+	/** Times on the monotonic clock, in milliseconds. */
+	readonly receivedAt: number;
+	readonly now: number;
 };
 
 /** Result of checking the route and API key of a request. */
@@ -61,7 +65,7 @@
 	host: string,
 	target: string,
 	head: RequestHead,
-	{routing, ageMs, revocationMs, remainingDrainMs}: ConfigurationView,
+	{routing, ageMs, revocationMs, drain, receivedAt, now}: AdmissionState,
 ): Admission {
 	if (!routing) {
 		return deferred('no configuration yet', startupRetryAfterMs);
@@ -85,7 +89,7 @@
 		}
 	}
 
-	if (remainingDrainMs !== undefined && remainingDrainMs < route.timeoutMs) {
+	if (drain?.admits(now, expiresAt(route, head, receivedAt)) === false) {
 		return deferred('stopping', otherGatewayRetryAfterMs);
 	}
 
@@ -95,6 +99,15 @@
 		: deferred('route without service', startupRetryAfterMs);
 }
 
+/** Time at which a request expires: its caller's deadline or the timeout of its route, whichever is earlier. */
+export function expiresAt(
+	{timeoutMs}: Route,
+	{deadlineMs = timeoutMs}: RequestHead,
+	receivedAt: number,
+): number {
+	return receivedAt + Math.min(timeoutMs, deadlineMs);
+}
+
 function rejectIfFresh(
 	status: 401 | 404,
 	reason: string,
--- /dev/null
+++ b/src/services/gateway/drain-schedule.ts
@@ -0,0 +1,36 @@
+/** Time after the stop signal for which every request is admitted, in milliseconds: the platform routes callers elsewhere only after two failed readiness checks, a second apart. */
+const openMs = 2500;
+
+/** Time after the stop signal for which idle connections stay open, in milliseconds: until then the platform still routes new connections here. */
+const idleCloseDelayMs = 3000;
+
+/** Maximum parts of the grace period for these times, so that a short one also has time for answers. */
+const openPart = 1 / 3;
+const idleClosePart = 1 / 2;
+
+/** Time between the last answers and the end of the grace period, in milliseconds. */
+const answerMarginMs = 700;
+
+/** Course of a planned stop, from the stop signal to the end of its grace period; times in milliseconds of the monotonic clock. */
+export class DrainSchedule {
+	readonly startedAt: number;
+	/** Idle connections are closed from then on. */
+	readonly idleCloseAt: number;
+	/** Requests that are still in progress are cut. */
+	readonly answersEndAt: number;
+	readonly #isOpenUntil: number;
+
+	/** `graceMs` is the grace period in force when the signal arrived: the platform measures the stop by that one, also when the settings change meanwhile. */
+	constructor(startedAt: number, graceMs: number) {
+		this.startedAt = startedAt;
+		this.#isOpenUntil = startedAt + Math.min(openMs, graceMs * openPart);
+		this.idleCloseAt =
+			startedAt + Math.min(idleCloseDelayMs, graceMs * idleClosePart);
+		this.answersEndAt = startedAt + graceMs - answerMarginMs;
+	}
+
+	/** Whether a new request is admitted: once callers have had time to go elsewhere, only one that ends before answers are cut. */
+	admits(now: number, expiresAt: number): boolean {
+		return now <= this.#isOpenUntil || expiresAt <= this.answersEndAt;
+	}
+}
--- a/src/services/gateway/index.ts
+++ b/src/services/gateway/index.ts
@@ -6,6 +6,7 @@
 export * from './copy-freshness.js';
 export type * from './crash-notices.js';
 export * from './crash-suspects.js';
+export * from './drain-schedule.js';
 export * from './endpoint-set.js';
 export * from './engine-losses.js';
 export * from './kv-cache-usage.js';
