--- a/src/daemons/gateway/exchange-context.ts
+++ b/src/daemons/gateway/exchange-context.ts
@@ -7,6 +7,7 @@
 } from '../../interfaces/index.js';
 import type {
 	CrashSuspects,
+	DrainSchedule,
 	EndpointSet,
 	RateLimits,
 	RetryAllowance,
@@ -46,6 +47,8 @@
 	readonly retryAllowance: RetryAllowance;
 	/** Number of running gateways; the retry budget is divided among them. */
 	readonly gateways: () => number;
+	/** Undefined unless the gateway is stopping. */
+	readonly drain: () => DrainSchedule | undefined;
 	readonly log: Log;
 	readonly queue: RequestQueueTask;
 	readonly loopLag: LoopLag;
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -4,6 +4,7 @@
 	expiresAt,
 	nextStep,
 	sendTimeouts,
+	stoppingRefusal,
 	type RequestState,
 	type NextStep,
 	type SendEnd,
@@ -70,7 +71,7 @@
 			sends: this.#sends,
 			hasAnswer: output.hasSentHeaders,
 			isAbandoned: this.#isAbandoned,
-			expiresAt: this.#expiresAt,
+			expiresAt: this.#endsAt,
 		}));
 	}
 
@@ -91,7 +92,7 @@
 		);
 		const expiry = setTimeout(() => {
 			this.#send?.cancel({type: 'expired'});
-		}, this.#remainingMs());
+		}, this.#expiresAt - now);
 		let step: NextStep = {type: 'send'};
 		while (step.type === 'send' || step.type === 'resume') {
 			step =
@@ -111,6 +112,11 @@
 		}
 	}
 
+	/** Ends the request because the gateway stops. One that waits for capacity is refused by its placement. */
+	stop(): void {
+		this.#send?.cancel({type: 'withdrawn', reason: stoppingRefusal.reason});
+	}
+
 	/** Aborts the response when the process ends. */
 	cut(): void {
 		this.#output.cut();
@@ -523,8 +529,15 @@
 		};
 	}
 
+	/** Time at which the request expires, or gets its final answer because the gateway stops. */
+	get #endsAt(): number {
+		const {answersEndAt = Number.POSITIVE_INFINITY} =
+			this.#context.drain() ?? {};
+		return Math.min(this.#expiresAt, answersEndAt);
+	}
+
 	#remainingMs(): number {
-		return Math.max(0, this.#expiresAt - monotonicNow());
+		return Math.max(0, this.#endsAt - monotonicNow());
 	}
 
 	#log(event: string, fields: Readonly<Record<string, string | number>>): void {
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -212,6 +212,7 @@
 			connections,
 			retryAllowance: new RetryAllowance(options.retries),
 			gateways: () => this.#roster.count,
+			drain: () => this.#drain,
 			log: options.log,
 			queue: this.#queue,
 			loopLag: this.#loopLag,
@@ -297,9 +298,11 @@
 		void this.#roster.leave();
 		await delay(drain.idleCloseAt - drain.startedAt);
 		await this.#closeIdleCallers(drain.answersEndAt);
+		await this.#stopExchanges();
+		await this.#closeIdleCallers(drain.exitAt);
 		// A connection accepted from now on would be cut when the process exits.
 		this.#callerServer.close();
-		await this.#closeIdleCallers(drain.answersEndAt);
+		await this.#closeIdleCallers(drain.exitAt);
 		log.info('stopped', {
 			requests: this.#exchanges.size,
 			ms: Math.round(monotonicNow() - drain.startedAt),
@@ -323,6 +326,18 @@
 		this.#queue.dispatchSoon();
 	}
 
+	/** Ends the requests in progress, so that their callers get an answer. */
+	async #stopExchanges(): Promise<void> {
+		if (this.#exchanges.size > 0) {
+			for (const exchange of this.#exchanges) {
+				exchange.stop();
+			}
+
+			// The answers are written, and waiting requests are refused, in this time, also when the process is late.
+			await delay(drainPollMs);
+		}
+	}
+
 	/** Closes connections as they become idle, until none is left or `endsAt` is reached. */
 	async #closeIdleCallers(endsAt: number): Promise<void> {
 		this.#callerConnections.closeIdle();
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -4,6 +4,7 @@
 	place,
 	prefixLinks,
 	resumedRank,
+	stoppingRefusal,
 	timeToCapacityMs,
 	type ActiveRequest,
 	type Assignment,
@@ -35,6 +36,8 @@
 /** Reason of a refusal because of a prompt part that crashes engines. */
 export const withheldReason = 'prompt part crashes engines';
 
+type Refusal = Extract<Assignment, {type: 'refuse'}>;
+
 /** Endpoint chosen for a request, with the request as registered there. */
 export type PlacedRequest = {
 	readonly type: 'send';
@@ -53,7 +56,7 @@
 	/** The caller has a part of the answer. */
 	readonly hasAnswer: boolean;
 	readonly isAbandoned: boolean;
-	/** Time at which the request expires, on the monotonic clock, in milliseconds. */
+	/** Time at which the request expires, or ends because the gateway stops, on the monotonic clock, in milliseconds. */
 	readonly expiresAt: number;
 };
 
@@ -86,9 +89,7 @@
 	}
 
 	/** Queues the request until it is placed, refused or abandoned. */
-	async wait(): Promise<
-		PlacedRequest | Extract<Assignment, {type: 'refuse'}> | {type: 'abandoned'}
-	> {
+	async wait(): Promise<PlacedRequest | Refusal | {type: 'abandoned'}> {
 		const {queue, peers} = this.#context;
 		const {route, receivedAt} = this.#request;
 		const isFirstSend = this.#state().sends === 0;
@@ -112,12 +113,11 @@
 						return true;
 					}
 
-					if (now >= this.#state().expiresAt) {
-						resolve(noCapacity(0));
-						return true;
-					}
-
-					const assignment = this.#heldBack(now) ?? this.#place(now);
+					const assignment =
+						this.#refusedByDrain(now) ??
+						this.#expired(now) ??
+						this.#heldBack(now) ??
+						this.#place(now);
 					switch (assignment.type) {
 						case 'send': {
 							const {upstream, uncachedTokens} = assignment;
@@ -267,10 +267,22 @@
 		return {type: 'send', upstream, expectedMs, donor, activeRequest};
 	}
 
+	/** Refuses a request that would be sent too late in a stop; undefined when the gateway is not stopping or there is time. */
+	#refusedByDrain(now: number): Refusal | undefined {
+		const drain = this.#context.drain();
+		return drain && now >= drain.answersEndAt
+			? {type: 'refuse', ...stoppingRefusal}
+			: undefined;
+	}
+
+	#expired(now: number): Refusal | undefined {
+		return now >= this.#state().expiresAt ? noCapacity(0) : undefined;
+	}
+
 	/** Refuses a request with a prompt part that crashes engines, and holds one back while another probes its parts; undefined when it may be placed. */
 	#heldBack(
 		now: number,
-	): Extract<Assignment, {type: 'refuse' | 'wait'}> | undefined {
+	): Refusal | Extract<Assignment, {type: 'wait'}> | undefined {
 		const verdict = this.#context.crashSuspects.check(this.partKeys, now);
 		switch (verdict.type) {
 			case 'clear':
@@ -431,8 +443,6 @@
 	}
 }
 
-function noCapacity(
-	retryAfterMs: number,
-): Extract<Assignment, {type: 'refuse'}> {
+function noCapacity(retryAfterMs: number): Refusal {
 	return {type: 'refuse', reason: 'no room in time', retryAfterMs};
 }
--- a/src/services/gateway/admission.ts
+++ b/src/services/gateway/admission.ts
@@ -16,6 +16,12 @@
 /** Retry-After in milliseconds for callers that should retry at another gateway. */
 const otherGatewayRetryAfterMs = 200;
 
+/** Refusal of a request that must not be sent because the gateway stops. */
+export const stoppingRefusal = {
+	reason: 'stopping',
+	retryAfterMs: otherGatewayRetryAfterMs,
+} as const;
+
 /** Retry-After in milliseconds while this gateway is still loading its configuration. */
 const startupRetryAfterMs = 500;
 
@@ -90,7 +96,7 @@
 	}
 
 	if (drain?.admits(now, expiresAt(route, head, receivedAt)) === false) {
-		return deferred('stopping', otherGatewayRetryAfterMs);
+		return {type: 'deferred', ...stoppingRefusal};
 	}
 
 	const service = routing.target(route, head.requestId);
--- a/src/services/gateway/drain-schedule.test.ts
+++ b/src/services/gateway/drain-schedule.test.ts
@@ -11,15 +11,17 @@
 	expect(schedule.admits(12_600, schedule.answersEndAt + 1)).toEqual(false);
 });
 
-// Guards against a process that is killed in the middle of its stop because its settings leave less time than usual.
-test('a short grace period leaves time for answers after idle connections are closed', () => {
+// Guards against a process that is killed in the middle of its stop because its settings leave less time than usual, and against answers that are ended sooner than the end of the stop requires.
+test('every grace period has time for answers and for sending the last ones', () => {
 	for (const graceMs of [2000, 4000, 8000, 30_000]) {
-		const {startedAt, idleCloseAt, answersEndAt} = new DrainSchedule(
+		const {startedAt, idleCloseAt, answersEndAt, exitAt} = new DrainSchedule(
 			10_000,
 			graceMs,
 		);
 		expect(startedAt < idleCloseAt).toEqual(true);
 		expect(idleCloseAt < answersEndAt).toEqual(true);
-		expect(answersEndAt < startedAt + graceMs).toEqual(true);
+		expect(answersEndAt >= startedAt + (graceMs * 5) / 6).toEqual(true);
+		expect(answersEndAt < exitAt).toEqual(true);
+		expect(exitAt < startedAt + graceMs).toEqual(true);
 	}
 });
--- a/src/services/gateway/drain-schedule.ts
+++ b/src/services/gateway/drain-schedule.ts
@@ -8,16 +8,23 @@
 const openPart = 1 / 3;
 const idleClosePart = 1 / 2;
 
-/** Time between the last answers and the end of the grace period, in milliseconds. */
-const answerMarginMs = 700;
+/** Time between the last answers and the end of the grace period, in milliseconds, and its maximum part of that period; what an endpoint works on in the last sixth may be broken off. */
+const answerMarginMs = 1000;
+const answerMarginPart = 1 / 8;
+
+/** Time between the end of the process and the end of the grace period, likewise: a busy process may receive the signal late. */
+const exitMarginMs = 700;
+const exitMarginPart = 1 / 12;
 
 /** Course of a planned stop, from the stop signal to the end of its grace period; times in milliseconds of the monotonic clock. */
 export class DrainSchedule {
 	readonly startedAt: number;
 	/** Idle connections are closed from then on. */
 	readonly idleCloseAt: number;
-	/** Requests that are still in progress are cut. */
+	/** Requests that are still in progress get their final answer without waiting for an endpoint. */
 	readonly answersEndAt: number;
+	/** Connections are cut, whatever has been sent on them. */
+	readonly exitAt: number;
 	readonly #isOpenUntil: number;
 
 	/** `graceMs` is the grace period in force when the signal arrived: the platform measures the stop by that one, also when the settings change meanwhile. */
@@ -26,10 +33,13 @@
 		this.#isOpenUntil = startedAt + Math.min(openMs, graceMs * openPart);
 		this.idleCloseAt =
 			startedAt + Math.min(idleCloseDelayMs, graceMs * idleClosePart);
-		this.answersEndAt = startedAt + graceMs - answerMarginMs;
+		const endsAt = startedAt + graceMs;
+		this.answersEndAt =
+			endsAt - Math.min(answerMarginMs, graceMs * answerMarginPart);
+		this.exitAt = endsAt - Math.min(exitMarginMs, graceMs * exitMarginPart);
 	}
 
-	/** Whether a new request is admitted: once callers have had time to go elsewhere, only one that ends before answers are cut. */
+	/** Whether a new request is admitted: once callers have had time to go elsewhere, only one that ends before the last answers. */
 	admits(now: number, expiresAt: number): boolean {
 		return now <= this.#isOpenUntil || expiresAt <= this.answersEndAt;
 	}
--- a/src/services/gateway/next-step.ts
+++ b/src/services/gateway/next-step.ts
@@ -18,7 +18,7 @@
 	| {readonly type: 'broken'; readonly reason: string}
 	/** Timeout: the request may be running, and the endpoint sends no data. */
 	| {readonly type: 'silent'; readonly reason: string}
-	/** The gateway has cancelled it, because it may crash the endpoint. */
+	/** The gateway has cancelled it, because it may crash the endpoint or because the gateway stops. */
 	| {readonly type: 'withdrawn'; readonly reason: string}
 	/** The deadline of the request has passed. */
 	| {readonly type: 'expired'}
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -130,7 +130,8 @@
 				| 'all endpoints down'
 				| 'all endpoints rest'
 				| 'no room in time'
-				| 'prompt part crashes engines';
+				| 'prompt part crashes engines'
+				| 'stopping';
 			/** Time after which there may be capacity, in milliseconds. */
 			readonly retryAfterMs: number;
 	  };
