Send nothing late in a stop that may be cut and could still be refused

What callers saw: a request that had waited for capacity since the first seconds of a stop was sent at any later time. One that may not be repeated could be cut at the end, although until then it could have been refused as not run.

Cause: the time left was checked when a request was admitted, not when it was sent. A request may wait for as long as its objective, and again after a server has rejected it.

Evidence: "a request that may run once is not passed on late in a stop" (platform/planned-stop.test.ts) failed: status 200 in place of 503, the server got the request 2.6 s after the stop signal, with a timeout of 30 s. The test had capacity free itself, so it ran; with a longer answer it would have been cut.

Change: DrainSchedule.allowsSend decides at each placement, also after a reservation. From 2.5 s after the signal a request that has not run is sent if it expires before the last answers. Otherwise one that may run only once is refused, with 503 and Retry-After, and one that may be repeated is sent while the time of its objective is left. Repeats of requests that may have run are sent until the last answers: without the repeat they would fail at once.

Result: the test passes; the safe request beside it is still served.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -69,9 +69,10 @@
 		);
 		this.#placement = new RequestPlacement(context, request, () => ({
 			sends: this.#sends,
+			mayHaveRun: this.#mayHaveRun,
 			hasAnswer: output.hasSentHeaders,
 			isAbandoned: this.#isAbandoned,
-			expiresAt: this.#endsAt,
+			expiresAt: this.#expiresAt,
 		}));
 	}
 
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -53,10 +53,12 @@
 export type PlacementState = {
 	/** Sends that may have reached an endpoint. */
 	readonly sends: number;
+	/** At least one of them may have run. */
+	readonly mayHaveRun: boolean;
 	/** The caller has a part of the answer. */
 	readonly hasAnswer: boolean;
 	readonly isAbandoned: boolean;
-	/** Time at which the request expires, or ends because the gateway stops, on the monotonic clock, in milliseconds. */
+	/** Time at which the request expires, on the monotonic clock, in milliseconds. */
 	readonly expiresAt: number;
 };
 
@@ -205,7 +207,7 @@
 		await loopLag.catchUp();
 		return (
 			isReserved &&
-			!this.#isAbandonedOrExpired &&
+			!this.#isTooLate &&
 			endpoints.canTakeRequests(upstream, monotonicNow())
 		);
 	}
@@ -269,8 +271,14 @@
 
 	/** Refuses a request that would be sent too late in a stop; undefined when the gateway is not stopping or there is time. */
 	#refusedByDrain(now: number): Refusal | undefined {
-		const drain = this.#context.drain();
-		return drain && now >= drain.answersEndAt
+		const {route} = this.#request;
+		const {expiresAt, mayHaveRun} = this.#state();
+		const isAllowed = this.#context.drain()?.allowsSend(now, {
+			...route,
+			expiresAt,
+			mayHaveRun,
+		});
+		return isAllowed === false
 			? {type: 'refuse', ...stoppingRefusal}
 			: undefined;
 	}
@@ -365,7 +373,7 @@
 				tryPlace: (now) => {
 					if (
 						now >= waitUntil ||
-						this.#isAbandonedOrExpired ||
+						this.#isTooLate ||
 						this.#heldBack(now)?.type === 'refuse' ||
 						!endpoints.canTakeRequests(upstream, now)
 					) {
@@ -433,9 +441,14 @@
 					.rank(this.tier, route.objectiveMs, now);
 	}
 
-	/** The caller has disconnected, or the request's time is over. */
-	get #isAbandonedOrExpired(): boolean {
-		return this.#state().isAbandoned || this.#remainingMs() === 0;
+	/** The caller has disconnected, the request's time is over, or it would be sent too late in a stop. */
+	get #isTooLate(): boolean {
+		const now = monotonicNow();
+		return (
+			this.#state().isAbandoned ||
+			this.#expired(now) !== undefined ||
+			this.#refusedByDrain(now) !== undefined
+		);
 	}
 
 	#remainingMs(): number {
--- a/src/services/gateway/drain-schedule.ts
+++ b/src/services/gateway/drain-schedule.ts
@@ -1,3 +1,5 @@
+import type {RetryMode} from '../../interfaces/index.js';
+
 /** Time after the stop signal for which every request is admitted, in milliseconds: the platform routes callers elsewhere only after two failed readiness checks, a second apart. */
 const openMs = 2500;
 
@@ -16,6 +18,16 @@
 const exitMarginMs = 700;
 const exitMarginPart = 1 / 12;
 
+/** A request that has been admitted, at the time at which it could be sent. */
+export type DueRequest = {
+	/** On the monotonic clock, in milliseconds. */
+	readonly expiresAt: number;
+	readonly objectiveMs: number;
+	readonly retryMode: RetryMode;
+	/** An earlier send may have run. */
+	readonly mayHaveRun: boolean;
+};
+
 /** Course of a planned stop, from the stop signal to the end of its grace period; times in milliseconds of the monotonic clock. */
 export class DrainSchedule {
 	readonly startedAt: number;
@@ -43,4 +55,35 @@
 	admits(now: number, expiresAt: number): boolean {
 		return now <= this.#isOpenUntil || expiresAt <= this.answersEndAt;
 	}
+
+	/**
+	 * Whether a request that was admitted may be sent. One that has never been
+	 * sent can still be refused as not run, so it is sent late only if it ends
+	 * before the last answers or, where it may be repeated, has at least the
+	 * time of its objective. A repeat is sent in any case, because the request
+	 * would fail without it.
+	 */
+	allowsSend(
+		now: number,
+		{expiresAt, objectiveMs, retryMode, mayHaveRun}: DueRequest,
+	): boolean {
+		if (now >= this.answersEndAt) {
+			return false;
+		}
+
+		if (mayHaveRun || this.admits(now, expiresAt)) {
+			return true;
+		}
+
+		switch (retryMode) {
+			case 'once': {
+				return false;
+			}
+
+			case 'idempotent':
+			case 'resumable': {
+				return now + objectiveMs <= this.answersEndAt;
+			}
+		}
+	}
 }
