Read the sockets before idle connections are closed in a stop (LOST)

What callers saw: a request on a kept connection that was sent before the stop closed the connection got no answer.

Cause: timers run before sockets are read. On a process that is busy the request waits in its socket, the timer finds the connection idle and closes it, and only then is the request read, on a connection that can no longer carry an answer. Its caller sees the close as late as the process is, which may be longer than the time for which a crossing close is excused.

Evidence: "a request that arrives before its idle connection is closed is answered" (platform/planned-stop.test.ts) failed: it writes a request and keeps the process busy for 300 ms over the time of the first close; the answers were 200 in place of 200 and 503.

Change: two turns of the event loop pass before each close of idle connections, so that what has arrived is read first.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -340,13 +340,19 @@
 
 	/** Closes connections as they become idle, until none is left or `endsAt` is reached. */
 	async #closeIdleCallers(endsAt: number): Promise<void> {
-		this.#callerConnections.closeIdle();
+		await this.#closeIdle();
 		while (this.#callerConnections.size > 0 && monotonicNow() < endsAt) {
 			await delay(drainPollMs);
-			this.#callerConnections.closeIdle();
+			await this.#closeIdle();
 		}
 	}
 
+	/** Closes idle connections. On a busy process a request may have arrived that has not been read yet, so that its connection only seems idle. */
+	async #closeIdle(): Promise<void> {
+		await this.#loopLag.readSockets();
+		this.#callerConnections.closeIdle();
+	}
+
 	async #startAdmin(): Promise<void> {
 		const {admin} = this.#options;
 		if (admin) {
--- a/src/daemons/gateway/loop-lag.ts
+++ b/src/daemons/gateway/loop-lag.ts
@@ -36,15 +36,19 @@
 	/** Lets pending socket events be handled first, such as the disconnect of a caller. Resolves at once when the process is not behind. */
 	async catchUp(): Promise<void> {
 		if (this.isBehind) {
-			await nextEventLoopTurn();
-			await nextEventLoopTurn();
+			await this.readSockets();
 		}
 	}
 
-	async #trackCatchUp(): Promise<void> {
-		this.#isCatchingUp = true;
+	/** Resolves when all socket events that are pending now have been handled. */
+	async readSockets(): Promise<void> {
 		await nextEventLoopTurn();
 		await nextEventLoopTurn();
+	}
+
+	async #trackCatchUp(): Promise<void> {
+		this.#isCatchingUp = true;
+		await this.readSockets();
 		this.#isCatchingUp = false;
 	}
 
