Keep a connection open in a stop while the head of a request arrives

What callers saw: a connection was closed in a stop between two packets of a request's head, and the request was not answered.

Cause: a connection counted as idle until a whole head had been parsed.

Evidence: "a connection on which a part of a request has arrived is not closed as idle" (platform/planned-stop.test.ts) failed: no answer within 30 s, while an idle connection beside it was closed as it should be.

Change: a connection is idle only if nothing has been read from it since the end of its last request. One whose request never becomes complete is closed by the header timeout, at the latest with the process.

Result: the test passes.

--- a/src/daemons/gateway/caller-connections.ts
+++ b/src/daemons/gateway/caller-connections.ts
@@ -5,6 +5,8 @@
 export class CallerConnections {
 	readonly #sockets = new Set<Socket>();
 	readonly #requestCounts = new Map<Socket, number>();
+	/** Bytes that had been read from each connection at the end of its last request. */
+	readonly #bytesRead = new Map<Socket, number>();
 
 	constructor(server: Server) {
 		server.on('connection', (socket) => {
@@ -12,6 +14,7 @@
 			socket.once('close', () => {
 				this.#sockets.delete(socket);
 				this.#requestCounts.delete(socket);
+				this.#bytesRead.delete(socket);
 			});
 		});
 		server.on('request', (request, response: ServerResponse) => {
@@ -30,21 +33,29 @@
 		return this.#sockets.size;
 	}
 
-	/** Closes connections without a request in progress, after their buffered response bytes have been sent; `server.closeIdleConnections` would drop these. */
+	/** Closes connections on which no request is in progress or has begun to arrive, after their buffered response bytes have been sent; `server.closeIdleConnections` would drop these. */
 	closeIdle(): void {
 		for (const socket of this.#sockets) {
-			if (!this.#requestCounts.has(socket) && !socket.writableEnded) {
+			if (this.#isIdle(socket) && !socket.writableEnded) {
 				socket.end();
 			}
 		}
 	}
 
+	#isIdle(socket: Socket): boolean {
+		return (
+			!this.#requestCounts.has(socket) &&
+			socket.bytesRead === (this.#bytesRead.get(socket) ?? 0)
+		);
+	}
+
 	#release(socket: Socket): void {
 		const count = (this.#requestCounts.get(socket) ?? 0) - 1;
 		if (count > 0) {
 			this.#requestCounts.set(socket, count);
 		} else {
 			this.#requestCounts.delete(socket);
+			this.#bytesRead.set(socket, socket.bytesRead);
 		}
 	}
 }
