--- a/src/daemons/gateway/caller-connections.ts
+++ b/src/daemons/gateway/caller-connections.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import type {Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
@@ -5,6 +6,7 @@
 export class CallerConnections {
 	readonly #sockets = new Set<Socket>();
 	readonly #requestCounts = new Map<Socket, number>();
+	readonly #lastResponses = new Map<Socket, ServerResponse>();
 	/** Bytes that had been read from each connection at the end of its last request. */
 	readonly #bytesRead = new Map<Socket, number>();
 
@@ -15,6 +17,7 @@
 				this.#sockets.delete(socket);
 				this.#requestCounts.delete(socket);
 				this.#bytesRead.delete(socket);
+				this.#lastResponses.delete(socket);
 			});
 		});
 		server.on('request', (request, response: ServerResponse) => {
@@ -33,6 +36,24 @@
 		return this.#sockets.size;
 	}
 
+	/**
+	 * Waits until the responses to earlier requests on the connection have
+	 * ended. Resolves to false when the connection carries no further response:
+	 * it is being closed, or a response before this one was its last.
+	 */
+	async waitForTurn(
+		socket: Socket,
+		response: ServerResponse,
+	): Promise<boolean> {
+		const previous = this.#lastResponses.get(socket);
+		this.#lastResponses.set(socket, response);
+		if (previous && !previous.writableFinished && !previous.destroyed) {
+			await once(previous, 'close');
+		}
+
+		return !socket.writableEnded && !socket.destroyed;
+	}
+
 	/** Closes connections on which no request is in progress or has begun to arrive, after their buffered response bytes have been sent; `server.closeIdleConnections` would drop these. */
 	closeIdle(): void {
 		for (const socket of this.#sockets) {
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -416,13 +416,14 @@
 		request: IncomingMessage,
 		response: ServerResponse,
 	): Promise<void> {
-		if (request.socket.writableEnded) {
-			// The request arrived while its idle connection was being closed, so no response can be sent.
-			request.socket.destroy();
+		const {socket} = request;
+		const receivedAt = monotonicNow();
+		if (!(await this.#callerConnections.waitForTurn(socket, response))) {
+			// No response can be sent, so the request is not forwarded.
+			socket.destroySoon();
 			return;
 		}
 
-		const receivedAt = monotonicNow();
 		const output = new CallerOutput(response);
 		const limits =
 			this.#platform.routing?.configuration.limits ?? initialLimits;
