Announce the close of the connection in answers that a stop finds in progress

What callers saw: an answer that was in progress when the stop began kept its connection, and the next request on it met the close of the idle connection.

Cause: only requests that arrived after the stop signal got Connection: close.

Evidence: "an answer that was in progress when the stop began is the last one on its connection" (platform/planned-stop.test.ts) failed: keep-alive in place of close.

Change: at the stop signal every response whose head has not been sent becomes the last one of its connection. Streams that have begun keep their head; their connections are closed when they have ended.

Result: the test passes. A second new test, of a stream that the end of a stop cuts, passed before and after: its caller sees that it is incomplete.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -113,6 +113,11 @@
 		}
 	}
 
+	/** Makes the response the last one on its connection, if its head has not been sent. */
+	disableKeepAlive(): void {
+		this.#output.disableKeepAlive();
+	}
+
 	/** Ends the request because the gateway stops. One that waits for capacity is refused by its placement. */
 	stop(): void {
 		this.#send?.cancel({type: 'withdrawn', reason: stoppingRefusal.reason});
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -296,6 +296,10 @@
 		this.#drain = drain;
 		log.info('draining', {requests: this.#exchanges.size});
 		void this.#roster.leave();
+		for (const exchange of this.#exchanges) {
+			exchange.disableKeepAlive();
+		}
+
 		await delay(drain.idleCloseAt - drain.startedAt);
 		await this.#closeIdleCallers(drain.answersEndAt);
 		await this.#stopExchanges();
