--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -1,9 +1,11 @@
 import type {Disposable} from '../../base/index.js';
 import {
 	backupFor,
+	expiresAt,
 	mayMove,
 	nextStep,
 	sendTimeouts,
+	stoppingRefusal,
 	type RequestState,
 	type NextStep,
 	type SendEnd,
@@ -68,14 +70,14 @@
 		this.#request = request;
 		this.#output = output;
 		this.#position = {lastEventId: request.head.lastEventId};
-		this.#expiresAt =
-			request.receivedAt +
-			Math.min(
-				request.route.timeoutMs,
-				request.head.deadlineMs ?? request.route.timeoutMs,
-			);
+		this.#expiresAt = expiresAt(
+			request.route,
+			request.head,
+			request.receivedAt,
+		);
 		this.#placement = new RequestPlacement(context, request, () => ({
 			sends: this.#sends,
+			mayHaveRun: this.#mayHaveRun,
 			hasAnswer: output.hasSentHeaders,
 			isAbandoned: this.#isAbandoned,
 			expiresAt: this.#expiresAt,
@@ -100,7 +102,7 @@
 		);
 		const expiry = setTimeout(() => {
 			this.#send?.cancel({type: 'expired'});
-		}, this.#remainingMs());
+		}, this.#expiresAt - now);
 		let step: NextStep = {type: 'send'};
 		while (step.type === 'send' || step.type === 'resume') {
 			step =
@@ -120,6 +122,16 @@
 		}
 	}
 
+	/** Makes the response the last one on its connection, if its head has not been sent. */
+	disableKeepAlive(): void {
+		this.#output.disableKeepAlive();
+	}
+
+	/** Ends the request because the gateway stops. One that waits for capacity is refused by its placement. */
+	stop(): void {
+		this.#send?.cancel({type: 'withdrawn', reason: stoppingRefusal.reason});
+	}
+
 	/** Aborts the response when the process ends. */
 	cut(): void {
 		this.#output.cut();
@@ -551,8 +563,15 @@
 		};
 	}
 
+	/** Time at which the request expires, or gets its final answer because the gateway stops. */
+	get #endsAt(): number {
+		const {answersEndAt = Number.POSITIVE_INFINITY} =
+			this.#context.drain() ?? {};
+		return Math.min(this.#expiresAt, answersEndAt);
+	}
+
 	#remainingMs(): number {
-		return Math.max(0, this.#expiresAt - monotonicNow());
+		return Math.max(0, this.#endsAt - monotonicNow());
 	}
 
 	#log(event: string, fields: Readonly<Record<string, string | number>>): void {
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -4,6 +4,7 @@
 	place,
 	prefixLinks,
 	resumedRank,
+	stoppingRefusal,
 	timeToCapacityMs,
 	type ActiveRequest,
 	type Assignment,
@@ -32,6 +33,8 @@
 /** Reason of a refusal because of a prompt part that crashes engines. */
 export const withheldReason = 'prompt part crashes engines';
 
+type Refusal = Extract<Assignment, {type: 'refuse'}>;
+
 /** Endpoint chosen for a request, with the request as registered there. */
 export type PlacedRequest = {
 	readonly type: 'send';
@@ -47,6 +50,8 @@
 export type PlacementState = {
 	/** Sends that may have reached an endpoint. */
 	readonly sends: number;
+	/** At least one of them may have run. */
+	readonly mayHaveRun: boolean;
 	/** The caller has a part of the answer. */
 	readonly hasAnswer: boolean;
 	readonly isAbandoned: boolean;
@@ -83,9 +88,7 @@
 	}
 
 	/** Queues the request until it is placed, refused or abandoned. */
-	async wait(): Promise<
-		PlacedRequest | Extract<Assignment, {type: 'refuse'}> | {type: 'abandoned'}
-	> {
+	async wait(): Promise<PlacedRequest | Refusal | {type: 'abandoned'}> {
 		const {queue, peers} = this.#context;
 		const {route, receivedAt} = this.#request;
 		const isFirstSend = this.#state().sends === 0;
@@ -109,12 +112,11 @@
 						return true;
 					}
 
-					if (now >= this.#state().expiresAt) {
-						resolve(noCapacity(0));
-						return true;
-					}
-
-					const assignment = this.#heldBack(now) ?? this.#place(now);
+					const assignment =
+						this.#refusedByDrain(now) ??
+						this.#expired(now) ??
+						this.#heldBack(now) ??
+						this.#place(now);
 					switch (assignment.type) {
 						case 'send': {
 							const {upstream, uncachedTokens} = assignment;
@@ -212,7 +214,7 @@
 		await loopLag.catchUp();
 		return (
 			isReserved &&
-			!this.#isAbandonedOrExpired &&
+			!this.#isTooLate &&
 			endpoints.canTakeRequests(upstream, monotonicNow())
 		);
 	}
@@ -275,10 +277,28 @@
 		return {type: 'send', upstream, expectedMs, donor, activeRequest};
 	}
 
+	/** Refuses a request that would be sent too late in a stop; undefined when the gateway is not stopping or there is time. */
+	#refusedByDrain(now: number): Refusal | undefined {
+		const {route} = this.#request;
+		const {expiresAt, mayHaveRun} = this.#state();
+		const isAllowed = this.#context.drain()?.allowsSend(now, {
+			...route,
+			expiresAt,
+			mayHaveRun,
+		});
+		return isAllowed === false
+			? {type: 'refuse', ...stoppingRefusal}
+			: undefined;
+	}
+
+	#expired(now: number): Refusal | undefined {
+		return now >= this.#state().expiresAt ? noCapacity(0) : undefined;
+	}
+
 	/** Refuses a request with a prompt part that crashes engines, and holds one back while another probes its parts; undefined when it may be placed. */
 	#heldBack(
 		now: number,
-	): Extract<Assignment, {type: 'refuse' | 'wait'}> | undefined {
+	): Refusal | Extract<Assignment, {type: 'wait'}> | undefined {
 		const verdict = this.#context.crashSuspects.check(this.partKeys, now);
 		switch (verdict.type) {
 			case 'clear':
@@ -361,7 +381,7 @@
 				tryPlace: (now) => {
 					if (
 						now >= waitUntil ||
-						this.#isAbandonedOrExpired ||
+						this.#isTooLate ||
 						this.#heldBack(now)?.type === 'refuse' ||
 						!endpoints.canTakeRequests(upstream, now)
 					) {
@@ -434,9 +454,14 @@
 				);
 	}
 
-	/** The caller has disconnected, or the request's time is over. */
-	get #isAbandonedOrExpired(): boolean {
-		return this.#state().isAbandoned || this.#remainingMs() === 0;
+	/** The caller has disconnected, the request's time is over, or it would be sent too late in a stop. */
+	get #isTooLate(): boolean {
+		const now = monotonicNow();
+		return (
+			this.#state().isAbandoned ||
+			this.#expired(now) !== undefined ||
+			this.#refusedByDrain(now) !== undefined
+		);
 	}
 
 	#remainingMs(): number {
@@ -444,8 +469,6 @@
 	}
 }
 
-function noCapacity(
-	retryAfterMs: number,
-): Extract<Assignment, {type: 'refuse'}> {
+function noCapacity(retryAfterMs: number): Refusal {
 	return {type: 'refuse', reason: 'no room in time', retryAfterMs};
 }
--- a/src/services/gateway/next-step.ts
+++ b/src/services/gateway/next-step.ts
@@ -22,7 +22,7 @@
 	| {readonly type: 'moved'; readonly reason: string}
 	/** The request may have run, and the incarnation of the endpoint has ended. */
 	| {readonly type: 'gone'; readonly reason: string}
-	/** The gateway has cancelled it, because it may crash the endpoint. */
+	/** The gateway has cancelled it, because it may crash the endpoint or because the gateway stops. */
 	| {readonly type: 'withdrawn'; readonly reason: string}
 	/** The deadline of the request has passed. */
 	| {readonly type: 'expired'}
