Limit the numbers in datagrams between gateways

A single datagram with a backlog of 1e308 ms, which is a valid number, closed an engine at the gateway that received it: its prefill estimate never ended (1e308 ms left after 1e9 ms in a trial). A time of 1e308 until a request limit allows a request did the same; negative loads made an engine look free, and a negative age of a proof made a copy of the store look more recent than it is, beyond the bound for withdrawn keys. NaN, Infinity, deep nesting and other types were rejected already.

Tests in peer-messages.test.ts, which failed before: 'a message with a key or a count that is out of range decodes to undefined', 'a proof with a negative age decodes to undefined', 'amounts in a message are limited'. Keys must now be 32-bit, counts, versions and start times whole numbers from 0, ages not negative. Amounts of load, backlog and waiting are limited, not rejected, so that one of them does not lose a whole report.

--- a/src/daemons/gateway/peer-messages.test.ts
+++ b/src/daemons/gateway/peer-messages.test.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {test} from 'node:test';
+import {encode} from '@msgpack/msgpack';
 import {expect} from 'earl';
+import {EndpointSet, PeerLoads, place} from '../../services/gateway/index.js';
 import {
 	decodeMessage,
 	encodeMessage,
@@ -92,3 +94,135 @@
 		expect(decodeMessage(Buffer.from(text))).toEqual(undefined);
 	}
 });
+
+/** Report of a peer with one load, one prefill, one backlog and one leaving endpoint. */
+function reportBytes({
+	endpoint = 8,
+	sequence = 3,
+	running = 1,
+	tokens = 70,
+	backlogMs = 120,
+	startedAt = 1,
+}: Readonly<Record<string, unknown>> = {}): Uint8Array {
+	return encode([
+		0,
+		'g',
+		sequence,
+		1,
+		2,
+		[[endpoint, running, tokens]],
+		[[endpoint, 5, tokens, 1]],
+		[[endpoint, backlogMs, backlogMs]],
+		[[endpoint, startedAt]],
+	]);
+}
+
+// Guards against keys and counts that no gateway sends and that are kept as if they named something.
+test('a message with a key or a count that is out of range decodes to undefined', () => {
+	expect(decodeMessage(reportBytes())?.type).toEqual('report');
+	for (const odd of [
+		Number.NaN,
+		Number.POSITIVE_INFINITY,
+		1e308,
+		-1,
+		0.5,
+		2 ** 60,
+		'8',
+		null,
+		[[[8]]],
+	]) {
+		expect(decodeMessage(reportBytes({endpoint: odd}))).toEqual(undefined);
+		expect(decodeMessage(reportBytes({sequence: odd}))).toEqual(undefined);
+		expect(decodeMessage(reportBytes({startedAt: odd}))).toEqual(undefined);
+	}
+});
+
+// Guards against a copy of the store that looks more recent than it is, so that a withdrawn key is accepted for longer.
+test('a proof with a negative age decodes to undefined', () => {
+	for (const [configurationAge, endpointsAge] of [
+		[-1, 5],
+		[5, -1e308],
+		[Number.NaN, 5],
+	]) {
+		const bytes = encode([5, 7, 3, 3, configurationAge, 9, endpointsAge]);
+		expect(decodeMessage(bytes)).toEqual(undefined);
+	}
+});
+
+// Guards against an engine that gets no prompts for good, or all of them, after one message with an amount out of range.
+test('amounts in a message are limited', () => {
+	const loads = new PeerLoads();
+	const service = {
+		name: 's',
+		maxConnections: 100,
+		engine: {slots: 8, kvTokens: 1000, eventTokens: 1, transfer: undefined},
+	};
+	const endpoints = new EndpointSet(() => service, loads);
+	endpoints.apply(
+		{
+			type: 'listed',
+			version: 1,
+			endpoint: {
+				id: 'e',
+				service: 's',
+				address: '10.0.0.1:80',
+				dataCentre: 'here',
+				isDraining: false,
+				slots: 8,
+				startedAt: 1,
+				warmUpMs: 0,
+			},
+		},
+		0,
+	);
+	const [upstream] = endpoints.all();
+	for (const [index, amount] of [1e308, -1e308].entries()) {
+		const message = decodeMessage(
+			reportBytes({
+				endpoint: upstream!.key,
+				sequence: index,
+				running: amount,
+				tokens: amount,
+				backlogMs: amount,
+				startedAt: 0,
+			}),
+		);
+		if (message?.type !== 'report') {
+			throw new Error('the message was not decoded');
+		}
+
+		loads.receive(message, 0);
+		expect(upstream!.unreadTokens(0) >= 0).toEqual(true);
+		expect(upstream!.running(0) >= 0).toEqual(true);
+		endpoints.applyOwnedBacklogs(message.kept, 0);
+		endpoints.applyPrefillNotices(message.prefills, 0);
+	}
+
+	const denied = decodeMessage(encode([3, 4, 1e308, 1e308]));
+	if (denied?.type !== 'answer' || denied.answer.type !== 'denied') {
+		throw new Error('the answer was not decoded');
+	}
+
+	upstream!.plan.overwrite(denied.answer.backlog, 0);
+	const limited = decodeMessage(encode([8, 4, 1e308]));
+	if (limited?.type !== 'answer' || limited.answer.type !== 'limited') {
+		throw new Error('the answer was not decoded');
+	}
+
+	upstream!.limitRate(limited.answer.retryAfterMs);
+	const assignment = place(
+		{
+			prompt: {model: 'm', promptTokens: 10, outputTokens: 1, parts: []},
+			links: [],
+			waitedMs: 0,
+			tried: new Set(),
+			isOnce: true,
+			dataCentre: 'here',
+			objectiveMs: 1000,
+			rank: 0,
+		},
+		endpoints.serving('s', 100_000),
+		100_000,
+	);
+	expect(assignment.type).toEqual('send');
+});
--- a/src/daemons/gateway/peer-messages.ts
+++ b/src/daemons/gateway/peer-messages.ts
@@ -1,6 +1,7 @@
 import {decode, encode} from '@msgpack/msgpack';
 import * as z from 'zod';
 import type {
+	Backlog,
 	CopyFreshness,
 	CrashNotices,
 	HealthNotice,
@@ -32,8 +33,22 @@
 /** Stands for a probe that has not succeeded on the wire. */
 const noSuccess = -1;
 
+/** Limits of amounts, so that one odd message neither closes an engine for good nor makes a sum overflow; a later message gives more if there is more. */
+const maxRunning = 1_000_000;
+const maxTokens = 1_000_000_000;
+const maxWaitMs = 60_000;
+
+/** Hash of an endpoint, of a part or of a digest. */
+const key = z.uint32();
+
+/** Version, start time, or number in a sequence. */
+const ordinal = z.number().int().nonnegative();
+
+/** Age or time, in milliseconds. */
+const ms = z.number().nonnegative();
+
 /** Part and age of what was observed about it, in milliseconds. */
-const partNotice = z.tuple([z.number(), z.number().nonnegative()]);
+const partNotice = z.tuple([key, ms]);
 
 /** Messages on the wire. They are tuples without field names to keep reports small: every gateway sends them to all others, and the smallest gateways have little bandwidth. */
 const wireMessage = z.union([
@@ -41,66 +56,47 @@
 		z.literal(messageTypes.report),
 		/** Gateway, sequence, incarnation, latest settled reservation. */
 		z.string(),
-		z.number(),
-		z.number(),
-		z.number(),
+		ordinal,
+		ordinal,
+		ordinal,
 		/** Endpoint, running requests, tokens awaiting prefill. */
-		z.array(z.tuple([z.number(), z.number(), z.number()])),
+		z.array(z.tuple([key, z.number(), z.number()])),
 		/** Endpoint, hash, tokens, 1 when the prefill is done and 0 when it begins. */
-		z.array(z.tuple([z.number(), z.number(), z.number(), z.number()])),
+		z.array(z.tuple([key, key, z.number(), z.number()])),
 		/** Endpoint, its prefill backlog in milliseconds, the same at the pace of its answers. */
-		z.array(z.tuple([z.number(), z.number(), z.number()])),
+		z.array(z.tuple([key, z.number(), z.number()])),
 		/** Leaving endpoint, its start time. */
-		z.array(z.tuple([z.number(), z.number()])),
+		z.array(z.tuple([key, ordinal])),
 	]),
 	/** Gateway, request number, endpoint, tokens awaiting prefill, rank, KV cache tokens. */
 	z.tuple([
 		z.literal(messageTypes.ask),
 		z.string(),
-		z.number(),
-		z.number(),
+		ordinal,
+		key,
 		z.number(),
 		z.number(),
 		z.number(),
 	]),
 	/** Number of the reservation request. */
-	z.tuple([z.literal(messageTypes.granted), z.number()]),
+	z.tuple([z.literal(messageTypes.granted), ordinal]),
 	/** Number of the reservation request, the engine's prefill backlog in milliseconds, the same at the pace of its answers. */
-	z.tuple([z.literal(messageTypes.denied), z.number(), z.number(), z.number()]),
+	z.tuple([z.literal(messageTypes.denied), ordinal, z.number(), z.number()]),
 	/** Number of the reservation request. */
-	z.tuple([z.literal(messageTypes.full), z.number()]),
+	z.tuple([z.literal(messageTypes.full), ordinal]),
 	/** Gateway; endpoint, its start time, requests a second or -1 for no limit, age of the observation in milliseconds, requests sent. */
 	z.tuple([
 		z.literal(messageTypes.rateLimits),
 		z.string(),
-		z.array(
-			z.tuple([
-				z.number(),
-				z.number(),
-				z.number(),
-				z.number().nonnegative(),
-				z.number().nonnegative(),
-			]),
-		),
+		z.array(z.tuple([key, ordinal, z.number(), ms, ordinal])),
 	]),
 	/** Number of the reservation request, time until the request limit may allow one, in milliseconds. */
-	z.tuple([
-		z.literal(messageTypes.limited),
-		z.number(),
-		z.number().nonnegative(),
-	]),
+	z.tuple([z.literal(messageTypes.limited), ordinal, ms]),
 	/** Gateway; endpoint, its start time, age of its crash in milliseconds and parts of the unanswered requests; part and age of a survival; part and age of a probe. */
 	z.tuple([
 		z.literal(messageTypes.crashes),
 		z.string(),
-		z.array(
-			z.tuple([
-				z.number(),
-				z.number(),
-				z.number().nonnegative(),
-				z.array(z.number()),
-			]),
-		),
+		z.array(z.tuple([key, ordinal, ms, z.array(key)])),
 		z.array(partNotice),
 		z.array(partNotice),
 	]),
@@ -108,21 +104,19 @@
 	z.tuple([
 		z.literal(messageTypes.health),
 		z.string(),
-		z.array(
-			z.tuple([z.number(), z.number(), z.number().nonnegative(), z.number()]),
-		),
+		z.array(z.tuple([key, ordinal, ms, z.number()])),
 	]),
 	/** Number of the revalidation request. */
-	z.tuple([z.literal(messageTypes.revalidationRequest), z.number()]),
+	z.tuple([z.literal(messageTypes.revalidationRequest), ordinal]),
 	/** Number of the revalidation request, era, version and age of the configuration, digest and age of the endpoints; ages in milliseconds. */
 	z.tuple([
 		z.literal(messageTypes.proof),
-		z.number(),
-		z.number(),
-		z.number(),
-		z.number(),
-		z.number(),
-		z.number(),
+		ordinal,
+		z.number().int(),
+		ordinal,
+		ms,
+		key,
+		ms,
 	]),
 ]);
 
@@ -325,6 +319,17 @@
 	}
 }
 
+function limited(amount: number, max: number): number {
+	return Math.min(max, Math.max(0, amount));
+}
+
+function limitedBacklog(leftMs: number, pacedMs: number): Backlog {
+	return {
+		leftMs: limited(leftMs, maxWaitMs),
+		pacedMs: limited(pacedMs, maxWaitMs),
+	};
+}
+
 function fromWire(wire: z.infer<typeof wireMessage>): PeerMessage {
 	switch (wire[0]) {
 		case messageTypes.report: {
@@ -337,21 +342,20 @@
 				sequence,
 				incarnation,
 				settledReservation,
-				loads: loads.map(([endpoint, running, unreadTokens]) => ({
+				loads: loads.map(([endpoint, running, tokens]) => ({
 					endpoint,
-					running,
-					unreadTokens,
+					running: limited(running, maxRunning),
+					unreadTokens: limited(tokens, maxTokens),
 				})),
 				prefills: prefills.map(([endpoint, hash, tokens, done]) => ({
 					endpoint,
 					hash,
-					tokens,
+					tokens: limited(tokens, maxTokens),
 					isDone: done === 1,
 				})),
 				kept: kept.map(([endpoint, leftMs, pacedMs]) => ({
 					endpoint,
-					leftMs,
-					pacedMs,
+					...limitedBacklog(leftMs, pacedMs),
 				})),
 				leavingEndpoints: leavingEndpoints.map(([endpoint, startedAt]) => ({
 					endpoint,
@@ -361,16 +365,15 @@
 		}
 
 		case messageTypes.ask: {
-			const [, gateway, number, endpoint, unreadTokens, rank, kvCacheTokens] =
-				wire;
+			const [, gateway, number, endpoint, tokens, rank, kvCacheTokens] = wire;
 			return {
 				type: 'ask',
 				gateway,
 				number,
 				endpoint,
-				unreadTokens,
+				unreadTokens: limited(tokens, maxTokens),
 				rank,
-				kvCacheTokens,
+				kvCacheTokens: limited(kvCacheTokens, maxTokens),
 			};
 		}
 
@@ -384,7 +387,7 @@
 			return {
 				type: 'answer',
 				number,
-				answer: {type: 'denied', backlog: {leftMs, pacedMs}},
+				answer: {type: 'denied', backlog: limitedBacklog(leftMs, pacedMs)},
 			};
 		}
 
@@ -445,7 +448,14 @@
 
 		case messageTypes.limited: {
 			const [, number, retryAfterMs] = wire;
-			return {type: 'answer', number, answer: {type: 'limited', retryAfterMs}};
+			return {
+				type: 'answer',
+				number,
+				answer: {
+					type: 'limited',
+					retryAfterMs: limited(retryAfterMs, maxWaitMs),
+				},
+			};
 		}
 
 		case messageTypes.revalidationRequest: {
