Log unreadable datagrams once for each sender

Each datagram that is no message wrote a line, so a program that sends to a gateway's port fills the log, as do gateways of another version during an upgrade.

The record of unreadable rows is used for it.

--- a/src/daemons/gateway/peer-exchange.test.ts
+++ b/src/daemons/gateway/peer-exchange.test.ts
@@ -16,7 +16,13 @@
 
 const host = '127.0.0.1';
 
-function createExchange(address: string): PeerExchange {
+function createExchange(
+	address: string,
+	{
+		onLine,
+		onReport,
+	}: {onLine?: (line: string) => void; onReport?: () => void} = {},
+): PeerExchange {
 	const loads = new PeerLoads();
 	return new PeerExchange({
 		instance: 'own',
@@ -26,7 +32,11 @@
 		rateLimits: new RateLimits(),
 		crashSuspects: new CrashSuspects(),
 		onDidChangeSuspects: () => undefined,
-		log: new Log({format: 'json', level: 'silent'}),
+		log: new Log({
+			format: 'json',
+			level: onLine ? 'info' : 'silent',
+			write: onLine,
+		}),
 		metrics: new GatewayMetrics({
 			requestsInProgress: () => 0,
 			requestsWaiting: () => 0,
@@ -36,12 +46,26 @@
 			gateways: () => 0,
 			droppedLines: () => 0,
 		}),
-		onDidReceiveReport: () => undefined,
+		onDidReceiveReport: onReport ?? (() => undefined),
 		onDidDiscoverPeer: () => undefined,
 		proof: () => undefined,
 	});
 }
 
+function report(gateway: string, sequence: number): Uint8Array {
+	return encodeMessage({
+		type: 'report',
+		gateway,
+		sequence,
+		incarnation: 1,
+		settledReservation: 0,
+		loads: [],
+		prefills: [],
+		kept: [],
+		leavingEndpoints: [],
+	});
+}
+
 // Guards against a late answer to the process before a restart, which would make outdated copies of the new process look current.
 test('a restarted gateway does not reuse request numbers', async () => {
 	const port = await freePort();
@@ -58,17 +82,7 @@
 	// With this many gateways this one does not read the store itself.
 	const sendReports = (sequence: number) => {
 		for (let index = 0; index < 40; index++) {
-			const message = encodeMessage({
-				type: 'report',
-				gateway: `peer-${index}`,
-				sequence,
-				incarnation: 1,
-				settledReservation: 0,
-				loads: [],
-				prefills: [],
-				kept: [],
-				leavingEndpoints: [],
-			});
+			const message = report(`peer-${index}`, sequence);
 			peer.send(message, port, host);
 		}
 	};
@@ -95,3 +109,35 @@
 	peer.close();
 	expect(lastNumbers[1]! > lastNumbers[0]!).toEqual(true);
 });
+
+// Guards against a log that is filled by a program that sends other bytes to a gateway's port, and against reports that are not read after them.
+test('unreadable datagrams are logged once for each sender', async () => {
+	const port = await freePort();
+	const lines: string[] = [];
+	let reports = 0;
+	const gateway = createExchange(`${host}:${port}`, {
+		onLine(line) {
+			lines.push(line);
+		},
+		onReport() {
+			reports++;
+		},
+	});
+	gateway.start();
+	const nested = new Uint8Array(60_000).fill(0x91);
+	const sender = createSocket('udp4');
+	let sequence = 0;
+	await waitUntil('reports are read', async () => {
+		sequence++;
+		sender.send(new Uint8Array(sequence), port, host);
+		sender.send(nested, port, host);
+		sender.send(report('peer', sequence), port, host);
+		return reports > 10;
+	});
+	sender.close();
+	gateway.dispose();
+	const unreadable = lines.filter((line) =>
+		line.includes('peer_message_unreadable'),
+	);
+	expect(unreadable.length).toEqual(1);
+});
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -16,6 +16,7 @@
 import {splitAddress} from '../listen.js';
 import {monotonicNow} from '../state-machine.js';
 import {decodeMessage, encodeMessage} from './peer-messages.js';
+import {UnreadableRows} from './unreadable-rows.js';
 import {PeerNotices, type PeerNoticesOptions} from './peer-notices.js';
 
 /** Interval between reports of a changed load, in milliseconds for each peer: with more peers each one reports less often, which limits what a gateway receives to a few hundred reports a second. */
@@ -77,6 +78,8 @@
 	readonly #options: PeerExchangeOptions;
 	readonly #reservations: EngineReservations;
 	readonly #socket: Socket;
+	/** Senders of datagrams that are not messages. */
+	readonly #unreadableMessages: UnreadableRows;
 	readonly #incarnation = Date.now();
 	/** Source addresses of the gateways' reports, by name. */
 	readonly #addresses = new Map<string, PeerAddress>();
@@ -104,6 +107,11 @@
 
 	constructor(options: PeerExchangeOptions) {
 		this.#options = options;
+		this.#unreadableMessages = new UnreadableRows(
+			options.log,
+			'peer_message_unreadable',
+			'from',
+		);
 		this.notices = new PeerNotices(options, (bytes) => {
 			this.#sendToPeers(bytes);
 		});
@@ -407,8 +415,9 @@
 		const now = monotonicNow();
 		switch (message?.type) {
 			case undefined: {
-				this.#options.log.warn('peer_message_unreadable', {
-					bytes: bytes.length,
+				this.#unreadableMessages.add({
+					id: `${from.address}:${from.port}`,
+					reason: 'not a message of this version',
 				});
 				break;
 			}
