Let a planned stop wait for requests whose callers have left

What callers saw: the outcome of a request that may run only once depended on whether its caller left before a stop: such a request is meant to run to its end, but the process exited as soon as no caller was connected.

Cause: the stop waited for connections of callers, not for requests in progress.

Evidence: "a stop waits for a request that may run once although its caller has left" (platform/planned-stop.test.ts) failed: the stop had ended before the server answered.

Change: the stop waits for both, until its last answers at the latest.

Result: the test passes.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -342,15 +342,20 @@
 		}
 	}
 
-	/** Closes connections as they become idle, until none is left or `endsAt` is reached. */
+	/** Closes connections as they become idle, until no connection or request is left or `endsAt` is reached. */
 	async #closeIdleCallers(endsAt: number): Promise<void> {
 		await this.#closeIdle();
-		while (this.#callerConnections.size > 0 && monotonicNow() < endsAt) {
+		while (this.#isBusy && monotonicNow() < endsAt) {
 			await delay(drainPollMs);
 			await this.#closeIdle();
 		}
 	}
 
+	/** A caller is connected, or a request is in progress; one that may run only once outlasts its caller. */
+	get #isBusy(): boolean {
+		return this.#callerConnections.size > 0 || this.#exchanges.size > 0;
+	}
+
 	/** Closes idle connections. On a busy process a request may have arrived that has not been read yet, so that its connection only seems idle. */
 	async #closeIdle(): Promise<void> {
 		await this.#loopLag.readSockets();
