Log a fingerprint of each request whose server breaks off before it answers

What operators saw: at eleven crashes of plain servers the logs name a route and request ids, which are new with each repetition; they do not tell whether callers sent the same request again. Change: send_unanswered is written for requests without a prompt, too, with a fingerprint over method, host, path, workspace and body. No decision uses it yet.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -341,11 +341,12 @@
 			case 'broken':
 			case 'silent': {
 				const answeredAt = send.firstByteAt ?? now;
-				if (prompt && send.isSent && now - answeredAt < survivalMs) {
-					const {parts} = prompt;
+				if (send.isSent && now - answeredAt < survivalMs) {
+					const parts = prompt?.parts ?? [];
 					this.#log('send_unanswered', {
 						endpoint: upstream.id,
 						reason: end.reason,
+						fingerprint: this.#placement.fingerprint,
 						parts: loggedParts(parts),
 					});
 					void crashReports.recordUnanswered(upstream, {
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -1,8 +1,10 @@
+import {crc32} from 'node:zlib';
 import {
 	hasFreeSlot,
 	partKeys,
 	place,
 	prefixLinks,
+	requestFingerprint,
 	resumedRank,
 	timeToCapacityMs,
 	type ActiveRequest,
@@ -63,6 +65,8 @@
 	readonly links: readonly PrefixLink[];
 	/** Keys of the prompt's parts that other requests may share. */
 	readonly partKeys: readonly number[];
+	/** Stands for the request and its repetitions. */
+	readonly fingerprint: number;
 	/** Number of times that the gateway which owns an endpoint (this one or a peer, by rendezvous hash) denied capacity there. */
 	denials = 0;
 	/** Time from arrival to the first placement, in milliseconds. */
@@ -80,8 +84,17 @@
 		this.#context = context;
 		this.#request = request;
 		this.#state = state;
-		const {parts = []} = request.head.prompt ?? {};
+		const {method, target, body, route, workspace, head} = request;
+		const {parts = []} = head.prompt ?? {};
 		this.links = prefixLinks(parts);
+		this.fingerprint = requestFingerprint({
+			method,
+			host: route.host,
+			target,
+			workspace: workspace?.name,
+			bodyLength: body.length,
+			bodyChecksum: crc32(body),
+		});
 		this.partKeys = request.service.engine ? partKeys(parts) : [];
 	}
 
--- a/src/services/gateway/index.ts
+++ b/src/services/gateway/index.ts
@@ -27,4 +27,5 @@
 export * from './step-time.js';
 export * from './store-readers.js';
 export * from './upstream.js';
+export * from './request-fingerprints.js';
 export * from './request-queue.js';
