Withhold a request that crashes servers from all gateways

Cause: only the shared parts of prompts were held against crashes, and only at model engines. A plain request has none, the last part was left out, and a stream whose parts are cleared by sound requests was sent again.

Change: a request has fingerprints of the parts of its prompt, also the last one, and of itself (method, host, path, workspace, body), on plain services as well; crashes are held against all of them. A plain server counts as crashed when it refuses a new connection. A fingerprint that a request lacks excuses it as before, so where one request was at both crashes of a part, another one with the part probes it at once; the others in progress are cancelled as before, because a probe is enough. Datagrams keep their form: those of shared parts are the same numbers, the others are above 2^32.

Why it works: whichever of the fingerprints is the cause, it is at all crashes and has no survival since; innocent ones are cleared by the next answer to any request with them, which all gateways learn within some ms.

Renamed: withheldParts of /state is withheldRequests, the log line withheld has fingerprint and kind in place of part.

--- a/src/daemons/gateway/crash-reports.ts
+++ b/src/daemons/gateway/crash-reports.ts
@@ -5,6 +5,7 @@
 	Upstream,
 } from '../../services/gateway/index.js';
 import type {Log} from '../log.js';
+import {refusesConnections} from './connection-probe.js';
 import {probeEngine, type EngineProbeContext} from './engine-probe.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {PeerNotices} from './peer-notices.js';
@@ -23,8 +24,7 @@
 /** Request that ended without an answer, for the record of a crash. */
 export type UnansweredRequest = {
 	readonly requestId: string;
-	/** Keys of the parts of its prompt that other requests may share. */
-	readonly partKeys: readonly number[];
+	readonly fingerprints: readonly number[];
 	readonly parts: readonly PromptPart[];
 	/** Time at which its connection ended, in milliseconds of the monotonic clock. */
 	readonly at: number;
@@ -34,7 +34,7 @@
 const maxLoggedParts = 8;
 const maxLoggedIdLength = 32;
 
-/** Records the prompt parts of unanswered requests once it is known that their engine has crashed, and not only lost a connection. */
+/** Records the fingerprints of unanswered requests once it is known that their endpoint has crashed, and not only lost a connection. */
 export class CrashReports {
 	readonly #options: CrashReportsOptions;
 	readonly #checks = new Map<Upstream, Promise<boolean>>();
@@ -43,26 +43,24 @@
 		this.#options = options;
 	}
 
-	/** Handles a request whose engine closed the connection or went silent before it had begun to answer; never rejects. */
+	/** Handles a request whose endpoint closed the connection or went silent before it had begun to answer; never rejects. */
 	async recordUnanswered(
 		upstream: Upstream,
-		{requestId, partKeys, parts, at}: UnansweredRequest,
+		{requestId, fingerprints, parts, at}: UnansweredRequest,
 	): Promise<void> {
 		const {crashSuspects, notices, log, metrics} = this.#options;
-		if (
-			partKeys.length === 0 ||
-			upstream.isLeaving ||
-			!(await this.#hasCrashed(upstream))
-		) {
+		if (upstream.isLeaving || !(await this.#hasCrashed(upstream))) {
 			return;
 		}
 
-		const startedAt = upstream.listed.startedAt ?? 0;
-		if (crashSuspects.recordCrash(upstream.key, startedAt, partKeys, at)) {
-			metrics.crashSuspected(upstream.listed.service);
+		const {key: endpoint, listed} = upstream;
+		const {startedAt = 0} = listed;
+		if (crashSuspects.recordCrash({endpoint, startedAt, at, fingerprints})) {
+			metrics.crashSuspected(listed.service);
 			log.info('crash_suspects', {
 				endpoint: upstream.id,
 				request: requestId,
+				fingerprint: fingerprints.at(-1) ?? 0,
 				parts: loggedParts(parts),
 			});
 			notices.sendCrashesSoon();
@@ -70,21 +68,21 @@
 		}
 	}
 
-	/** Records that an engine has begun an answer on the parts and has not crashed. */
-	recordSurvival(partKeys: readonly number[], now: number): void {
-		if (this.#options.crashSuspects.recordSurvival(partKeys, now)) {
+	/** Records that an endpoint has answered a request with the fingerprints, or has begun to and not crashed. */
+	recordSurvival(fingerprints: readonly number[], now: number): void {
+		if (this.#options.crashSuspects.recordSurvival(fingerprints, now)) {
 			this.#options.notices.sendCrashesSoon();
 			this.#options.onDidChangeSuspects();
 		}
 	}
 
-	/** Records that a request of this gateway probes the parts. */
-	beginProbe(partKeys: readonly number[], now: number): void {
-		this.#options.crashSuspects.beginProbe(partKeys, now);
+	/** Records that a request of this gateway probes the fingerprints. */
+	beginProbe(fingerprints: readonly number[], now: number): void {
+		this.#options.crashSuspects.beginProbe(fingerprints, now);
 		this.#options.notices.sendCrashesSoon();
 	}
 
-	/** Resolves to whether the incarnation of an engine has ended. One check serves all its requests. */
+	/** Resolves to whether the incarnation of an endpoint has ended. One check serves all its requests. */
 	async #hasCrashed(upstream: Upstream): Promise<boolean> {
 		let check = this.#checks.get(upstream);
 		if (!check) {
@@ -104,6 +102,10 @@
 			return true;
 		}
 
+		if (!upstream.kvCacheUsage) {
+			return refusesConnections(upstream.listed.address);
+		}
+
 		const state = await probeEngine(upstream, probeContext, true);
 		const startedAt = state?.report?.startedAt;
 		return (
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -29,7 +29,7 @@
 /** Width of the random jitter as a fraction of a Retry-After value, so that callers do not all retry at once. */
 const retryAfterJitter = 0.5;
 
-/** Time after the first output for which an engine must live until the parts of the prompt count as harmless, in milliseconds. */
+/** Time after the first output for which an endpoint must live until the request counts as harmless, in milliseconds. */
 const survivalMs = 250;
 
 /** Handles one request of a caller: places it, sends it to endpoints, retries where allowed and responds. */
@@ -116,11 +116,12 @@
 		this.#output.cut();
 	}
 
-	/** Cancels a send that an engine has not begun to answer when a part of the prompt turns out to crash engines. */
+	/** Cancels a send that an endpoint has not begun to answer when the request turns out to crash endpoints. */
 	withdrawSuspect(): void {
 		const verdict = this.#context.crashSuspects.check(
-			this.#placement.partKeys,
+			this.#placement.fingerprints,
 			monotonicNow(),
+			true,
 		);
 		if (verdict.type === 'withheld' && this.#send?.firstByteAt === undefined) {
 			this.#send?.cancel({type: 'withdrawn', reason: withheldReason});
@@ -316,18 +317,18 @@
 		}
 	}
 
-	/** Schedules the record that the parts of the prompt are harmless, if they are suspected. */
+	/** Schedules the record that the request is harmless, if it is suspected. */
 	#scheduleSurvival(): NodeJS.Timeout | undefined {
 		const {crashReports, crashSuspects} = this.#context;
-		const {partKeys} = this.#placement;
-		return crashSuspects.isSuspected(partKeys)
+		const {fingerprints} = this.#placement;
+		return crashSuspects.isSuspected(fingerprints)
 			? setTimeout(() => {
-					crashReports.recordSurvival(partKeys, monotonicNow());
+					crashReports.recordSurvival(fingerprints, monotonicNow());
 				}, survivalMs)
 			: undefined;
 	}
 
-	/** Records what the end of a send shows about the parts of the prompt. */
+	/** Records what the end of a send shows about the request: whether it may crash endpoints. */
 	#recordOutcome(
 		send: Send,
 		end: SendEnd,
@@ -335,7 +336,7 @@
 		now: number,
 	): void {
 		const {crashReports} = this.#context;
-		const {partKeys} = this.#placement;
+		const {fingerprints} = this.#placement;
 		const {requestId, prompt} = this.#request.head;
 		switch (end.type) {
 			case 'broken':
@@ -346,12 +347,12 @@
 					this.#log('send_unanswered', {
 						endpoint: upstream.id,
 						reason: end.reason,
-						fingerprint: this.#placement.fingerprint,
+						fingerprint: fingerprints.at(-1)!,
 						parts: loggedParts(parts),
 					});
 					void crashReports.recordUnanswered(upstream, {
 						requestId,
-						partKeys,
+						fingerprints,
 						parts,
 						at: now,
 					});
@@ -365,7 +366,7 @@
 				const isError =
 					end.type === 'answered' && end.status >= firstNonSuccessStatus;
 				if (!isError) {
-					crashReports.recordSurvival(partKeys, now);
+					crashReports.recordSurvival(fingerprints, now);
 				}
 
 				break;
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -377,7 +377,7 @@
 			gateways: this.#roster.count,
 			requests: this.#exchanges.size,
 			waiting: this.#queue.size,
-			withheldParts: this.#crashSuspects.withheld(now),
+			withheldRequests: this.#crashSuspects.withheld(now),
 			endpoints: this.#platform.endpoints.all().map((upstream) => ({
 				...upstream.listed,
 				ownRunning: upstream.ownRunning,
--- a/src/daemons/gateway/gateway-metrics.ts
+++ b/src/daemons/gateway/gateway-metrics.ts
@@ -76,13 +76,13 @@
 
 	readonly #crashSuspicions = this.#counter(
 		'crash_suspicions_total',
-		'Unanswered requests of this gateway at engines that crashed',
+		'Unanswered requests of this gateway at endpoints that crashed',
 		['service'],
 	);
 
 	readonly #withheldRequests = this.#counter(
 		'withheld_requests_total',
-		'Requests that were not sent because a part of their prompts crashes engines',
+		'Requests that were not sent because they or a part of their prompts crash endpoints',
 		['route'],
 	);
 
@@ -130,7 +130,7 @@
 		this.#crashSuspicions.inc({service});
 	}
 
-	/** Counts a request that was not sent because a part of its prompt crashes engines. */
+	/** Counts a request that was not sent because it or a part of its prompt crashes endpoints. */
 	withheld(route: string): void {
 		this.#withheldRequests.inc({route});
 	}
--- a/src/daemons/gateway/peer-messages.test.ts
+++ b/src/daemons/gateway/peer-messages.test.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {test} from 'node:test';
+import {encode} from '@msgpack/msgpack';
 import {expect} from 'earl';
 import {
 	decodeMessage,
@@ -52,9 +53,11 @@
 		type: 'crashes',
 		gateway: 'g',
 		notices: {
-			crashes: [{endpoint: 8, startedAt: 3, ageMs: 20, parts: [4, 5]}],
-			survivals: [{part: 4, ageMs: 10}],
-			probes: [{part: 5, ageMs: 0}],
+			crashes: [
+				{endpoint: 8, startedAt: 3, ageMs: 20, fingerprints: [4, 2 ** 33 + 5]},
+			],
+			survivals: [{fingerprint: 4, ageMs: 10}],
+			probes: [{fingerprint: 2 ** 33 + 5, ageMs: 0}],
 		},
 	},
 	{
@@ -92,3 +95,19 @@
 		expect(decodeMessage(Buffer.from(text))).toEqual(undefined);
 	}
 });
+
+// Guards against gateways of the version before, which would read nothing of a notice of crashes in another form.
+test('a notice of crashes keeps its form on the wire', () => {
+	const bytes = encode([9, 'g', [[8, 3, 20, [4, 5]]], [[4, 10]], [[5, 0]]]);
+	const message = decodeMessage(bytes);
+	expect(message).toEqual({
+		type: 'crashes',
+		gateway: 'g',
+		notices: {
+			crashes: [{endpoint: 8, startedAt: 3, ageMs: 20, fingerprints: [4, 5]}],
+			survivals: [{fingerprint: 4, ageMs: 10}],
+			probes: [{fingerprint: 5, ageMs: 0}],
+		},
+	});
+	expect(encodeMessage(message!)).toEqual(bytes);
+});
--- a/src/daemons/gateway/peer-messages.ts
+++ b/src/daemons/gateway/peer-messages.ts
@@ -4,7 +4,7 @@
 	CopyFreshness,
 	CrashNotices,
 	HealthNotice,
-	PartNotice,
+	FingerprintNotice,
 	PeerReport,
 	RateLimitNotice,
 	ReservationResult,
@@ -32,8 +32,8 @@
 /** Stands for a probe that has not succeeded on the wire. */
 const noSuccess = -1;
 
-/** Part and age of what was observed about it, in milliseconds. */
-const partNotice = z.tuple([z.number(), z.number().nonnegative()]);
+/** Fingerprint and age of what was observed about its requests, in milliseconds. */
+const fingerprintNotice = z.tuple([z.number(), z.number().nonnegative()]);
 
 /** Messages on the wire. They are tuples without field names to keep reports small: every gateway sends them to all others, and the smallest gateways have little bandwidth. */
 const wireMessage = z.union([
@@ -89,7 +89,7 @@
 		z.number(),
 		z.number().nonnegative(),
 	]),
-	/** Gateway; endpoint, its start time, age of its crash in milliseconds and parts of the unanswered requests; part and age of a survival; part and age of a probe. */
+	/** Gateway; endpoint, its start time, age of its crash in milliseconds and fingerprints of the unanswered requests; fingerprint and age of a survival; fingerprint and age of a probe. */
 	z.tuple([
 		z.literal(messageTypes.crashes),
 		z.string(),
@@ -101,8 +101,8 @@
 				z.array(z.number()),
 			]),
 		),
-		z.array(partNotice),
-		z.array(partNotice),
+		z.array(fingerprintNotice),
+		z.array(fingerprintNotice),
 	]),
 	/** Gateway; endpoint, its start time, age of the probe, age of its success or -1, in milliseconds. */
 	z.tuple([
@@ -248,14 +248,14 @@
 			return [
 				messageTypes.crashes,
 				gateway,
-				notices.crashes.map(({endpoint, startedAt, ageMs, parts}) => [
+				notices.crashes.map(({endpoint, startedAt, ageMs, fingerprints}) => [
 					endpoint,
 					startedAt,
 					Math.floor(ageMs),
-					[...parts],
+					[...fingerprints],
 				]),
-				notices.survivals.map((notice) => partToWire(notice)),
-				notices.probes.map((notice) => partToWire(notice)),
+				notices.survivals.map((notice) => fingerprintToWire(notice)),
+				notices.probes.map((notice) => fingerprintToWire(notice)),
 			];
 		}
 
@@ -292,8 +292,11 @@
 	}
 }
 
-function partToWire({part, ageMs}: PartNotice): z.infer<typeof partNotice> {
-	return [part, Math.ceil(ageMs)];
+function fingerprintToWire({
+	fingerprint,
+	ageMs,
+}: FingerprintNotice): z.infer<typeof fingerprintNotice> {
+	return [fingerprint, Math.ceil(ageMs)];
 }
 
 function answerToWire(
@@ -415,14 +418,19 @@
 				type: 'crashes',
 				gateway,
 				notices: {
-					crashes: crashes.map(([endpoint, startedAt, ageMs, parts]) => ({
-						endpoint,
-						startedAt,
+					crashes: crashes.map(
+						([endpoint, startedAt, ageMs, fingerprints]) => ({
+							endpoint,
+							startedAt,
+							ageMs,
+							fingerprints,
+						}),
+					),
+					survivals: survivals.map(([fingerprint, ageMs]) => ({
+						fingerprint,
 						ageMs,
-						parts,
 					})),
-					survivals: survivals.map(([part, ageMs]) => ({part, ageMs})),
-					probes: probes.map(([part, ageMs]) => ({part, ageMs})),
+					probes: probes.map(([fingerprint, ageMs]) => ({fingerprint, ageMs})),
 				},
 			};
 		}
--- a/src/daemons/gateway/peer-notices.ts
+++ b/src/daemons/gateway/peer-notices.ts
@@ -11,10 +11,10 @@
 import type {GatewayMetrics} from './gateway-metrics.js';
 import {encodeMessage} from './peer-messages.js';
 
-/** Interval at which all crashes that withhold a part are sent, in milliseconds; a gateway that has started since needs them. */
+/** Interval at which all crashes that withhold requests are sent, in milliseconds; a gateway that has started since needs them. */
 const fullNoticeIntervalMs = 2000;
 
-/** Time in which observations of crashes are collected for one notice, in milliseconds: an engine that crashes breaks off many requests at once. */
+/** Time in which observations of crashes are collected for one notice, in milliseconds: an endpoint that crashes breaks off many requests at once. */
 const collectMs = 5;
 
 export type PeerNoticesOptions = {
@@ -64,7 +64,7 @@
 		}, collectMs);
 	}
 
-	/** Informs the other gateways of crashes and the parts of prompts that they are held against, at once and with each report while they are recent. */
+	/** Informs the other gateways of crashes and the fingerprints that they are held against, at once and with each report while they are recent. */
 	sendCrashes(): void {
 		const {instance, crashSuspects} = this.#options;
 		const now = monotonicNow();
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -1,10 +1,9 @@
 import {crc32} from 'node:zlib';
 import {
 	hasFreeSlot,
-	partKeys,
 	place,
 	prefixLinks,
-	requestFingerprint,
+	requestFingerprints,
 	resumedRank,
 	timeToCapacityMs,
 	type ActiveRequest,
@@ -34,8 +33,8 @@
 const maxNoCapacityRetryAfterMs = 3000;
 const maxNoCapacityRetryAfterFraction = 1 / 3;
 
-/** Reason of a refusal because of a prompt part that crashes engines. */
-export const withheldReason = 'prompt part crashes engines';
+/** Reason of a refusal because the request or a part of its prompt crashes endpoints. */
+export const withheldReason = 'request crashes servers';
 
 /** Endpoint chosen for a request, with the request as registered there. */
 export type PlacedRequest = {
@@ -63,10 +62,8 @@
 export class RequestPlacement {
 	/** Hash chain of the prompt's parts. */
 	readonly links: readonly PrefixLink[];
-	/** Keys of the prompt's parts that other requests may share. */
-	readonly partKeys: readonly number[];
-	/** Stands for the request and its repetitions. */
-	readonly fingerprint: number;
+	/** Stand for the parts of its prompt, and the last one for the request and its repetitions. */
+	readonly fingerprints: readonly number[];
 	/** Number of times that the gateway which owns an endpoint (this one or a peer, by rendezvous hash) denied capacity there. */
 	denials = 0;
 	/** Time from arrival to the first placement, in milliseconds. */
@@ -84,18 +81,18 @@
 		this.#context = context;
 		this.#request = request;
 		this.#state = state;
-		const {method, target, body, route, workspace, head} = request;
+		const {method, target, body, route, service, workspace, head} = request;
 		const {parts = []} = head.prompt ?? {};
 		this.links = prefixLinks(parts);
-		this.fingerprint = requestFingerprint({
+		this.fingerprints = requestFingerprints({
 			method,
 			host: route.host,
 			target,
 			workspace: workspace?.name,
 			bodyLength: body.length,
 			bodyChecksum: crc32(body),
+			parts: service.engine ? parts : [],
 		});
-		this.partKeys = request.service.engine ? partKeys(parts) : [];
 	}
 
 	/** Queues the request until it is placed, refused or abandoned. */
@@ -233,14 +230,14 @@
 		};
 	}
 
-	/** Returns undefined when the request must not be sent any more: another one has begun to probe its parts, or crashed an engine, since it was placed. */
+	/** Returns undefined when the request must not be sent any more: another one has begun to probe its fingerprints, or crashed an endpoint, since it was placed. */
 	#registerPlacement(
 		assignment: Extract<Assignment, {type: 'send'}>,
 	): PlacedRequest | undefined {
 		const {upstream, expectedMs, uncachedTokens, donor, home} = assignment;
 		const {head} = this.#request;
 		const now = monotonicNow();
-		if (!this.#claimParts(now)) {
+		if (!this.#claimProbe(now)) {
 			return undefined;
 		}
 
@@ -280,11 +277,11 @@
 		return {type: 'send', upstream, expectedMs, donor, activeRequest};
 	}
 
-	/** Refuses a request with a prompt part that crashes engines, and holds one back while another probes its parts; undefined when it may be placed. */
+	/** Refuses a request that crashes endpoints, and holds one back while another probes its fingerprints; undefined when it may be placed. */
 	#heldBack(
 		now: number,
 	): Extract<Assignment, {type: 'refuse' | 'wait'}> | undefined {
-		const verdict = this.#context.crashSuspects.check(this.partKeys, now);
+		const verdict = this.#context.crashSuspects.check(this.fingerprints, now);
 		switch (verdict.type) {
 			case 'clear':
 			case 'probe': {
@@ -296,13 +293,14 @@
 			}
 
 			case 'withheld': {
-				const {part, crashes, retryAfterMs} = verdict;
+				const {fingerprint, kind, crashes, retryAfterMs} = verdict;
 				const {head, route} = this.#request;
 				this.#context.metrics.withheld(route.name);
 				this.#context.log.info('withheld', {
 					request: head.requestId,
 					route: route.name,
-					part,
+					fingerprint,
+					kind,
 					crashes,
 					retry_ms: Math.round(retryAfterMs),
 				});
@@ -311,10 +309,10 @@
 		}
 	}
 
-	/** Claims suspected parts of the prompt for this request, which then probes them. Returns false when it may not be sent. */
-	#claimParts(now: number): boolean {
+	/** Claims suspected fingerprints for this request, which then probes them. Returns false when it may not be sent. */
+	#claimProbe(now: number): boolean {
 		const {crashSuspects, crashReports, log} = this.#context;
-		const verdict = crashSuspects.check(this.partKeys, now);
+		const verdict = crashSuspects.check(this.fingerprints, now);
 		switch (verdict.type) {
 			case 'clear': {
 				return true;
@@ -323,7 +321,7 @@
 			case 'probe': {
 				const {requestId} = this.#request.head;
 				log.info('crash_probe', {request: requestId});
-				crashReports.beginProbe(this.partKeys, now);
+				crashReports.beginProbe(this.fingerprints, now);
 				return true;
 			}
 
--- a/src/services/gateway/part-observations.ts
+++ b/src/services/gateway/fingerprint-observations.ts
@@ -1,6 +1,6 @@
-import type {PartNotice} from './crash-notices.js';
+import type {FingerprintNotice} from './crash-notices.js';
 
-/** Number of parts that observations are kept of, against callers that name endless parts. */
+/** Number of fingerprints that observations are kept of, against callers that send endless distinct requests. */
 const maxObservations = 2000;
 
 /** Latest time of an observation, by any gateway and by this one. */
@@ -12,23 +12,23 @@
 	now: number,
 	maxAgeMs: number,
 ): void {
-	for (const [part, {at}] of observations) {
+	for (const [fingerprint, {at}] of observations) {
 		if (now - at >= maxAgeMs || observations.size > maxObservations) {
-			observations.delete(part);
+			observations.delete(fingerprint);
 		}
 	}
 }
 
-/** Keeps the latest times of an observation, the most recently observed part last. */
+/** Keeps the latest times of an observation, the most recently observed fingerprint last. */
 export function observe(
 	observations: Map<number, Observation>,
-	part: number,
+	fingerprint: number,
 	at: number,
 	ownAt: number,
 ): void {
-	const known = observations.get(part);
-	observations.delete(part);
-	observations.set(part, {
+	const known = observations.get(fingerprint);
+	observations.delete(fingerprint);
+	observations.set(fingerprint, {
 		at: Math.max(at, known?.at ?? at),
 		ownAt: Math.max(ownAt, known?.ownAt ?? ownAt),
 	});
@@ -39,8 +39,8 @@
 	observations: ReadonlyMap<number, Observation>,
 	now: number,
 	maxAgeMs: number,
-): PartNotice[] {
+): FingerprintNotice[] {
 	return [...observations]
-		.map(([part, {ownAt}]) => ({part, ageMs: now - ownAt}))
+		.map(([fingerprint, {ownAt}]) => ({fingerprint, ageMs: now - ownAt}))
 		.filter(({ageMs}) => ageMs < maxAgeMs);
 }
--- a/src/services/gateway/index.ts
+++ b/src/services/gateway/index.ts
@@ -5,6 +5,7 @@
 export * from './connection-share.js';
 export * from './copy-freshness.js';
 export type * from './crash-notices.js';
+export type {ObservedCrash} from './crash-records.js';
 export * from './crash-suspects.js';
 export * from './endpoint-set.js';
 export * from './engine-losses.js';
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -130,7 +130,7 @@
 				| 'all endpoints down'
 				| 'all endpoints rest'
 				| 'no room in time'
-				| 'prompt part crashes engines';
+				| 'request crashes servers';
 			/** Time after which there may be capacity, in milliseconds. */
 			readonly retryAfterMs: number;
 	  };
