--- a/src/daemons/gateway/exchange-context.ts
+++ b/src/daemons/gateway/exchange-context.ts
@@ -7,6 +7,7 @@
 } from '../../interfaces/index.js';
 import type {
 	CrashSuspects,
+	DrainSchedule,
 	EndpointSet,
 	RateLimits,
 	RetryAllowance,
@@ -16,6 +17,7 @@
 import type {EndpointSignals} from './endpoint-signals.js';
 import type {ConnectionPools} from './connection-pools.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
+import type {LivenessChecks} from './liveness-checks.js';
 import type {LoopLag} from './loop-lag.js';
 import type {PeerExchange} from './peer-exchange.js';
 import type {RequestQueueTask} from './request-queue-task.js';
@@ -31,6 +33,8 @@
 	readonly route: Route;
 	readonly service: Service;
 	readonly workspace: KeyHolder | undefined;
+	/** Priority that engines are told, 0 first. */
+	readonly priority: number;
 	/** Time at which its headers had been read, in milliseconds of the monotonic clock. */
 	readonly receivedAt: number;
 	/** Version of the configuration that was in force when it was admitted. */
@@ -46,6 +50,8 @@
 	readonly retryAllowance: RetryAllowance;
 	/** Number of running gateways; the retry budget is divided among them. */
 	readonly gateways: () => number;
+	/** Undefined unless the gateway is stopping. */
+	readonly drain: () => DrainSchedule | undefined;
 	readonly log: Log;
 	readonly queue: RequestQueueTask;
 	readonly loopLag: LoopLag;
@@ -55,6 +61,7 @@
 	readonly rateLimits: RateLimits;
 	readonly crashSuspects: CrashSuspects;
 	readonly crashReports: CrashReports;
+	readonly livenessChecks: LivenessChecks;
 };
 
 /** Outcome and timing of a finished request, for the metrics. */
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -1,8 +1,11 @@
 import type {Disposable} from '../../base/index.js';
 import {
 	backupFor,
+	expiresAt,
+	mayMove,
 	nextStep,
 	sendTimeouts,
+	stoppingRefusal,
 	type RequestState,
 	type NextStep,
 	type SendEnd,
@@ -13,7 +16,6 @@
 import type {CallerRequest, ExchangeContext} from './exchange-context.js';
 import {sendLocalReply} from './local-reply.js';
 import {loggedParts} from './crash-reports.js';
-import {isAlive} from './engine-probe.js';
 import {
 	RequestPlacement,
 	withheldReason,
@@ -32,6 +34,14 @@
 /** Time after the first output for which an endpoint must live until the request counts as harmless, in milliseconds. */
 const survivalMs = 250;
 
+/** Ends of a stream's send by which an answer of its engine is lost. */
+const lossTypes: ReadonlySet<SendEnd['type']> = new Set([
+	'broken',
+	'silent',
+	'gone',
+	'moved',
+]);
+
 /** Handles one request of a caller: places it, sends it to endpoints, retries where allowed and responds. */
 export class Exchange implements Disposable {
 	readonly #context: ExchangeContext;
@@ -60,14 +70,14 @@
 		this.#request = request;
 		this.#output = output;
 		this.#position = {lastEventId: request.head.lastEventId};
-		this.#expiresAt =
-			request.receivedAt +
-			Math.min(
-				request.route.timeoutMs,
-				request.head.deadlineMs ?? request.route.timeoutMs,
-			);
+		this.#expiresAt = expiresAt(
+			request.route,
+			request.head,
+			request.receivedAt,
+		);
 		this.#placement = new RequestPlacement(context, request, () => ({
 			sends: this.#sends,
+			mayHaveRun: this.#mayHaveRun,
 			hasAnswer: output.hasSentHeaders,
 			isAbandoned: this.#isAbandoned,
 			expiresAt: this.#expiresAt,
@@ -83,6 +93,7 @@
 		endpoints.demand(service.name).recordRequest(
 			{
 				tier: this.#placement.tier,
+				routeTier: route.tier,
 				objectiveMs: route.objectiveMs,
 				timeoutMs: route.timeoutMs,
 				outputTokens: head.prompt?.outputTokens ?? 0,
@@ -91,7 +102,7 @@
 		);
 		const expiry = setTimeout(() => {
 			this.#send?.cancel({type: 'expired'});
-		}, this.#remainingMs());
+		}, this.#expiresAt - now);
 		let step: NextStep = {type: 'send'};
 		while (step.type === 'send' || step.type === 'resume') {
 			step =
@@ -111,6 +122,16 @@
 		}
 	}
 
+	/** Makes the response the last one on its connection, if its head has not been sent. */
+	disableKeepAlive(): void {
+		this.#output.disableKeepAlive();
+	}
+
+	/** Ends the request because the gateway stops. One that waits for capacity is refused by its placement. */
+	stop(): void {
+		this.#send?.cancel({type: 'withdrawn', reason: stoppingRefusal.reason});
+	}
+
 	/** Aborts the response when the process ends. */
 	cut(): void {
 		this.#output.cut();
@@ -172,6 +193,7 @@
 		this.#log('resumed', {
 			endpoint: upstream.id,
 			tier: this.#placement.requestedTier,
+			priority: this.#request.priority,
 			last_event: this.#position.lastEventId ?? '',
 		});
 		const end = await this.#sendTo({
@@ -188,8 +210,9 @@
 	async #sendTo(placement: PlacedRequest): Promise<SendEnd> {
 		const {upstream, expectedMs, donor, activeRequest, resumeUpstream} =
 			placement;
-		const {format, connections, peers, queue, signals} = this.#context;
-		const {method, target, headers, body, head, route, workspace} =
+		const {format, connections, peers, queue, signals, livenessChecks} =
+			this.#context;
+		const {method, target, headers, body, head, route, workspace, priority} =
 			this.#request;
 		const canSendAgain = this.#sends + 1 < route.maxSends;
 		const send = new Send({
@@ -201,7 +224,9 @@
 			isStream: route.isStream,
 			isOnce: route.retryMode === 'once',
 			position: this.#position,
-			isAlive: async () => isAlive(upstream, this.#context),
+			checkLiveness: async (silentSince) =>
+				livenessChecks.check(upstream, silentSince),
+			tryMove: () => this.#tryMove(),
 			onHead(status, answerHead, isOwn) {
 				signals.applyHead(upstream, status, answerHead, isOwn);
 			},
@@ -230,7 +255,7 @@
 				endpointId: upstream.id,
 				deadlineMs: this.#remainingMs(),
 				workspace: workspace?.name,
-				tier: this.#placement.requestedTier,
+				priority,
 				lastEventId: this.#output.hasSentHeaders
 					? this.#position.lastEventId
 					: undefined,
@@ -251,6 +276,24 @@
 		return end;
 	}
 
+	/** Takes a retry when the request may leave its slow endpoint for another one that has capacity. */
+	#tryMove(): boolean {
+		const state = {...this.#requestState(), sends: this.#sends + 1};
+		return mayMove(
+			state,
+			() => this.#placement.hasUntriedPlace() && this.#takeRetry(),
+		);
+	}
+
+	#takeRetry(): boolean {
+		const {retryAllowance, gateways} = this.#context;
+		return retryAllowance.take(
+			this.#request.service.name,
+			monotonicNow(),
+			gateways(),
+		);
+	}
+
 	/** Chooses an engine for a replica of the run's KV cache: only for a stream that runs at most once, as any other request can be retried when its engine fails, and only while failures are likely. */
 	#chooseBackup(upstream: Upstream): Upstream | undefined {
 		const {endpoints, rateLimits} = this.#context;
@@ -307,10 +350,7 @@
 		}
 
 		this.#recordOutcome(send, end, upstream, now);
-		if (
-			this.#request.route.isStream &&
-			(end.type === 'broken' || end.type === 'silent')
-		) {
+		if (this.#request.route.isStream && lossTypes.has(end.type)) {
 			this.#context.endpoints
 				.losses(this.#request.service.name)
 				.recordLoss(now);
@@ -340,7 +380,9 @@
 		const {requestId, prompt} = this.#request.head;
 		switch (end.type) {
 			case 'broken':
-			case 'silent': {
+			case 'silent':
+			case 'gone':
+			case 'moved': {
 				const answeredAt = send.firstByteAt ?? now;
 				if (send.isSent && now - answeredAt < survivalMs) {
 					const parts = prompt?.parts ?? [];
@@ -355,6 +397,7 @@
 						fingerprints,
 						parts,
 						at: now,
+						isEngineGone: end.type === 'silent' || end.type === 'gone',
 					});
 				}
 
@@ -383,11 +426,8 @@
 	}
 
 	#chooseNextStep(end: SendEnd): NextStep {
-		const {retryAllowance, gateways} = this.#context;
 		const {service} = this.#request;
-		const step = nextStep(end, this.#requestState(), () =>
-			retryAllowance.take(service.name, monotonicNow(), gateways()),
-		);
+		const step = nextStep(end, this.#requestState(), () => this.#takeRetry());
 		if (end.type === 'answered' && step.type === 'send') {
 			this.#failedAnswer = this.#send!.answer;
 		}
@@ -525,8 +565,15 @@
 		};
 	}
 
+	/** Time at which the request expires, or gets its final answer because the gateway stops. */
+	get #endsAt(): number {
+		const {answersEndAt = Number.POSITIVE_INFINITY} =
+			this.#context.drain() ?? {};
+		return Math.min(this.#expiresAt, answersEndAt);
+	}
+
 	#remainingMs(): number {
-		return Math.max(0, this.#expiresAt - monotonicNow());
+		return Math.max(0, this.#endsAt - monotonicNow());
 	}
 
 	#log(event: string, fields: Readonly<Record<string, string | number>>): void {
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -22,6 +22,7 @@
 import {
 	admit,
 	CrashSuspects,
+	DrainSchedule,
 	maxFreshAgeMs,
 	PeerLoads,
 	RateLimits,
@@ -36,6 +37,7 @@
 import {CallerConnections} from './caller-connections.js';
 import {CallerOutput} from './caller-output.js';
 import {ConnectionPools} from './connection-pools.js';
+import {LivenessChecks} from './liveness-checks.js';
 import {CrashReports} from './crash-reports.js';
 import type {ExchangeContext} from './exchange-context.js';
 import {Exchange} from './exchange.js';
@@ -49,18 +51,9 @@
 import {RosterTask} from './roster-task.js';
 import {RequestQueueTask} from './request-queue-task.js';
 
-/** Time after the start of a drain for which idle connections stay open, in milliseconds: until then the platform still routes new connections here. */
-const idleCloseDelayMs = 3000;
-
-/** Time after the start of a drain for which every request is admitted, in milliseconds: the platform routes callers elsewhere only after two failed readiness checks, a second apart. */
-const drainAdmissionMs = 2500;
-
 /** Interval at which a drain closes connections that have become idle, in milliseconds. */
 const drainPollMs = 50;
 
-/** Time between the end of the drain, when requests in progress are cut, and the end of the grace period, in milliseconds. */
-const graceMarginMs = 700;
-
 /** Time for which a connection stays open beyond the idle timeout announced to callers, in milliseconds. */
 const keepAliveMarginMs = 2000;
 
@@ -127,8 +120,8 @@
 	readonly #rateLimits: RateLimits;
 	readonly #crashSuspects = new CrashSuspects();
 	readonly #exchanges = new Set<Exchange>();
-	#isDraining = false;
-	#drainStartedAt = 0;
+	/** Undefined unless a drain is in progress. */
+	#drain: DrainSchedule | undefined;
 	#bounds: GatewayBounds;
 
 	constructor(options: GatewayOptions) {
@@ -206,6 +199,7 @@
 			},
 		});
 		const probeContext = {connections, format: options.format, signals};
+		const livenessChecks = new LivenessChecks({probeContext, log: options.log});
 		this.#kvCachePoller = this.#disposables.add(
 			new KvCachePoller({
 				endpoints: this.#platform.endpoints,
@@ -220,6 +214,7 @@
 			connections,
 			retryAllowance: new RetryAllowance(options.retries),
 			gateways: () => this.#roster.count,
+			drain: () => this.#drain,
 			log: options.log,
 			queue: this.#queue,
 			loopLag: this.#loopLag,
@@ -228,10 +223,11 @@
 			signals,
 			rateLimits,
 			crashSuspects: this.#crashSuspects,
+			livenessChecks,
 			crashReports: new CrashReports({
 				crashSuspects: this.#crashSuspects,
 				endpoints: this.#platform.endpoints,
-				probeContext,
+				livenessChecks,
 				notices: this.#peers.notices,
 				log: options.log,
 				metrics: this.#metrics,
@@ -266,7 +262,7 @@
 	/** Readiness for new connections: the configuration has been read and is recent, and no drain is in progress. */
 	get isReady(): boolean {
 		return (
-			!this.#isDraining &&
+			!this.#drain &&
 			this.#platform.isComplete &&
 			this.#platform.ageMs < maxFreshAgeMs * 1.25
 		);
@@ -299,21 +295,24 @@
 	/** Finishes the requests in progress and closes the callers' connections; resolves when the process may exit. */
 	async drain(): Promise<void> {
 		const {log} = this.#options;
-		const {graceMs} = this.#bounds;
-		const startedAt = monotonicNow();
-		this.#isDraining = true;
-		this.#drainStartedAt = startedAt;
+		const drain = new DrainSchedule(monotonicNow(), this.#bounds.graceMs);
+		this.#drain = drain;
 		log.info('draining', {requests: this.#exchanges.size});
 		void this.#roster.leave();
-		await delay(idleCloseDelayMs);
-		const endsAt = startedAt + graceMs - graceMarginMs;
-		await this.#closeIdleCallers(endsAt);
+		for (const exchange of this.#exchanges) {
+			exchange.disableKeepAlive();
+		}
+
+		await delay(drain.idleCloseAt - drain.startedAt);
+		await this.#closeIdleCallers(drain.answersEndAt);
+		await this.#stopExchanges();
+		await this.#closeIdleCallers(drain.exitAt);
 		// A connection accepted from now on would be cut when the process exits.
 		this.#callerServer.close();
-		await this.#closeIdleCallers(endsAt);
+		await this.#closeIdleCallers(drain.exitAt);
 		log.info('stopped', {
 			requests: this.#exchanges.size,
-			ms: Math.round(monotonicNow() - startedAt),
+			ms: Math.round(monotonicNow() - drain.startedAt),
 		});
 	}
 
@@ -334,21 +333,31 @@
 		this.#queue.dispatchSoon();
 	}
 
+	/** Ends the requests in progress, so that their callers get an answer. */
+	async #stopExchanges(): Promise<void> {
+		if (this.#exchanges.size > 0) {
+			for (const exchange of this.#exchanges) {
+				exchange.stop();
+			}
+
+			// The answers are written, and waiting requests are refused, in this time, also when the process is late.
+			await delay(drainPollMs);
+		}
+	}
+
 	/** Closes connections as they become idle, until none is left or `endsAt` is reached. */
 	async #closeIdleCallers(endsAt: number): Promise<void> {
-		this.#callerConnections.closeIdle();
+		await this.#closeIdle();
 		while (this.#callerConnections.size > 0 && monotonicNow() < endsAt) {
 			await delay(drainPollMs);
-			this.#callerConnections.closeIdle();
+			await this.#closeIdle();
 		}
 	}
 
-	/** Time until requests in progress are cut, in milliseconds; undefined unless a drain is in progress and callers have had time to go elsewhere. */
-	#remainingDrainMs(): number | undefined {
-		const elapsedMs = monotonicNow() - this.#drainStartedAt;
-		return this.#isDraining && elapsedMs > drainAdmissionMs
-			? this.#bounds.graceMs - graceMarginMs - elapsedMs
-			: undefined;
+	/** Closes idle connections. On a busy process a request may have arrived that has not been read yet, so that its connection only seems idle. */
+	async #closeIdle(): Promise<void> {
+		await this.#loopLag.readSockets();
+		this.#callerConnections.closeIdle();
 	}
 
 	async #startAdmin(): Promise<void> {
@@ -370,7 +379,7 @@
 		const now = monotonicNow();
 		return {
 			isReady: this.isReady,
-			isDraining: this.#isDraining,
+			isDraining: this.#drain !== undefined,
 			configuration: this.#platform.routing?.configuration.version,
 			configurationAgeMs: Math.round(this.#platform.ageMs),
 			storeEra: this.#platform.era,
@@ -414,13 +423,14 @@
 		request: IncomingMessage,
 		response: ServerResponse,
 	): Promise<void> {
-		if (request.socket.writableEnded) {
-			// The request arrived while its idle connection was being closed, so no response can be sent.
-			request.socket.destroy();
+		const {socket} = request;
+		const receivedAt = monotonicNow();
+		if (!(await this.#callerConnections.waitForTurn(socket, response))) {
+			// No response can be sent, so the request is not forwarded.
+			socket.destroySoon();
 			return;
 		}
 
-		const receivedAt = monotonicNow();
 		const output = new CallerOutput(response);
 		const limits =
 			this.#platform.routing?.configuration.limits ?? initialLimits;
@@ -434,7 +444,7 @@
 			return;
 		}
 
-		if (this.#isDraining) {
+		if (this.#drain) {
 			output.disableKeepAlive();
 		}
 
@@ -465,7 +475,9 @@
 			routing,
 			ageMs,
 			revocationMs,
-			remainingDrainMs: this.#remainingDrainMs(),
+			drain: this.#drain,
+			receivedAt,
+			now: monotonicNow(),
 		});
 		switch (admission.type) {
 			case 'rejected': {
@@ -483,7 +495,7 @@
 			}
 
 			case 'admitted': {
-				const {route, service, workspace} = admission;
+				const {route, service, workspace, priority} = admission;
 				const exchange = new Exchange(
 					this.#context,
 					{
@@ -495,6 +507,7 @@
 						route,
 						service,
 						workspace,
+						priority,
 						receivedAt,
 						configurationVersion: routing?.configuration.version ?? 0,
 					},
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -5,6 +5,7 @@
 	prefixLinks,
 	requestFingerprints,
 	resumedRank,
+	stoppingRefusal,
 	timeToCapacityMs,
 	type ActiveRequest,
 	type Assignment,
@@ -26,9 +27,6 @@
 /** Maximum wait for the placement of a retry, in milliseconds: the caller may have part of the response and gives up after some seconds without more. */
 const maxRetryWaitMs = 1500;
 
-/** Order in the queue of a run that waits to resume, before all tiers. */
-const resumedTier = -1;
-
 /** Upper bounds of Retry-After when there was no capacity, in milliseconds and as a fraction of the remaining time: bursts last for seconds, and a caller should not wait for more than a third of its time. */
 const maxNoCapacityRetryAfterMs = 3000;
 const maxNoCapacityRetryAfterFraction = 1 / 3;
@@ -36,6 +34,8 @@
 /** Reason of a refusal because the request or a part of its prompt crashes endpoints. */
 export const withheldReason = 'request crashes servers';
 
+type Refusal = Extract<Assignment, {type: 'refuse'}>;
+
 /** Endpoint chosen for a request, with the request as registered there. */
 export type PlacedRequest = {
 	readonly type: 'send';
@@ -51,6 +51,8 @@
 export type PlacementState = {
 	/** Sends that may have reached an endpoint. */
 	readonly sends: number;
+	/** At least one of them may have run. */
+	readonly mayHaveRun: boolean;
 	/** The caller has a part of the answer. */
 	readonly hasAnswer: boolean;
 	readonly isAbandoned: boolean;
@@ -96,9 +98,7 @@
 	}
 
 	/** Queues the request until it is placed, refused or abandoned. */
-	async wait(): Promise<
-		PlacedRequest | Extract<Assignment, {type: 'refuse'}> | {type: 'abandoned'}
-	> {
+	async wait(): Promise<PlacedRequest | Refusal | {type: 'abandoned'}> {
 		const {queue, peers} = this.#context;
 		const {route, receivedAt} = this.#request;
 		const isFirstSend = this.#state().sends === 0;
@@ -113,7 +113,7 @@
 		);
 		return new Promise((resolve, reject) => {
 			const queuedRequest: QueuedRequest = {
-				tier: this.tier,
+				rank: this.#rank(monotonicNow()),
 				arrivedAt: receivedAt,
 				lateAt,
 				tryPlace: (now) => {
@@ -122,12 +122,11 @@
 						return true;
 					}
 
-					if (now >= this.#state().expiresAt) {
-						resolve(noCapacity(0));
-						return true;
-					}
-
-					const assignment = this.#heldBack(now) ?? this.#place(now);
+					const assignment =
+						this.#refusedByDrain(now) ??
+						this.#expired(now) ??
+						this.#heldBack(now) ??
+						this.#place(now);
 					switch (assignment.type) {
 						case 'send': {
 							const {upstream, uncachedTokens} = assignment;
@@ -187,6 +186,16 @@
 		});
 	}
 
+	/** Whether an endpoint that has not been tried would get the request now; the gateway that owns it may still deny capacity. */
+	hasUntriedPlace(): boolean {
+		const now = monotonicNow();
+		const verdict = this.#context.crashSuspects.check(this.fingerprints, now);
+		return (
+			(verdict.type === 'clear' || verdict.type === 'probe') &&
+			this.#place(now).type === 'send'
+		);
+	}
+
 	/** Requests a reservation from the gateway that owns the engine. Places the request if capacity was reserved and the request is still wanted. */
 	async #requestReservation(
 		owner: PeerAddress,
@@ -215,7 +224,7 @@
 		await loopLag.catchUp();
 		return (
 			isReserved &&
-			!this.#isAbandonedOrExpired &&
+			!this.#isTooLate &&
 			endpoints.canTakeRequests(upstream, monotonicNow())
 		);
 	}
@@ -251,6 +260,7 @@
 			route: this.#request.route.name,
 			endpoint: upstream.id,
 			tier: this.requestedTier,
+			priority: this.#request.priority,
 			expected_ms: Math.round(expectedMs),
 			waited_ms: Math.round(now - this.#request.receivedAt),
 			denials: this.denials,
@@ -277,10 +287,28 @@
 		return {type: 'send', upstream, expectedMs, donor, activeRequest};
 	}
 
+	/** Refuses a request that would be sent too late in a stop; undefined when the gateway is not stopping or there is time. */
+	#refusedByDrain(now: number): Refusal | undefined {
+		const {route} = this.#request;
+		const {expiresAt, mayHaveRun} = this.#state();
+		const isAllowed = this.#context.drain()?.allowsSend(now, {
+			...route,
+			expiresAt,
+			mayHaveRun,
+		});
+		return isAllowed === false
+			? {type: 'refuse', ...stoppingRefusal}
+			: undefined;
+	}
+
+	#expired(now: number): Refusal | undefined {
+		return now >= this.#state().expiresAt ? noCapacity(0) : undefined;
+	}
+
 	/** Refuses a request that crashes endpoints, and holds one back while another probes its fingerprints; undefined when it may be placed. */
 	#heldBack(
 		now: number,
-	): Extract<Assignment, {type: 'refuse' | 'wait'}> | undefined {
+	): Refusal | Extract<Assignment, {type: 'wait'}> | undefined {
 		const verdict = this.#context.crashSuspects.check(this.fingerprints, now);
 		switch (verdict.type) {
 			case 'clear':
@@ -358,13 +386,13 @@
 		const need = {...this.#reservationNeed(0), rank: resumedRank};
 		const isReserved = await new Promise<boolean>((resolve, reject) => {
 			const queuedRequest: QueuedRequest = {
-				tier: resumedTier,
+				rank: resumedRank,
 				arrivedAt: this.#request.receivedAt,
 				lateAt: Number.POSITIVE_INFINITY,
 				tryPlace: (now) => {
 					if (
 						now >= waitUntil ||
-						this.#isAbandonedOrExpired ||
+						this.#isTooLate ||
 						this.#heldBack(now)?.type === 'refuse' ||
 						!endpoints.canTakeRequests(upstream, now)
 					) {
@@ -427,14 +455,24 @@
 		const {route, service} = this.#request;
 		return this.#state().hasAnswer
 			? 0
-			: this.#context.endpoints
-					.demand(service.name)
-					.rank(this.tier, route.objectiveMs, now);
+			: this.#context.endpoints.demand(service.name).rank(
+					{
+						tier: this.tier,
+						routeTier: route.tier,
+						objectiveMs: route.objectiveMs,
+					},
+					now,
+				);
 	}
 
-	/** The caller has disconnected, or the request's time is over. */
-	get #isAbandonedOrExpired(): boolean {
-		return this.#state().isAbandoned || this.#remainingMs() === 0;
+	/** The caller has disconnected, the request's time is over, or it would be sent too late in a stop. */
+	get #isTooLate(): boolean {
+		const now = monotonicNow();
+		return (
+			this.#state().isAbandoned ||
+			this.#expired(now) !== undefined ||
+			this.#refusedByDrain(now) !== undefined
+		);
 	}
 
 	#remainingMs(): number {
@@ -442,8 +480,6 @@
 	}
 }
 
-function noCapacity(
-	retryAfterMs: number,
-): Extract<Assignment, {type: 'refuse'}> {
+function noCapacity(retryAfterMs: number): Refusal {
 	return {type: 'refuse', reason: 'no room in time', retryAfterMs};
 }
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -130,7 +130,8 @@
 				| 'all endpoints down'
 				| 'all endpoints rest'
 				| 'no room in time'
-				| 'request crashes servers';
+				| 'request crashes servers'
+				| 'stopping';
 			/** Time after which there may be capacity, in milliseconds. */
 			readonly retryAfterMs: number;
 	  };
