Probe requests that excuse each other one after the other

Cause: a deadly stream and a sound one were unanswered at the first two crashes and repeated at the same engine. Each lacks the other's fingerprints, so both were sent as probes at once, to the same engine, and again after it had crashed: the third and the fourth crash told nothing. Change: a request waits while all that excuses it is probed. Why it works: the outcome of the first probe clears one of the two or ends its excuse. The new unit test fails before (probe, expected wait) and passes now.

--- a/src/services/gateway/crash-suspects.test.ts
+++ b/src/services/gateway/crash-suspects.test.ts
@@ -128,6 +128,18 @@
 	expect(suspects.check([request], 2200).type).toEqual('withheld');
 });
 
+// Guards against two requests that excuse each other and crash one endpoint after the other together, so that it stays unknown which of them does.
+test('requests that excuse each other probe one after the other', () => {
+	const suspects = new CrashSuspects();
+	recordCrash(suspects, 10, 1, [first, request, other, otherRequest], 1000);
+	recordCrash(suspects, 11, 1, [first, request, other, otherRequest], 2000);
+	suspects.beginProbe([first, request], 2100);
+	expect(suspects.check([other, otherRequest], 2110)).toEqual({type: 'wait'});
+	recordCrash(suspects, 12, 1, [first, request], 2300);
+	expect(suspects.check([first, request], 2310).type).toEqual('withheld');
+	expect(suspects.check([other, otherRequest], 2310)).toEqual({type: 'probe'});
+});
+
 // Guards against a deadly request that is excused at each crash by another one that never ends.
 test('a request is excused at three crashes at most', () => {
 	const suspects = new CrashSuspects();
--- a/src/services/gateway/crash-suspects.ts
+++ b/src/services/gateway/crash-suspects.ts
@@ -110,21 +110,13 @@
 			return {type: 'clear'};
 		}
 
-		const withheld = suspected
-			.filter((each) => !this.#isProbed(each, now))
-			.map((each) => this.#withheld(each, now))
-			.find(
-				(each) =>
-					each.retryAfterMs > 0 &&
-					!this.#isExcused(each, fingerprints, isInProgress),
-			);
-		if (withheld) {
-			return {type: 'withheld', ...withheld};
-		}
-
-		return suspected.some((each) => this.#isProbed(each, now))
-			? {type: 'wait'}
-			: {type: 'probe'};
+		const verdicts = suspected.map((each) =>
+			this.#verdictOn(each, fingerprints, now, isInProgress),
+		);
+		return (
+			verdicts.find(({type}) => type === 'withheld') ??
+			verdicts.find(({type}) => type === 'wait') ?? {type: 'probe'}
+		);
 	}
 
 	/** Fingerprints whose requests are withheld, for operators. */
@@ -204,23 +196,50 @@
 		return at > this.#records.lastAt(fingerprint) && now - at < probeTimeoutMs;
 	}
 
-	/** Whether something that the request lacks was there at all crashes held against one of its fingerprints. That the same request was there at all of them excuses a part of a prompt only as far as one probe finds out, not the other requests in progress with it. */
-	#isExcused(
+	/** Decides about one suspected fingerprint of a request. Requests that excuse each other probe one after the other, as a crash under both would tell nothing. */
+	#verdictOn(
+		fingerprint: number,
+		fingerprints: readonly number[],
+		now: number,
+		isInProgress: boolean,
+	): CrashVerdict {
+		if (this.#isProbed(fingerprint, now)) {
+			return {type: 'wait'};
+		}
+
+		const withheld = this.#withheld(fingerprint, now);
+		if (withheld.retryAfterMs === 0) {
+			return {type: 'probe'};
+		}
+
+		const excuses = this.#excuses(withheld, fingerprints, isInProgress);
+		if (excuses.length === 0) {
+			return {type: 'withheld', ...withheld};
+		}
+
+		return excuses.every((each) => this.#isProbed(each, now))
+			? {type: 'wait'}
+			: {type: 'probe'};
+	}
+
+	/** What a request lacks and was there at all crashes held against one of its fingerprints. That the same request was there at all of them excuses a part of a prompt only as far as one probe finds out, not the other requests in progress with it. */
+	#excuses(
 		{fingerprint, kind, crashes}: WithheldFingerprint,
 		fingerprints: readonly number[],
 		isInProgress: boolean,
-	): boolean {
-		if (kind !== 'shared part' && crashes > maxExcusedCrashes) {
-			return false;
+	): number[] {
+		const isSharedPart = kind === 'shared part';
+		if (!isSharedPart && crashes > maxExcusedCrashes) {
+			return [];
 		}
 
 		const [first, ...others] = this.#records.with(fingerprint);
-		return [...(first?.fingerprints ?? [])].some(
+		return [...(first?.fingerprints ?? [])].filter(
 			(candidate) =>
 				!fingerprints.includes(candidate) &&
 				!(
 					isInProgress &&
-					kind === 'shared part' &&
+					isSharedPart &&
 					fingerprintKind(candidate) !== 'shared part'
 				) &&
 				others.every((crash) => crash.fingerprints.has(candidate)),
