--- a/src/daemons/gateway/crash-reports.ts
+++ b/src/daemons/gateway/crash-reports.ts
@@ -6,6 +6,7 @@
 } from '../../services/gateway/index.js';
 import type {Log} from '../log.js';
 import {monotonicNow} from '../state-machine.js';
+import {refusesConnections} from './connection-probe.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {LivenessChecks} from './liveness-checks.js';
 import type {PeerNotices} from './peer-notices.js';
@@ -24,8 +25,7 @@
 /** Request that ended without an answer, for the record of a crash. */
 export type UnansweredRequest = {
 	readonly requestId: string;
-	/** Keys of the parts of its prompt that other requests may share. */
-	readonly partKeys: readonly number[];
+	readonly fingerprints: readonly number[];
 	readonly parts: readonly PromptPart[];
 	/** Time at which its connection ended, in milliseconds of the monotonic clock. */
 	readonly at: number;
@@ -37,34 +37,37 @@
 const maxLoggedParts = 8;
 const maxLoggedIdLength = 32;
 
-/** Records the prompt parts of unanswered requests once it is known that their engine has crashed, and not only lost a connection. */
+/** Records the fingerprints of unanswered requests once it is known that their endpoint has crashed, and not only lost a connection. */
 export class CrashReports {
 	readonly #options: CrashReportsOptions;
+	/** Probes of plain servers in progress; one serves all requests that were broken off. */
+	readonly #probes = new Map<Upstream, Promise<boolean>>();
 
 	constructor(options: CrashReportsOptions) {
 		this.#options = options;
 	}
 
-	/** Handles a request whose engine closed the connection or went silent before it had begun to answer; never rejects. */
+	/** Handles a request whose endpoint closed the connection or went silent before it had begun to answer; never rejects. */
 	async recordUnanswered(
 		upstream: Upstream,
-		{requestId, partKeys, parts, at, isEngineGone}: UnansweredRequest,
+		{requestId, fingerprints, parts, at, isEngineGone}: UnansweredRequest,
 	): Promise<void> {
 		const {crashSuspects, notices, log, metrics} = this.#options;
 		if (
-			partKeys.length === 0 ||
 			upstream.isLeaving ||
 			!(isEngineGone || (await this.#hasCrashed(upstream)))
 		) {
 			return;
 		}
 
-		const startedAt = upstream.listed.startedAt ?? 0;
-		if (crashSuspects.recordCrash(upstream.key, startedAt, partKeys, at)) {
-			metrics.crashSuspected(upstream.listed.service);
+		const {key: endpoint, listed} = upstream;
+		const {startedAt = 0} = listed;
+		if (crashSuspects.recordCrash({endpoint, startedAt, at, fingerprints})) {
+			metrics.crashSuspected(listed.service);
 			log.info('crash_suspects', {
 				endpoint: upstream.id,
 				request: requestId,
+				fingerprint: fingerprints.at(-1) ?? 0,
 				parts: loggedParts(parts),
 			});
 			notices.sendCrashesSoon();
@@ -72,30 +75,47 @@
 		}
 	}
 
-	/** Records that an engine has begun an answer on the parts and has not crashed. */
-	recordSurvival(partKeys: readonly number[], now: number): void {
-		if (this.#options.crashSuspects.recordSurvival(partKeys, now)) {
+	/** Records that an endpoint has answered a request with the fingerprints, or has begun to and not crashed. */
+	recordSurvival(fingerprints: readonly number[], now: number): void {
+		if (this.#options.crashSuspects.recordSurvival(fingerprints, now)) {
 			this.#options.notices.sendCrashesSoon();
 			this.#options.onDidChangeSuspects();
 		}
 	}
 
-	/** Records that a request of this gateway probes the parts. */
-	beginProbe(partKeys: readonly number[], now: number): void {
-		this.#options.crashSuspects.beginProbe(partKeys, now);
+	/** Records that a request of this gateway probes the fingerprints. */
+	beginProbe(fingerprints: readonly number[], now: number): void {
+		this.#options.crashSuspects.beginProbe(fingerprints, now);
 		this.#options.notices.sendCrashesSoon();
 	}
 
-	/** Resolves to whether the incarnation of an engine has ended. */
+	/** Resolves to whether the incarnation of an endpoint has ended. */
 	async #hasCrashed(upstream: Upstream): Promise<boolean> {
 		const {endpoints, livenessChecks} = this.#options;
 		if (!endpoints.has(upstream)) {
 			return true;
 		}
 
+		if (!upstream.kvCacheUsage) {
+			return this.#refusesConnections(upstream);
+		}
+
 		const liveness = await livenessChecks.check(upstream, monotonicNow());
 		return liveness.type === 'gone';
 	}
+
+	async #refusesConnections(upstream: Upstream): Promise<boolean> {
+		let probe = this.#probes.get(upstream);
+		if (!probe) {
+			probe = refusesConnections(upstream.listed.address);
+			this.#probes.set(upstream, probe);
+			void probe.finally(() => {
+				this.#probes.delete(upstream);
+			});
+		}
+
+		return probe;
+	}
 }
 
 /** Ids of a prompt's parts for a log line. */
--- a/src/daemons/gateway/peer-messages.test.ts
+++ b/src/daemons/gateway/peer-messages.test.ts
@@ -54,9 +54,11 @@
 		type: 'crashes',
 		gateway: 'g',
 		notices: {
-			crashes: [{endpoint: 8, startedAt: 3, ageMs: 20, parts: [4, 5]}],
-			survivals: [{part: 4, ageMs: 10}],
-			probes: [{part: 5, ageMs: 0}],
+			crashes: [
+				{endpoint: 8, startedAt: 3, ageMs: 20, fingerprints: [4, 2 ** 33 + 5]},
+			],
+			survivals: [{fingerprint: 4, ageMs: 10}],
+			probes: [{fingerprint: 2 ** 33 + 5, ageMs: 0}],
 		},
 	},
 	{
@@ -226,3 +228,19 @@
 	);
 	expect(assignment.type).toEqual('send');
 });
+
+// Guards against gateways of the version before, which would read nothing of a notice of crashes in another form.
+test('a notice of crashes keeps its form on the wire', () => {
+	const bytes = encode([9, 'g', [[8, 3, 20, [4, 5]]], [[4, 10]], [[5, 0]]]);
+	const message = decodeMessage(bytes);
+	expect(message).toEqual({
+		type: 'crashes',
+		gateway: 'g',
+		notices: {
+			crashes: [{endpoint: 8, startedAt: 3, ageMs: 20, fingerprints: [4, 5]}],
+			survivals: [{fingerprint: 4, ageMs: 10}],
+			probes: [{fingerprint: 5, ageMs: 0}],
+		},
+	});
+	expect(encodeMessage(message!)).toEqual(bytes);
+});
--- a/src/daemons/gateway/peer-messages.ts
+++ b/src/daemons/gateway/peer-messages.ts
@@ -5,7 +5,7 @@
 	CopyFreshness,
 	CrashNotices,
 	HealthNotice,
-	PartNotice,
+	FingerprintNotice,
 	PeerReport,
 	RateLimitNotice,
 	ReservationResult,
@@ -38,7 +38,7 @@
 const maxTokens = 1_000_000_000;
 const maxWaitMs = 60_000;
 
-/** Hash of an endpoint, of a part or of a digest. */
+/** Hash of an endpoint, of a fingerprint or of a digest. */
 const key = z.uint32();
 
 /** Version, start time, or number in a sequence. */
@@ -47,8 +47,8 @@
 /** Age or time, in milliseconds. */
 const ms = z.number().nonnegative();
 
-/** Part and age of what was observed about it, in milliseconds. */
-const partNotice = z.tuple([key, ms]);
+/** Fingerprint and age of what was observed about its requests, in milliseconds. */
+const fingerprintNotice = z.tuple([key, ms]);
 
 /** Messages on the wire. They are tuples without field names to keep reports small: every gateway sends them to all others, and the smallest gateways have little bandwidth. */
 const wireMessage = z.union([
@@ -92,13 +92,13 @@
 	]),
 	/** Number of the reservation request, time until the request limit may allow one, in milliseconds. */
 	z.tuple([z.literal(messageTypes.limited), ordinal, ms]),
-	/** Gateway; endpoint, its start time, age of its crash in milliseconds and parts of the unanswered requests; part and age of a survival; part and age of a probe. */
+	/** Gateway; endpoint, its start time, age of its crash in milliseconds and fingerprints of the unanswered requests; fingerprint and age of a survival; fingerprint and age of a probe. */
 	z.tuple([
 		z.literal(messageTypes.crashes),
 		z.string(),
 		z.array(z.tuple([key, ordinal, ms, z.array(key)])),
-		z.array(partNotice),
-		z.array(partNotice),
+		z.array(fingerprintNotice),
+		z.array(fingerprintNotice),
 	]),
 	/** Gateway; endpoint, its start time, age of the probe, age of its success or -1, in milliseconds. */
 	z.tuple([
@@ -242,14 +242,14 @@
 			return [
 				messageTypes.crashes,
 				gateway,
-				notices.crashes.map(({endpoint, startedAt, ageMs, parts}) => [
+				notices.crashes.map(({endpoint, startedAt, ageMs, fingerprints}) => [
 					endpoint,
 					startedAt,
 					Math.floor(ageMs),
-					[...parts],
+					[...fingerprints],
 				]),
-				notices.survivals.map((notice) => partToWire(notice)),
-				notices.probes.map((notice) => partToWire(notice)),
+				notices.survivals.map((notice) => fingerprintToWire(notice)),
+				notices.probes.map((notice) => fingerprintToWire(notice)),
 			];
 		}
 
@@ -286,8 +286,11 @@
 	}
 }
 
-function partToWire({part, ageMs}: PartNotice): z.infer<typeof partNotice> {
-	return [part, Math.ceil(ageMs)];
+function fingerprintToWire({
+	fingerprint,
+	ageMs,
+}: FingerprintNotice): z.infer<typeof fingerprintNotice> {
+	return [fingerprint, Math.ceil(ageMs)];
 }
 
 function answerToWire(
@@ -418,14 +421,19 @@
 				type: 'crashes',
 				gateway,
 				notices: {
-					crashes: crashes.map(([endpoint, startedAt, ageMs, parts]) => ({
-						endpoint,
-						startedAt,
+					crashes: crashes.map(
+						([endpoint, startedAt, ageMs, fingerprints]) => ({
+							endpoint,
+							startedAt,
+							ageMs,
+							fingerprints,
+						}),
+					),
+					survivals: survivals.map(([fingerprint, ageMs]) => ({
+						fingerprint,
 						ageMs,
-						parts,
 					})),
-					survivals: survivals.map(([part, ageMs]) => ({part, ageMs})),
-					probes: probes.map(([part, ageMs]) => ({part, ageMs})),
+					probes: probes.map(([fingerprint, ageMs]) => ({fingerprint, ageMs})),
 				},
 			};
 		}
