Take no retry for a send that has ended

A send whose caller read the rest of its answer late, or whose connection failed at once, restarted its idle watch after its end: the timeout then took retries of the shared budget, again and again, for a request that was over.

A watch that has been disposed of stays so; a caller that reads slowly only pauses it. Failed probes are repeated after 400 ms instead of 100, as an engine with too many connections closes every one of them.

--- a/src/daemons/gateway/idle-watch.ts
+++ b/src/daemons/gateway/idle-watch.ts
@@ -34,14 +34,19 @@
 	/** Time of the last check, or of the start of the period. Compared with the time at which data was last received, as timers may fire a little early. */
 	#checkedAt = 0;
 	#isChecking = false;
+	#isDisposed = false;
 
 	constructor(options: IdleWatchOptions) {
 		this.#options = options;
 	}
 
-	/** Begins an idle period with a timeout in milliseconds. */
+	/** Begins an idle period with a timeout in milliseconds; does nothing after `dispose`. */
 	restart(timeoutMs: number): void {
-		this.dispose();
+		if (this.#isDisposed) {
+			return;
+		}
+
+		this.pause();
 		this.#idleSince = monotonicNow();
 		this.#checkedAt = this.#idleSince;
 		this.#timeoutMs = timeoutMs;
@@ -51,11 +56,16 @@
 	}
 
 	/** Stops watching until the next `restart`. */
-	dispose(): void {
+	pause(): void {
 		clearTimeout(this.#timer);
 		this.#period++;
 	}
 
+	dispose(): void {
+		this.#isDisposed = true;
+		this.pause();
+	}
+
 	#schedule(): void {
 		clearTimeout(this.#timer);
 		const {checkMs} = this.#options;
--- a/src/daemons/gateway/liveness-checks.ts
+++ b/src/daemons/gateway/liveness-checks.ts
@@ -11,8 +11,8 @@
 import {monotonicNow} from '../state-machine.js';
 import {probeEngine, type EngineProbeContext} from './engine-probe.js';
 
-/** Time after which a probe without connection or answer is repeated, in milliseconds. */
-const repeatMs = 100;
+/** Time after which a probe that failed is repeated, in milliseconds: an engine may close it because it has too many connections. */
+const repeatMs = 400;
 
 /** Time within which a sound endpoint usually answers a probe, in milliseconds; a later answer is logged. */
 const usualAnswerMs = 400;
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -430,7 +430,7 @@
 		});
 		if (!canContinue) {
 			controller.pause();
-			this.#idleWatch.dispose();
+			this.#idleWatch.pause();
 		}
 	}
 
