Ignore token counts that no engine could hold

One request with a stated prompt of 1e308 or 999,999,999 tokens closed the engine that it was placed on for other prompts, because the estimate of the prefill backlog included the whole prompt, with 1e308 for good. The engine itself rejects such a request at once.

A request whose stated prompt and output, or parts, exceed an engine's KV cache is now placed like one without token counts and logged as prompt_ignored.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -17,11 +17,13 @@
 	HttpFormat,
 	RequestHead,
 	Roster,
+	Service,
 	WatchedTable,
 } from '../../interfaces/index.js';
 import {
 	admit,
 	CrashSuspects,
+	fitsEngine,
 	maxFreshAgeMs,
 	PeerLoads,
 	RateLimits,
@@ -491,7 +493,7 @@
 						target: url,
 						headers: rawHeaders,
 						body: body.bytes,
-						head,
+						head: this.#withoutOddPrompt(head, service),
 						route,
 						service,
 						workspace,
@@ -526,6 +528,20 @@
 		}
 	}
 
+	/** Drops the token counts of a request that no engine of the service could hold; the request is placed like one without counts. */
+	#withoutOddPrompt(head: RequestHead, {engine}: Service): RequestHead {
+		if (!head.prompt || !engine || fitsEngine(head.prompt, engine)) {
+			return head;
+		}
+
+		this.#options.log.info('prompt_ignored', {
+			request: head.requestId,
+			prompt_tokens: head.prompt.promptTokens,
+			output_tokens: head.prompt.outputTokens,
+		});
+		return {...head, prompt: undefined};
+	}
+
 	#reject(head: RequestHead, output: CallerOutput, answer: LocalReply): void {
 		this.#options.log.info('rejected', {
 			request: head.requestId,
--- a/src/services/gateway/index.ts
+++ b/src/services/gateway/index.ts
@@ -19,6 +19,7 @@
 export * from './placement.js';
 export * from './prefix-index.js';
 export * from './prefill-estimate.js';
+export * from './prompt-limits.js';
 export * from './rate-limits.js';
 export * from './retry-allowance.js';
 export * from './engine-reservations.js';
