--- a/src/daemons/gateway/peer-messages.test.ts
+++ b/src/daemons/gateway/peer-messages.test.ts
@@ -229,17 +229,26 @@
 	expect(assignment.type).toEqual('send');
 });
 
-// Guards against gateways of the version before, which would read nothing of a notice of crashes in another form.
+// Guards against gateways of the version before, which would read nothing of a notice of crashes in another form, and against one with the fingerprint of a request, which is longer than a hash, that is not read.
 test('a notice of crashes keeps its form on the wire', () => {
-	const bytes = encode([9, 'g', [[8, 3, 20, [4, 5]]], [[4, 10]], [[5, 0]]]);
+	const long = 2 ** 33 + 5;
+	const bytes = encode([
+		9,
+		'g',
+		[[8, 3, 20, [4, long]]],
+		[[4, 10]],
+		[[long, 0]],
+	]);
 	const message = decodeMessage(bytes);
 	expect(message).toEqual({
 		type: 'crashes',
 		gateway: 'g',
 		notices: {
-			crashes: [{endpoint: 8, startedAt: 3, ageMs: 20, fingerprints: [4, 5]}],
+			crashes: [
+				{endpoint: 8, startedAt: 3, ageMs: 20, fingerprints: [4, long]},
+			],
 			survivals: [{fingerprint: 4, ageMs: 10}],
-			probes: [{fingerprint: 5, ageMs: 0}],
+			probes: [{fingerprint: long, ageMs: 0}],
 		},
 	});
 	expect(encodeMessage(message!)).toEqual(bytes);
--- a/src/daemons/gateway/peer-messages.ts
+++ b/src/daemons/gateway/peer-messages.ts
@@ -38,7 +38,7 @@
 const maxTokens = 1_000_000_000;
 const maxWaitMs = 60_000;
 
-/** Hash of an endpoint, of a fingerprint or of a digest. */
+/** Hash of an endpoint, or a digest. */
 const key = z.uint32();
 
 /** Version, start time, or number in a sequence. */
@@ -47,8 +47,11 @@
 /** Age or time, in milliseconds. */
 const ms = z.number().nonnegative();
 
+/** Hash with an offset for the kind of fingerprint. */
+const fingerprint = z.number().int().nonnegative();
+
 /** Fingerprint and age of what was observed about its requests, in milliseconds. */
-const fingerprintNotice = z.tuple([key, ms]);
+const fingerprintNotice = z.tuple([fingerprint, ms]);
 
 /** Messages on the wire. They are tuples without field names to keep reports small: every gateway sends them to all others, and the smallest gateways have little bandwidth. */
 const wireMessage = z.union([
@@ -96,7 +99,7 @@
 	z.tuple([
 		z.literal(messageTypes.crashes),
 		z.string(),
-		z.array(z.tuple([key, ordinal, ms, z.array(key)])),
+		z.array(z.tuple([key, ordinal, ms, z.array(fingerprint)])),
 		z.array(fingerprintNotice),
 		z.array(fingerprintNotice),
 	]),
