--- a/src/daemons/gateway/crash-reports.ts
+++ b/src/daemons/gateway/crash-reports.ts
@@ -93,7 +93,8 @@
 	async #hasCrashed(upstream: Upstream): Promise<boolean> {
 		const {endpoints, livenessChecks} = this.#options;
 		if (!endpoints.has(upstream)) {
-			return true;
+			// A server may leave without notice: its entry is removed, and it exits later.
+			return endpoints.byKey(upstream.key) !== undefined;
 		}
 
 		if (!upstream.kvCacheUsage) {
@@ -101,7 +102,7 @@
 		}
 
 		const liveness = await livenessChecks.check(upstream, monotonicNow());
-		return liveness.type === 'gone';
+		return liveness.type === 'gone' && liveness.cause !== 'silent';
 	}
 
 	async #refusesConnections(upstream: Upstream): Promise<boolean> {
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -397,7 +397,7 @@
 						fingerprints,
 						parts,
 						at: now,
-						isEngineGone: end.type === 'silent' || end.type === 'gone',
+						isEngineGone: end.type === 'gone',
 					});
 				}
 
