--- a/src/daemons/gateway/crash-reports.ts
+++ b/src/daemons/gateway/crash-reports.ts
@@ -62,7 +62,8 @@
 
 		const {key: endpoint, listed} = upstream;
 		const {startedAt = 0} = listed;
-		if (crashSuspects.recordCrash({endpoint, startedAt, at, fingerprints})) {
+		const crash = {endpoint, startedAt, at, fingerprints};
+		if (crashSuspects.recordCrash(crash, monotonicNow())) {
 			metrics.crashSuspected(listed.service);
 			log.info('crash_suspects', {
 				endpoint: upstream.id,
--- a/src/services/gateway/crash-records.ts
+++ b/src/services/gateway/crash-records.ts
@@ -15,6 +15,8 @@
 	readonly fingerprints: Set<number>;
 	/** Those of requests of this gateway. */
 	readonly ownFingerprints: Set<number>;
+	/** Time at which the latest of those became known; negative infinity when there are none. */
+	ownKnownAt: number;
 };
 
 const none: ReadonlySet<Crash> = new Set();
@@ -84,10 +86,10 @@
 		return Math.max(...Array.from(this.with(fingerprint), ({at}) => at));
 	}
 
-	/** Adds what a gateway observed. Returns whether it holds the crash against another fingerprint. */
+	/** Adds what a gateway observed; `ownKnownAt` is the time at which it became known to this one, undefined for another gateway's observation. Returns whether it holds the crash against another fingerprint. */
 	add(
 		{endpoint, startedAt, at, fingerprints}: ObservedCrash,
-		isOwn: boolean,
+		ownKnownAt: number | undefined,
 	): boolean {
 		const crash = this.#crashOf(endpoint, startedAt, at);
 		crash.at = Math.min(crash.at, at);
@@ -109,8 +111,9 @@
 				isChanged = true;
 			}
 
-			if (isOwn && crash.fingerprints.has(fingerprint)) {
+			if (ownKnownAt !== undefined && crash.fingerprints.has(fingerprint)) {
 				crash.ownFingerprints.add(fingerprint);
+				crash.ownKnownAt = ownKnownAt;
 			}
 		}
 
@@ -150,6 +153,7 @@
 				at,
 				fingerprints: new Set(),
 				ownFingerprints: new Set(),
+				ownKnownAt: Number.NEGATIVE_INFINITY,
 			};
 			this.#crashes.set(id, crash);
 			this.#dropOldest();
--- a/src/services/gateway/crash-suspects.test.ts
+++ b/src/services/gateway/crash-suspects.test.ts
@@ -20,7 +20,7 @@
 	fingerprints: readonly number[],
 	at: number,
 ): boolean {
-	return suspects.recordCrash({endpoint, startedAt, at, fingerprints});
+	return suspects.recordCrash({endpoint, startedAt, at, fingerprints}, at);
 }
 
 /** Suspects after two crashes under requests with a harmless first part and a deadly one. */
@@ -282,3 +282,16 @@
 		deadly,
 	]);
 });
+
+// Guards against a crash that only becomes known after its engine has been probed for some seconds, and that the other gateways are never told of.
+test('a crash that becomes known late is told to the other gateways', () => {
+	const own = new CrashSuspects();
+	const other = new CrashSuspects();
+	recordCrash(other, 10, 1, [deadly], 1000);
+	own.recordCrash(
+		{endpoint: 11, startedAt: 1, at: 2000, fingerprints: [deadly]},
+		5000,
+	);
+	other.apply(own.notices(5010, false)!, 5010);
+	expect(other.check([deadly], 5010).type).toEqual('withheld');
+});
--- a/src/services/gateway/crash-suspects.ts
+++ b/src/services/gateway/crash-suspects.ts
@@ -63,9 +63,9 @@
 
 	#expiredAt = Number.NEGATIVE_INFINITY;
 
-	/** Records a crash that this gateway observed. Returns whether it adds anything. */
-	recordCrash(crash: ObservedCrash): boolean {
-		return this.#records.add(crash, true);
+	/** Records a crash that this gateway observed, and that became known `now`: after its connections had ended, its engine had to be probed. Returns whether it adds anything. */
+	recordCrash(crash: ObservedCrash, now: number): boolean {
+		return this.#records.add(crash, now);
 	}
 
 	/** Whether any crash is held against one of the fingerprints, so that their survival is of interest. */
@@ -152,7 +152,7 @@
 		for (const {endpoint, startedAt, ageMs, fingerprints} of crashes) {
 			if (ageMs < maxCrashAgeMs) {
 				const crash = {endpoint, startedAt, at: now - ageMs, fingerprints};
-				const isNew = this.#records.add(crash, false);
+				const isNew = this.#records.add(crash, undefined);
 				isChanged ||= isNew;
 			}
 		}
@@ -249,7 +249,7 @@
 	#crashNotices(now: number, isFull: boolean): CrashNotice[] {
 		let left = maxFingerprintsPerNotice;
 		return this.#records.all
-			.filter(({at}) => isFull || now - at < recentMs)
+			.filter(({ownKnownAt}) => isFull || now - ownKnownAt < recentMs)
 			.map((crash) => ({crash, fingerprints: this.#noticed(crash, isFull)}))
 			.filter(({fingerprints}) => fingerprints.length > 0)
 			.slice(-maxCrashesPerNotice)
