--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -210,8 +210,15 @@
 	async #sendTo(placement: PlacedRequest): Promise<SendEnd> {
 		const {upstream, expectedMs, donor, activeRequest, resumeUpstream} =
 			placement;
-		const {format, connections, peers, queue, signals, livenessChecks} =
-			this.#context;
+		const {
+			format,
+			connections,
+			peers,
+			queue,
+			signals,
+			livenessChecks,
+			loopLag,
+		} = this.#context;
 		const {method, target, headers, body, head, route, workspace, priority} =
 			this.#request;
 		const canSendAgain = this.#sends + 1 < route.maxSends;
@@ -226,6 +233,7 @@
 			position: this.#position,
 			checkLiveness: async (silentSince) =>
 				livenessChecks.check(upstream, silentSince),
+			readSockets: async () => loopLag.readSockets(),
 			tryMove: () => this.#tryMove(),
 			onHead(status, answerHead, isOwn) {
 				signals.applyHead(upstream, status, answerHead, isOwn);
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -201,7 +201,11 @@
 			},
 		});
 		const probeContext = {connections, format: options.format, signals};
-		const livenessChecks = new LivenessChecks({probeContext, log: options.log});
+		const livenessChecks = new LivenessChecks({
+			probeContext,
+			log: options.log,
+			readSockets: async () => this.#loopLag.readSockets(),
+		});
 		this.#kvCachePoller = this.#disposables.add(
 			new KvCachePoller({
 				endpoints: this.#platform.endpoints,
--- a/src/daemons/gateway/idle-watch.test.ts
+++ b/src/daemons/gateway/idle-watch.test.ts
@@ -4,7 +4,10 @@
 import {PeerLoads, Upstream} from '../../services/gateway/index.js';
 import {IdleWatch} from './idle-watch.js';
 
-function watch(): {idleWatch: IdleWatch; timeouts: number[]} {
+function watch(readSockets = async () => {}): {
+	idleWatch: IdleWatch;
+	timeouts: number[];
+} {
 	const timeouts: number[] = [];
 	const upstream = new Upstream(
 		{
@@ -25,6 +28,7 @@
 		upstream,
 		checkMs: undefined,
 		checkLiveness: async () => ({type: 'alive'}),
+		readSockets,
 		onDidTimeOut(timeoutMs) {
 			timeouts.push(timeoutMs);
 		},
@@ -54,3 +58,18 @@
 	idleWatch.dispose();
 	expect(timeouts.slice(0, 2)).toEqual([5, 5]);
 });
+
+// Guards against answers that are taken for late after this process has paused, as its timers run before its sockets are read.
+test('data that has arrived before a timeout counts first', async () => {
+	let reads = 0;
+	const {idleWatch, timeouts} = watch(async () => {
+		reads++;
+		if (reads === 1) {
+			idleWatch.restart(5);
+		}
+	});
+	idleWatch.restart(5);
+	await waitUntil('timed out', () => timeouts.length > 0);
+	idleWatch.dispose();
+	expect(reads).toEqual(2);
+});
--- a/src/daemons/gateway/idle-watch.ts
+++ b/src/daemons/gateway/idle-watch.ts
@@ -16,6 +16,8 @@
 	readonly checkMs: number | undefined;
 	/** Finds out on other connections whether an endpoint that has been silent since a time on the monotonic clock is alive. */
 	readonly checkLiveness: (silentSince: number) => Promise<Alive | Gone>;
+	/** Resolves when all data that has arrived has been read: after a pause of this process, timers run before sockets are read. */
+	readonly readSockets: () => Promise<void>;
 	/** Called when the timeout has passed, and again while the period lasts. */
 	readonly onDidTimeOut: (timeoutMs: number) => void;
 	readonly onDidLoseEndpoint: (cause: GoneCause) => void;
@@ -80,15 +82,20 @@
 				if (checkAt < timeoutAt) {
 					void this.#check();
 				} else {
-					this.#timeOut();
+					void this.#timeOut();
 				}
 			},
 			Math.max(0, Math.min(checkAt, timeoutAt) - now),
 		);
 	}
 
-	#timeOut(): void {
+	async #timeOut(): Promise<void> {
 		const period = this.#period;
+		await this.#options.readSockets();
+		if (period !== this.#period) {
+			return;
+		}
+
 		this.#options.onDidTimeOut(this.#timeoutMs);
 		if (period === this.#period) {
 			this.#timeoutAt = monotonicNow() + repeatMs;
--- a/src/daemons/gateway/liveness-checks.ts
+++ b/src/daemons/gateway/liveness-checks.ts
@@ -4,6 +4,7 @@
 	maxPauseMs,
 	type Alive,
 	type Gone,
+	type Liveness,
 	type ProbeOutcome,
 	type Upstream,
 } from '../../services/gateway/index.js';
@@ -20,6 +21,8 @@
 export type LivenessChecksOptions = {
 	readonly probeContext: EngineProbeContext;
 	readonly log: Log;
+	/** Resolves when all data that has arrived has been read: after a pause of this process, the timers of probes run before sockets are read. */
+	readonly readSockets: () => Promise<void>;
 };
 
 /** Finds out whether silent engines are alive. One check at a time serves all requests at an engine. */
@@ -64,26 +67,28 @@
 
 	/** Sends two probes at once, because the first packet of a connection may be lost, and repeats each one that fails. */
 	async #probe(upstream: Upstream, silentSince: number): Promise<Alive | Gone> {
+		const {probeContext, readSockets} = this.#options;
+		const startedAt = monotonicNow();
 		const outcomes: ProbeOutcome[] = [{type: 'silent'}, {type: 'silent'}];
 		const abort = new AbortController();
 		return new Promise((resolve) => {
 			const probeRepeatedly = async (index: number) => {
 				while (!abort.signal.aborted) {
 					const silentMs = this.#silentMs(upstream, silentSince);
-					outcomes[index] = await probeEngine(
-						upstream,
-						this.#options.probeContext,
-						{
-							isNewConnection: true,
-							timeoutMs: Math.max(repeatMs, maxPauseMs - silentMs),
-							signal: abort.signal,
-						},
-					);
-					const liveness = judgeLiveness(
-						outcomes,
-						upstream.listed.startedAt,
-						this.#silentMs(upstream, silentSince),
-					);
+					outcomes[index] = await probeEngine(upstream, probeContext, {
+						isNewConnection: true,
+						timeoutMs: Math.max(repeatMs, maxPauseMs - silentMs),
+						signal: abort.signal,
+					});
+					await readSockets();
+					const liveness: Liveness =
+						upstream.lastReceivedAt > startedAt
+							? {type: 'alive'}
+							: judgeLiveness(
+									outcomes,
+									upstream.listed.startedAt,
+									this.#silentMs(upstream, silentSince),
+								);
 					if (liveness.type !== 'silent') {
 						abort.abort();
 						resolve(liveness);
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -79,6 +79,7 @@
 	/** Idle time after which `checkLiveness` is called, in milliseconds; undefined to never call it. */
 	readonly checkMs: number | undefined;
 	readonly checkLiveness: IdleWatchOptions['checkLiveness'];
+	readonly readSockets: IdleWatchOptions['readSockets'];
 	/** Called after a timeout: returns whether another endpoint gets the request, which ends this send. */
 	readonly tryMove: () => boolean;
 	/** Called with the head of each response on the connection; `isOwn` is false for one that belongs to another request. */
