--- a/src/daemons/gateway/idle-watch.test.ts
+++ b/src/daemons/gateway/idle-watch.test.ts
@@ -4,7 +4,7 @@
 import {PeerLoads, Upstream} from '../../services/gateway/index.js';
 import {IdleWatch} from './idle-watch.js';
 
-function watch(readSockets = async () => {}): {
+function watch(readSockets = async () => undefined): {
 	idleWatch: IdleWatch;
 	timeouts: number[];
 } {
