--- a/src/daemons/gateway/crash-reports.ts
+++ b/src/daemons/gateway/crash-reports.ts
@@ -55,7 +55,7 @@
 		const {crashSuspects, notices, log, metrics} = this.#options;
 		if (
 			upstream.isLeaving ||
-			!(isEngineGone || (await this.#hasCrashed(upstream)))
+			!(isEngineGone || (await this.#hasCrashed(upstream, at)))
 		) {
 			return;
 		}
@@ -90,8 +90,8 @@
 		this.#options.notices.sendCrashesSoon();
 	}
 
-	/** Resolves to whether the incarnation of an endpoint has ended. */
-	async #hasCrashed(upstream: Upstream): Promise<boolean> {
+	/** Resolves to whether the incarnation of an endpoint that ended a connection at `at` has ended. */
+	async #hasCrashed(upstream: Upstream, at: number): Promise<boolean> {
 		const {endpoints, livenessChecks} = this.#options;
 		if (!endpoints.has(upstream)) {
 			// A server may leave without notice: its entry is removed, and it exits later.
@@ -102,7 +102,7 @@
 			return this.#refusesConnections(upstream);
 		}
 
-		const liveness = await livenessChecks.check(upstream, monotonicNow());
+		const liveness = await livenessChecks.check(upstream, at);
 		return liveness.type === 'gone' && liveness.cause !== 'silent';
 	}
 
--- a/src/daemons/gateway/liveness-checks.ts
+++ b/src/daemons/gateway/liveness-checks.ts
@@ -25,27 +25,38 @@
 	readonly readSockets: () => Promise<void>;
 };
 
+type Check = {
+	/** On the monotonic clock, in milliseconds. */
+	readonly startedAt: number;
+	readonly result: Promise<Alive | Gone>;
+};
+
 /** Finds out whether silent engines are alive. One check at a time serves all requests at an engine. */
 export class LivenessChecks {
 	readonly #options: LivenessChecksOptions;
-	readonly #checks = new Map<Upstream, Promise<Alive | Gone>>();
+	readonly #checks = new Map<Upstream, Check>();
 
 	constructor(options: LivenessChecksOptions) {
 		this.#options = options;
 	}
 
-	/** Resolves once it is known whether an engine that has sent nothing since `silentSince`, on the monotonic clock, is alive; never rejects. */
+	/** Resolves once it is known whether an engine that has sent nothing since `silentSince`, on the monotonic clock, is alive; never rejects. A check that began before then may have been answered by an engine that has ended since. */
 	async check(upstream: Upstream, silentSince: number): Promise<Alive | Gone> {
-		let check = this.#checks.get(upstream);
-		if (!check) {
-			check = this.#check(upstream, silentSince);
-			this.#checks.set(upstream, check);
-			void check.finally(() => {
-				this.#checks.delete(upstream);
-			});
+		const earlier = this.#checks.get(upstream);
+		if (earlier) {
+			const liveness = await earlier.result;
+			return earlier.startedAt >= silentSince || liveness.type === 'gone'
+				? liveness
+				: this.check(upstream, silentSince);
 		}
 
-		return check;
+		const result = this.#check(upstream, silentSince);
+		this.#checks.set(upstream, {startedAt: monotonicNow(), result});
+		try {
+			return await result;
+		} finally {
+			this.#checks.delete(upstream);
+		}
 	}
 
 	async #check(upstream: Upstream, silentSince: number): Promise<Alive | Gone> {
