--- a/src/daemons/gateway/request-queue-task.test.ts
+++ b/src/daemons/gateway/request-queue-task.test.ts
@@ -7,6 +7,14 @@
 import {LoopLag} from './loop-lag.js';
 import {RequestQueueTask} from './request-queue-task.js';
 
+/** Keeps the event loop from turning, as a lack of processor time does. */
+function block(ms: number): void {
+	const endsAt = monotonicNow() + ms;
+	while (monotonicNow() < endsAt) {
+		// Busy wait.
+	}
+}
+
 // Guards against sending queued requests whose callers have disconnected: a gateway short of CPU time runs its timers before it reads the closed sockets.
 test('a gateway that is behind detects disconnected callers before it places queued requests', async () => {
 	const lag = new LoopLag();
@@ -27,10 +35,7 @@
 				return attempts > 1;
 			},
 		});
-		const endsAt = monotonicNow() + 400;
-		while (monotonicNow() < endsAt) {
-			// Blocks the event loop, as in a process without CPU time.
-		}
+		block(400);
 	});
 	const port = await freePort();
 	server.listen(port, '127.0.0.1');
@@ -46,3 +51,46 @@
 	server.close();
 	expect(wasDisconnected).toEqual([true]);
 });
+
+// Guards against sending the last of many queued requests long after their callers have disconnected: placing the others keeps the process from reading its sockets.
+test('callers that disconnect during a long dispatch are detected before their requests are placed', async () => {
+	const lag = new LoopLag();
+	const queue = new RequestQueueTask(lag);
+	const requests = 10;
+	const wasDisconnected: boolean[] = [];
+	const capacity = {isFree: false};
+	const server = createServer((request) => {
+		for (let index = 0; index < requests; index++) {
+			queue.submit({
+				rank: index,
+				arrivedAt: 0,
+				lateAt: Number.POSITIVE_INFINITY,
+				tryPlace() {
+					if (capacity.isFree) {
+						socket.destroy();
+						wasDisconnected.push(request.socket.destroyed);
+						block(30);
+					}
+
+					return capacity.isFree;
+				},
+			});
+		}
+
+		capacity.isFree = true;
+	});
+	const port = await freePort();
+	server.listen(port, '127.0.0.1');
+	await waitUntil('listening', async () => server.listening);
+	const socket = connect(port, '127.0.0.1', () => {
+		socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+	});
+	await waitUntil(
+		'requests placed',
+		async () => wasDisconnected.length === requests,
+	);
+	queue.dispose();
+	lag.dispose();
+	server.close();
+	expect([wasDisconnected[0], wasDisconnected.at(-1)]).toEqual([false, true]);
+});
--- a/src/daemons/gateway/request-queue-task.ts
+++ b/src/daemons/gateway/request-queue-task.ts
@@ -12,12 +12,18 @@
 /** Time for which events that may have freed capacity are coalesced into one dispatch, in milliseconds: a dispatch takes CPU time for each queued request. */
 const dispatchDelayMs = 10;
 
+/** Time for which a dispatch may keep the process from reading its sockets, in milliseconds. */
+const maxSliceMs = 25;
+
 /** Places requests on endpoints: at once when there is capacity, and otherwise by retrying whenever some may have become free. */
 export class RequestQueueTask implements Disposable {
 	readonly #loopLag: LoopLag;
 	readonly #queue = new RequestQueue();
 	#periodTimer: NodeJS.Timeout | undefined;
 	#delayTimer: NodeJS.Timeout | undefined;
+	#isDispatching = false;
+	/** A dispatch has become due while another one was in progress. */
+	#isDispatchDue = false;
 	#isDisposed = false;
 
 	constructor(loopLag: LoopLag) {
@@ -52,19 +58,43 @@
 		clearTimeout(this.#delayTimer);
 	}
 
-	/** Tries to place the queued requests. A process that is behind first reads its sockets, so that it does not place requests whose callers have disconnected. */
+	/** Tries to place the queued requests. A process that is behind, and a long dispatch again and again, first reads its sockets, so that no request is placed whose caller has disconnected. */
 	async #dispatch(): Promise<void> {
-		await this.#loopLag.catchUp();
 		clearTimeout(this.#delayTimer);
 		clearTimeout(this.#periodTimer);
 		this.#delayTimer = undefined;
 		this.#periodTimer = undefined;
-		this.#queue.dispatch(monotonicNow());
+		if (this.#isDispatching) {
+			this.#isDispatchDue = true;
+			return;
+		}
+
+		this.#isDispatching = true;
+		await this.#placeAll();
+		this.#isDispatching = false;
+		if (this.#isDispatchDue) {
+			this.#isDispatchDue = false;
+			this.dispatchSoon();
+		}
+
 		if (this.#queue.size > 0) {
 			this.#startPeriodTimer();
 		}
 	}
 
+	async #placeAll(): Promise<void> {
+		await this.#loopLag.catchUp();
+		let sliceStartedAt = monotonicNow();
+		for (const request of this.#queue.ordered(sliceStartedAt)) {
+			if (monotonicNow() - sliceStartedAt > maxSliceMs) {
+				await this.#loopLag.readSockets();
+				sliceStartedAt = monotonicNow();
+			}
+
+			this.#queue.tryPlace(request, monotonicNow());
+		}
+	}
+
 	#startPeriodTimer(): void {
 		if (!this.#isDisposed) {
 			this.#periodTimer ??= setTimeout(() => {
--- a/src/services/gateway/heavy-load.test.ts
+++ b/src/services/gateway/heavy-load.test.ts
@@ -241,7 +241,9 @@
 	}
 
 	dispatch(now: number): void {
-		this.#queue.dispatch(now);
+		for (const request of this.#queue.ordered(now)) {
+			this.#queue.tryPlace(request, now);
+		}
 	}
 
 	report(others: readonly Gateway[], now: number): void {
--- a/src/services/gateway/request-queue.test.ts
+++ b/src/services/gateway/request-queue.test.ts
@@ -2,6 +2,12 @@
 import {expect} from 'earl';
 import {RequestQueue} from './request-queue.js';
 
+function dispatch(queue: RequestQueue, now: number): void {
+	for (const request of queue.ordered(now)) {
+		queue.tryPlace(request, now);
+	}
+}
+
 // Guards against an urgent request that waits behind less urgent ones, and against requests that are already late and delay others that are not.
 test('requests that are not late go first, then urgent ones, then newer ones', () => {
 	const queue = new RequestQueue();
@@ -35,12 +41,12 @@
 	add('first urgent', 0, 2, 500);
 	add('late loose', 2, 0, 60);
 	add('later loose', 2, 1, 60);
-	queue.dispatch(100);
+	dispatch(queue, 100);
 	expect(queue.size).toEqual(6);
 	capacity = 2;
-	queue.dispatch(100);
+	dispatch(queue, 100);
 	capacity = 4;
-	queue.dispatch(100);
+	dispatch(queue, 100);
 	expect(placed).toEqual([
 		'second urgent',
 		'first urgent',
@@ -84,7 +90,7 @@
 	for (let now = 0; now < 20_000; now += 10) {
 		add(now);
 		capacity += now % 20 === 0 ? 1 : 0;
-		queue.dispatch(now);
+		dispatch(queue, now);
 	}
 
 	expect(inTime / all > 0.45).toEqual(true);
--- a/src/services/gateway/request-queue.ts
+++ b/src/services/gateway/request-queue.ts
@@ -32,9 +32,9 @@
 		this.#queue.delete(request);
 	}
 
-	/** Tries to place each queued request, in order. */
-	dispatch(now: number): void {
-		const ordered = [...this.#queue].toSorted((a, b) => {
+	/** The queued requests in the order in which they are to be placed. */
+	ordered(now: number): QueuedRequest[] {
+		return [...this.#queue].toSorted((a, b) => {
 			const isLate = now > a.lateAt;
 			return (
 				Number(isLate) - Number(now > b.lateAt) ||
@@ -42,10 +42,12 @@
 				(isLate ? a.arrivedAt - b.arrivedAt : b.arrivedAt - a.arrivedAt)
 			);
 		});
-		for (const request of ordered) {
-			if (request.tryPlace(now)) {
-				this.#queue.delete(request);
-			}
+	}
+
+	/** Tries to place a queued request, which then leaves the queue; does nothing when it has left before. */
+	tryPlace(request: QueuedRequest, now: number): void {
+		if (this.#queue.has(request) && request.tryPlace(now)) {
+			this.#queue.delete(request);
 		}
 	}
 }
