--- /dev/null
+++ b/src/daemons/gateway/connection-pool.test.ts
@@ -0,0 +1,78 @@
+import {createServer as createHttpServer} from 'node:http';
+import {connect, createServer, type AddressInfo, type Server} from 'node:net';
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {DisposableStore} from '../../base/index.js';
+import {freePort, waitUntil} from '../../lab/fleet/loopback.js';
+import {monotonicNow} from '../state-machine.js';
+import {ConnectionPool, type Connection} from './connection-pool.js';
+import {LoopLag} from './loop-lag.js';
+
+/** Time for which the event loop is blocked, in milliseconds: shorter than the timeout of a connection attempt, but long enough for the process to count as behind. */
+const lagMs = 300;
+
+function block(ms: number): void {
+	const endsAt = monotonicNow() + ms;
+	while (monotonicNow() < endsAt) {
+		// Busy wait.
+	}
+}
+
+async function listen(server: Server): Promise<string> {
+	const port = await freePort();
+	server.listen(port, '127.0.0.1');
+	await waitUntil('listening', () => server.listening);
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+/** Endpoint that answers every request, with a pool of connections to it; `received` counts what has arrived. */
+async function startEndpoint(disposables: DisposableStore) {
+	const received = {requests: 0, connections: 0};
+	const server = createServer((socket) => {
+		received.connections++;
+		socket.on('data', () => {
+			received.requests++;
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
+		});
+		socket.on('error', () => undefined);
+	});
+	const address = await listen(server);
+	disposables.add({
+		dispose() {
+			server.close();
+		},
+	});
+	const lag = disposables.add(new LoopLag());
+	const pool = disposables.add(new ConnectionPool(address, lag, () => 0));
+	return {pool, received};
+}
+
+function send(connection: Connection): void {
+	connection.dispatch(
+		{method: 'GET', path: '/', headers: []},
+		{onRequestStart: () => undefined, onResponseError: () => undefined},
+	);
+}
+
+// Guards against requests that are sent although their callers left while a gateway short of processor time connected to the endpoint.
+test('a request is not sent when its caller leaves while a late process connects', async () => {
+	const disposables = new DisposableStore();
+	const {pool, received} = await startEndpoint(disposables);
+	const gateway = createHttpServer((request) => {
+		const connection = pool.open();
+		request.socket.once('close', () => {
+			pool.discard(connection);
+		});
+		send(connection);
+		caller.destroy();
+		block(lagMs);
+	});
+	const address = await listen(gateway);
+	const [host, port] = address.split(':');
+	const caller = connect(Number(port), host);
+	caller.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+	await waitUntil('ended', () => received.connections > 0 && pool.size === 0);
+	gateway.close();
+	disposables.dispose();
+	expect(received.requests).toEqual(0);
+});
--- a/src/daemons/gateway/connection-pool.ts
+++ b/src/daemons/gateway/connection-pool.ts
@@ -3,6 +3,7 @@
 import type {Disposable} from '../../base/index.js';
 import {splitAddress} from '../listen.js';
 import {monotonicNow} from '../state-machine.js';
+import type {LoopLag} from './loop-lag.js';
 
 /** Connect timeout in milliseconds. TCP retransmits a lost first packet only after a second, so a slightly longer timeout would not help. */
 const connectTimeoutMs = 400;
@@ -13,6 +14,8 @@
 /** Maximum idle time of a connection that is reused for a request that must not be sent twice, in milliseconds. */
 const maxIdleNonIdempotentMs = 1000;
 
+type ConnectCallback = (...args: [null, net.Socket] | [Error, null]) => void;
+
 /** HTTP/1.1 connection to an endpoint, with one request at a time. */
 export class Connection implements Disposable {
 	/** The endpoint reset the connection: a response that is delimited by its close is incomplete. */
@@ -23,12 +26,15 @@
 	/** Time on the monotonic clock at which the connection was last released, in milliseconds. */
 	idleSince = 0;
 	readonly #client: Client;
+	readonly #loopLag: LoopLag;
 
 	constructor(
 		address: string,
+		loopLag: LoopLag,
 		onDidDisconnect: (connection: Connection) => void,
 	) {
 		const {host, port} = splitAddress(address);
+		this.#loopLag = loopLag;
 		this.#client = new Client(`http://${address}`, {
 			pipelining: 1,
 			headersTimeout: 0,
@@ -56,11 +62,7 @@
 	}
 
 	/** Opens the socket here to detect a reset, which undici treats as the end of a response without a length. */
-	#connect(
-		host: string,
-		port: number,
-		callback: (...args: [null, net.Socket] | [Error, null]) => void,
-	): void {
+	#connect(host: string, port: number, callback: ConnectCallback): void {
 		const socket = net.connect({host, port, noDelay: true});
 		const timer = setTimeout(() => {
 			socket.destroy(
@@ -79,23 +81,36 @@
 			socket.on('error', () => {
 				this.isReset = true;
 			});
-			this.isConnected = true;
-			callback(null, socket);
+			void this.#use(socket, callback);
 		});
 	}
+
+	/** Lets the waiting request be sent. A process that is behind reads its sockets first: the caller may have disconnected meanwhile. */
+	async #use(socket: net.Socket, callback: ConnectCallback): Promise<void> {
+		await this.#loopLag.catchUp();
+		if (socket.destroyed) {
+			callback(new Error('other side closed'), null);
+			return;
+		}
+
+		this.isConnected = true;
+		callback(null, socket);
+	}
 }
 
 /** Pool of connections of this process to one endpoint. */
 export class ConnectionPool implements Disposable {
 	readonly #address: string;
+	readonly #loopLag: LoopLag;
 	readonly #maxIdle: () => number;
 	/** Idle connections, most recently used last. */
 	readonly #idle: Connection[] = [];
 	readonly #connections = new Set<Connection>();
 
 	/** `maxIdle` returns how many idle connections may be kept at present. */
-	constructor(address: string, maxIdle: () => number) {
+	constructor(address: string, loopLag: LoopLag, maxIdle: () => number) {
 		this.#address = address;
+		this.#loopLag = loopLag;
 		this.#maxIdle = maxIdle;
 	}
 
@@ -125,11 +140,15 @@
 
 	/** Opens a new connection, for when an idle one may be dead without notice. */
 	open(): Connection {
-		const connection = new Connection(this.#address, (disconnected) => {
-			if (this.#idle.includes(disconnected)) {
-				this.discard(disconnected);
-			}
-		});
+		const connection = new Connection(
+			this.#address,
+			this.#loopLag,
+			(disconnected) => {
+				if (this.#idle.includes(disconnected)) {
+					this.discard(disconnected);
+				}
+			},
+		);
 		this.#connections.add(connection);
 		return connection;
 	}
--- a/src/daemons/gateway/connection-pools.ts
+++ b/src/daemons/gateway/connection-pools.ts
@@ -4,14 +4,17 @@
 	type Upstream,
 } from '../../services/gateway/index.js';
 import {ConnectionPool} from './connection-pool.js';
+import type {LoopLag} from './loop-lag.js';
 
 /** Connection pools of this process, one for each incarnation of an endpoint. */
 export class ConnectionPools implements Disposable {
 	readonly #pools = new Map<Upstream, ConnectionPool>();
 	/** Number of running gateways, which share the connections of an endpoint. */
 	readonly #gateways: () => number;
+	readonly #loopLag: LoopLag;
 
-	constructor(gateways: () => number) {
+	constructor(loopLag: LoopLag, gateways: () => number) {
+		this.#loopLag = loopLag;
 		this.#gateways = gateways;
 	}
 
@@ -20,7 +23,7 @@
 		let pool = this.#pools.get(upstream);
 		if (!pool) {
 			const {maxConnections, listed} = upstream;
-			pool = new ConnectionPool(listed.address, () =>
+			pool = new ConnectionPool(listed.address, this.#loopLag, () =>
 				maxIdleConnections(
 					{maxConnections, slots: listed.slots},
 					this.#gateways(),
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -189,7 +189,7 @@
 			}),
 		);
 		const connections = this.#disposables.add(
-			new ConnectionPools(() => this.#roster.count),
+			new ConnectionPools(this.#loopLag, () => this.#roster.count),
 		);
 		const signals = new EndpointSignals({
 			endpoints: this.#platform.endpoints,
