Read the sockets before a connection attempt times out

What callers saw: on a gateway short of processor time, requests to a sound endpoint ended as not sent, and the endpoint was ejected for half a second or longer.

Cause: the timer of the attempt (400 ms) ran before the sockets were read, so that a connection that had long been established counted as timed out.

Change: the timer reads the sockets first and ends only an attempt that is still in progress.

'a connection that is established while the process is late does not time out' failed before (connection not established within 400 ms) and passes.

--- a/src/daemons/gateway/connection-pool.test.ts
+++ b/src/daemons/gateway/connection-pool.test.ts
@@ -8,7 +8,10 @@
 import {ConnectionPool, type Connection} from './connection-pool.js';
 import {LoopLag} from './loop-lag.js';
 
-/** Time for which the event loop is blocked, in milliseconds: shorter than the timeout of a connection attempt, but long enough for the process to count as behind. */
+/** Time for which the event loop is blocked, in milliseconds: longer than the timeout of a connection attempt. */
+const longLagMs = 600;
+
+/** Shorter than that timeout, but long enough for the process to count as behind. */
 const lagMs = 300;
 
 function block(ms: number): void {
@@ -47,13 +50,43 @@
 	return {pool, received};
 }
 
-function send(connection: Connection): void {
-	connection.dispatch(
-		{method: 'GET', path: '/', headers: []},
-		{onRequestStart: () => undefined, onResponseError: () => undefined},
-	);
+/** Sends a request and returns how it ends: its status or the message of its error. */
+async function send(connection: Connection): Promise<number | string> {
+	return new Promise((resolve) => {
+		let status = 0;
+		connection.dispatch(
+			{method: 'GET', path: '/', headers: []},
+			{
+				onRequestStart: () => undefined,
+				onResponseStart(_controller, statusCode) {
+					status = statusCode;
+				},
+				onResponseEnd() {
+					resolve(status);
+				},
+				onResponseError(_controller, error) {
+					resolve(error.message);
+				},
+			},
+		);
+	});
 }
 
+// Guards against sound endpoints that a gateway short of processor time takes for unreachable.
+test('a connection that is established while the process is late does not time out', async () => {
+	const disposables = new DisposableStore();
+	const {pool} = await startEndpoint(disposables);
+	const end = await new Promise<number | string>((resolve) => {
+		// The timers run next, before the sockets are read.
+		setImmediate(() => {
+			resolve(send(pool.open()));
+			block(longLagMs);
+		});
+	});
+	expect(end).toEqual(200);
+	disposables.dispose();
+});
+
 // Guards against requests that are sent although their callers left while a gateway short of processor time connected to the endpoint.
 test('a request is not sent when its caller leaves while a late process connects', async () => {
 	const disposables = new DisposableStore();
@@ -63,7 +96,7 @@
 		request.socket.once('close', () => {
 			pool.discard(connection);
 		});
-		send(connection);
+		void send(connection);
 		caller.destroy();
 		block(lagMs);
 	});
--- a/src/daemons/gateway/connection-pool.ts
+++ b/src/daemons/gateway/connection-pool.ts
@@ -65,9 +65,7 @@
 	#connect(host: string, port: number, callback: ConnectCallback): void {
 		const socket = net.connect({host, port, noDelay: true});
 		const timer = setTimeout(() => {
-			socket.destroy(
-				new Error(`connection not established within ${connectTimeoutMs} ms`),
-			);
+			void this.#timeOut(socket);
 		}, connectTimeoutMs);
 		const onFailure = (error: Error) => {
 			clearTimeout(timer);
@@ -85,6 +83,16 @@
 		});
 	}
 
+	/** Ends a connection attempt, unless its success has arrived and only waits to be read. */
+	async #timeOut(socket: net.Socket): Promise<void> {
+		await this.#loopLag.readSockets();
+		if (socket.connecting) {
+			socket.destroy(
+				new Error(`connection not established within ${connectTimeoutMs} ms`),
+			);
+		}
+	}
+
 	/** Lets the waiting request be sent. A process that is behind reads its sockets first: the caller may have disconnected meanwhile. */
 	async #use(socket: net.Socket, callback: ConnectCallback): Promise<void> {
 		await this.#loopLag.catchUp();
