--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -36,6 +36,7 @@
 import {monotonicNow} from '../state-machine.js';
 import {GatewayAdmin} from './admin-server.js';
 import {EndpointSignals} from './endpoint-signals.js';
+import {probeEngine} from './engine-probe.js';
 import {CallerConnections} from './caller-connections.js';
 import {CallerOutput} from './caller-output.js';
 import {ConnectionPools} from './connection-pools.js';
@@ -202,7 +203,9 @@
 		});
 		const probeContext = {connections, format: options.format, signals};
 		const livenessChecks = new LivenessChecks({
-			probeContext,
+			probe: async (upstream, probeOptions) =>
+				probeEngine(upstream, probeContext, probeOptions),
+			delay,
 			log: options.log,
 			readSockets: async () => this.#loopLag.readSockets(),
 		});
--- a/src/daemons/gateway/liveness-checks.ts
+++ b/src/daemons/gateway/liveness-checks.ts
@@ -1,4 +1,3 @@
-import {setTimeout as delay} from 'node:timers/promises';
 import {
 	judgeLiveness,
 	maxPauseMs,
@@ -10,16 +9,24 @@
 } from '../../services/gateway/index.js';
 import type {Log} from '../log.js';
 import {monotonicNow} from '../state-machine.js';
-import {probeEngine, type EngineProbeContext} from './engine-probe.js';
+import type {EngineProbeOptions} from './engine-probe.js';
 
-/** Time after which a probe that failed is repeated, in milliseconds: an engine may close it because it has too many connections. */
+/** Time after which a probe that failed is repeated for the first time, in milliseconds: an engine that crashes may have accepted its connection, and would not be known to have crashed before the next request is sent. */
+const firstRepeatMs = 50;
+
+/** Time after which it is repeated again, in milliseconds: an engine may close it because it has too many connections. */
 const repeatMs = 400;
 
 /** Time within which a sound endpoint usually answers a probe, in milliseconds; a later answer is logged. */
 const usualAnswerMs = 400;
 
 export type LivenessChecksOptions = {
-	readonly probeContext: EngineProbeContext;
+	/** Requests the state of an engine; never rejects. */
+	readonly probe: (
+		upstream: Upstream,
+		options: EngineProbeOptions,
+	) => Promise<ProbeOutcome>;
+	readonly delay: (ms: number) => Promise<unknown>;
 	readonly log: Log;
 	/** Resolves when all data that has arrived has been read: after a pause of this process, the timers of probes run before sockets are read. */
 	readonly readSockets: () => Promise<void>;
@@ -78,15 +85,16 @@
 
 	/** Sends two probes at once, because the first packet of a connection may be lost, and repeats each one that fails. */
 	async #probe(upstream: Upstream, silentSince: number): Promise<Alive | Gone> {
-		const {probeContext, readSockets} = this.#options;
+		const {probe, delay, readSockets} = this.#options;
 		const startedAt = monotonicNow();
 		const outcomes: ProbeOutcome[] = [{type: 'silent'}, {type: 'silent'}];
 		const abort = new AbortController();
 		return new Promise((resolve) => {
 			const probeRepeatedly = async (index: number) => {
+				let pauseMs = firstRepeatMs;
 				while (!abort.signal.aborted) {
 					const silentMs = this.#silentMs(upstream, silentSince);
-					outcomes[index] = await probeEngine(upstream, probeContext, {
+					outcomes[index] = await probe(upstream, {
 						isNewConnection: true,
 						timeoutMs: Math.max(repeatMs, maxPauseMs - silentMs),
 						signal: abort.signal,
@@ -106,7 +114,8 @@
 						return;
 					}
 
-					await delay(repeatMs);
+					await delay(pauseMs);
+					pauseMs = repeatMs;
 				}
 			};
 
