--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -51,6 +51,8 @@
 	readonly #position: StreamPosition;
 	readonly #placement: RequestPlacement;
 	#send: Send | undefined;
+	/** Place for which the request has left its slow endpoint. */
+	#nextPlace: PlacedRequest | undefined;
 	#sends = 0;
 	#failedConnections = 0;
 	#mayHaveRun = false;
@@ -76,8 +78,8 @@
 			request.receivedAt,
 		);
 		this.#placement = new RequestPlacement(context, request, () => ({
-			sends: this.#sends,
-			mayHaveRun: this.#mayHaveRun,
+			sends: this.#sentCount,
+			mayHaveRun: this.#mayHaveRun || this.#isInProgress,
 			hasAnswer: output.hasSentHeaders,
 			isAbandoned: this.#isAbandoned,
 			expiresAt: this.#expiresAt,
@@ -158,7 +160,7 @@
 			return nextStep({type: 'expired'}, this.#requestState(), () => false);
 		}
 
-		const placement = await this.#placement.wait();
+		const placement = this.#takeNextPlace() ?? (await this.#placement.wait());
 		switch (placement.type) {
 			case 'refuse': {
 				const {reason, retryAfterMs} = placement;
@@ -234,7 +236,7 @@
 			checkLiveness: async (silentSince) =>
 				livenessChecks.check(upstream, silentSince),
 			readSockets: async () => loopLag.readSockets(),
-			tryMove: () => this.#tryMove(),
+			tryMove: async (reason, isIdle) => this.#tryMove(reason, isIdle),
 			onHead(status, answerHead, isOwn) {
 				signals.applyHead(upstream, status, answerHead, isOwn);
 			},
@@ -284,22 +286,45 @@
 		return end;
 	}
 
-	/** Takes a retry when the request may leave its slow endpoint for another one that has capacity. */
-	#tryMove(): boolean {
-		const state = {...this.#requestState(), sends: this.#sends + 1};
-		return mayMove(
-			state,
-			() => this.#placement.hasUntriedPlace() && this.#takeRetry(),
-		);
+	/** Moves the request from its slow endpoint to another one, but only once that one has granted a place: until then the first endpoint may go on. The retry is taken last, so that a request that stays takes none. */
+	async #tryMove(reason: string, isIdle: () => boolean): Promise<void> {
+		if (!mayMove(this.#requestState(), () => this.#hasRetry())) {
+			return;
+		}
+
+		const place = await this.#placement.reserveElsewhere();
+		if (!place) {
+			return;
+		}
+
+		// Nothing is awaited from here on, so that the request holds the place or stays.
+		this.#nextPlace =
+			isIdle() && mayMove(this.#requestState(), () => this.#takeRetry())
+				? this.#placement.registerPlacement(place)
+				: undefined;
+		if (this.#nextPlace) {
+			this.#send!.cancel({type: 'moved', reason});
+		} else {
+			this.#log('place_unused', {endpoint: place.upstream.id});
+		}
+	}
+
+	#takeNextPlace(): PlacedRequest | undefined {
+		const place = this.#nextPlace;
+		this.#nextPlace = undefined;
+		return place;
+	}
+
+	#hasRetry(): boolean {
+		const {retryAllowance, gateways} = this.#context;
+		const {name} = this.#request.service;
+		return retryAllowance.has(name, monotonicNow(), gateways());
 	}
 
 	#takeRetry(): boolean {
 		const {retryAllowance, gateways} = this.#context;
-		return retryAllowance.take(
-			this.#request.service.name,
-			monotonicNow(),
-			gateways(),
-		);
+		const {name} = this.#request.service;
+		return retryAllowance.take(name, monotonicNow(), gateways());
 	}
 
 	/** Chooses an engine for a replica of the run's KV cache: only for a stream that runs at most once, as any other request can be retried when its engine fails, and only while failures are likely. */
@@ -468,6 +493,8 @@
 	}
 
 	#finish(step: Exclude<NextStep, {type: 'send' | 'resume'}>): void {
+		const place = this.#takeNextPlace();
+		place?.upstream.end(place.activeRequest);
 		let outcome: string = step.type;
 		switch (step.type) {
 			case 'deliver': {
@@ -559,7 +586,7 @@
 		const {route} = this.#request;
 		return {
 			retryMode: route.retryMode,
-			sends: this.#sends,
+			sends: this.#sentCount,
 			maxSends: route.maxSends,
 			failedConnections: this.#failedConnections,
 			mayHaveRun: this.#mayHaveRun,
@@ -573,6 +600,15 @@
 		};
 	}
 
+	get #isInProgress(): boolean {
+		return this.#send?.isInProgress === true;
+	}
+
+	/** Sends that may have reached an endpoint, with the one in progress. */
+	get #sentCount(): number {
+		return this.#sends + Number(this.#isInProgress);
+	}
+
 	/** Time at which the request expires, or gets its final answer because the gateway stops. */
 	get #endsAt(): number {
 		const {answersEndAt = Number.POSITIVE_INFINITY} =
--- a/src/daemons/gateway/idle-watch.test.ts
+++ b/src/daemons/gateway/idle-watch.test.ts
@@ -29,7 +29,7 @@
 		checkMs: undefined,
 		checkLiveness: async () => ({type: 'alive'}),
 		readSockets,
-		onDidTimeOut(timeoutMs) {
+		async onDidTimeOut(timeoutMs) {
 			timeouts.push(timeoutMs);
 		},
 		onDidLoseEndpoint: () => undefined,
--- a/src/daemons/gateway/idle-watch.ts
+++ b/src/daemons/gateway/idle-watch.ts
@@ -18,8 +18,11 @@
 	readonly checkLiveness: (silentSince: number) => Promise<Alive | Gone>;
 	/** Resolves when all data that has arrived has been read: after a pause of this process, timers run before sockets are read. */
 	readonly readSockets: () => Promise<void>;
-	/** Called when the timeout has passed, and again while the period lasts. */
-	readonly onDidTimeOut: (timeoutMs: number) => void;
+	/** Called when the timeout has passed, and again some time after it has resolved while the period lasts; never rejects. `isIdle` tells whether the period still lasts. */
+	readonly onDidTimeOut: (
+		timeoutMs: number,
+		isIdle: () => boolean,
+	) => Promise<void>;
 	readonly onDidLoseEndpoint: (cause: GoneCause) => void;
 };
 
@@ -91,13 +94,14 @@
 
 	async #timeOut(): Promise<void> {
 		const period = this.#period;
+		const isIdle = () => period === this.#period;
 		await this.#options.readSockets();
-		if (period !== this.#period) {
+		if (!isIdle()) {
 			return;
 		}
 
-		this.#options.onDidTimeOut(this.#timeoutMs);
-		if (period === this.#period) {
+		await this.#options.onDidTimeOut(this.#timeoutMs, isIdle);
+		if (isIdle()) {
 			this.#timeoutAt = monotonicNow() + repeatMs;
 			this.#schedule();
 		}
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -36,6 +36,9 @@
 
 type Refusal = Extract<Assignment, {type: 'refuse'}>;
 
+/** Endpoint chosen for a request that is not registered there yet. */
+export type PlaceAssignment = Extract<Assignment, {type: 'send'}>;
+
 /** Endpoint chosen for a request, with the request as registered there. */
 export type PlacedRequest = {
 	readonly type: 'send';
@@ -151,7 +154,7 @@
 								return false;
 							}
 
-							const placement = this.#registerPlacement(assignment);
+							const placement = this.registerPlacement(assignment);
 							if (placement) {
 								resolve(placement);
 							}
@@ -186,25 +189,47 @@
 		});
 	}
 
-	/** Whether an endpoint that has not been tried would get the request now; the gateway that owns it may still deny capacity. */
-	hasUntriedPlace(): boolean {
+	/** Reserves capacity at an endpoint that has not been tried, for a request that is in progress at a slow one; resolves to undefined when there is none now. Capacity that is not used is free again with the next reports, and the estimate of the prefill backlog as time passes. */
+	async reserveElsewhere(): Promise<PlaceAssignment | undefined> {
+		const {peers, loopLag} = this.#context;
 		const now = monotonicNow();
-		const verdict = this.#context.crashSuspects.check(this.fingerprints, now);
-		return (
-			(verdict.type === 'clear' || verdict.type === 'probe') &&
-			this.#place(now).type === 'send'
-		);
+		const assignment =
+			this.#isTooLate || !this.#mayBeSent(now) ? undefined : this.#place(now);
+		if (assignment?.type !== 'send') {
+			return undefined;
+		}
+
+		const {upstream, uncachedTokens} = assignment;
+		const need = this.#reservationNeed(uncachedTokens);
+		const owner = peers.owner(upstream, uncachedTokens);
+		const isReserved = owner
+			? await this.#requestCapacity(owner, upstream, need)
+			: peers.reserve(upstream, need);
+		// The slow endpoint may have answered in the meantime.
+		await loopLag.readSockets();
+		return isReserved &&
+			!this.#isTooLate &&
+			this.#mayBeSent(monotonicNow()) &&
+			this.#context.endpoints.canTakeRequests(upstream, monotonicNow())
+			? assignment
+			: undefined;
+	}
+
+	/** Whether no suspected fingerprint of the request forbids to send it now. */
+	#mayBeSent(now: number): boolean {
+		const {type} = this.#context.crashSuspects.check(this.fingerprints, now);
+		return type === 'clear' || type === 'probe';
 	}
 
 	/** Requests a reservation from the gateway that owns the engine. Places the request if capacity was reserved and the request is still wanted. */
 	async #requestReservation(
 		owner: PeerAddress,
-		assignment: Extract<Assignment, {type: 'send'}>,
+		assignment: PlaceAssignment,
 	): Promise<PlacedRequest | undefined> {
 		const {upstream, uncachedTokens} = assignment;
 		const need = this.#reservationNeed(uncachedTokens);
 		return (await this.#requestCapacity(owner, upstream, need))
-			? this.#registerPlacement(assignment)
+			? this.registerPlacement(assignment)
 			: undefined;
 	}
 
@@ -239,10 +264,8 @@
 		};
 	}
 
-	/** Returns undefined when the request must not be sent any more: another one has begun to probe its fingerprints, or crashed an endpoint, since it was placed. */
-	#registerPlacement(
-		assignment: Extract<Assignment, {type: 'send'}>,
-	): PlacedRequest | undefined {
+	/** Registers a request at the endpoint where capacity has been reserved for it. Returns undefined when the request must not be sent any more: another one has begun to probe its fingerprints, or crashed an endpoint, since it was placed. */
+	registerPlacement(assignment: PlaceAssignment): PlacedRequest | undefined {
 		const {upstream, expectedMs, uncachedTokens, donor, home} = assignment;
 		const {head} = this.#request;
 		const now = monotonicNow();
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -80,8 +80,8 @@
 	readonly checkMs: number | undefined;
 	readonly checkLiveness: IdleWatchOptions['checkLiveness'];
 	readonly readSockets: IdleWatchOptions['readSockets'];
-	/** Called after a timeout: returns whether another endpoint gets the request, which ends this send. */
-	readonly tryMove: () => boolean;
+	/** Called after a timeout: ends this send once another endpoint has a place for the request, if `isIdle` then still holds. Never rejects. */
+	readonly tryMove: (reason: string, isIdle: () => boolean) => Promise<void>;
 	/** Called with the head of each response on the connection; `isOwn` is false for one that belongs to another request. */
 	readonly onHead: (status: number, head: AnswerHead, isOwn: boolean) => void;
 };
@@ -106,6 +106,8 @@
 	readonly #splitter = new EventSplitter();
 	#resolveEnded!: (end: SendEnd) => void;
 	#isEnded = false;
+	/** Heads and pieces of the body that have been read, also those that are no complete event. */
+	#reads = 0;
 	#controller: Dispatcher.DispatchController | undefined;
 	#status = 0;
 	#headers: RawHeaders = [];
@@ -122,12 +124,16 @@
 		this.#options = options;
 		this.#idleWatch = new IdleWatch({
 			...options,
-			onDidTimeOut: (timeoutMs) => {
+			onDidTimeOut: async (timeoutMs, isIdle) => {
 				const reason = `nothing for ${Math.round(timeoutMs)} ms`;
-				if (!this.isSent) {
+				if (this.isSent) {
+					const reads = this.#reads;
+					await options.tryMove(
+						reason,
+						() => isIdle() && this.#reads === reads,
+					);
+				} else {
 					this.cancel({type: 'unsent', reason});
-				} else if (options.tryMove()) {
-					this.cancel({type: 'moved', reason});
 				}
 			},
 			onDidLoseEndpoint: (cause) => {
@@ -144,6 +150,11 @@
 		});
 	}
 
+	/** The endpoint may have the request, and its answer is awaited. */
+	get isInProgress(): boolean {
+		return this.isSent && !this.#isEnded;
+	}
+
 	start(options: Dispatcher.DispatchOptions): void {
 		this.#connection.dispatch(options, this);
 		this.#idleWatch.restart(this.#options.firstByteMs);
@@ -165,7 +176,12 @@
 		controller: Dispatcher.DispatchController,
 		status: number,
 	): void {
-		if (this.#isEnded || status < statusOk) {
+		if (this.#isEnded) {
+			return;
+		}
+
+		this.#reads++;
+		if (status < statusOk) {
 			return;
 		}
 
@@ -212,6 +228,7 @@
 			return;
 		}
 
+		this.#reads++;
 		this.#options.upstream.recordDataReceived(monotonicNow());
 		switch (this.#mode) {
 			case 'events': {
--- a/src/services/gateway/next-step.ts
+++ b/src/services/gateway/next-step.ts
@@ -18,7 +18,7 @@
 	| {readonly type: 'broken'; readonly reason: string}
 	/** The request may have run, and the endpoint has been silent for longer than a sound one. */
 	| {readonly type: 'silent'; readonly reason: string}
-	/** The request may be running at an endpoint that is slow, and another one gets it; its retry has been taken. */
+	/** The request may be running at an endpoint that is slow, and another one gets it, where capacity is reserved; its retry has been taken. */
 	| {readonly type: 'moved'; readonly reason: string}
 	/** The request may have run, and the incarnation of the endpoint has ended. */
 	| {readonly type: 'gone'; readonly reason: string}
@@ -154,7 +154,7 @@
 	}
 }
 
-/** Whether a request whose endpoint is slow may be sent to another one; its current send counts among the sends. Otherwise it goes on waiting, as its endpoint may be sound. `takeRetry` is called last. */
+/** Whether a request whose endpoint is slow may be sent to another one that has reserved capacity for it; its current send counts among the sends. Otherwise it goes on waiting, as its endpoint may be sound. `takeRetry` is called last. */
 export function mayMove(
 	state: RequestState,
 	takeRetry: () => boolean,
--- a/src/services/gateway/retry-allowance.test.ts
+++ b/src/services/gateway/retry-allowance.test.ts
@@ -35,6 +35,14 @@
 	expect(retries.length > 0).toEqual(true);
 });
 
+// Guards against a retry that is lost when a request asks for one and then does not need it.
+test('asking whether a retry is left takes none', () => {
+	const allowance = new RetryAllowance({...bounds, ratio: 0, slack: 2});
+	expect([1, 2].map(() => allowance.has('s', 0, 1))).toEqual([true, true]);
+	expect(allowance.take('s', 0, 1)).toEqual(true);
+	expect(allowance.has('s', 0, 1)).toEqual(false);
+});
+
 // Guards against one service that uses up the retries of another.
 test('each service has its own retry budget', () => {
 	const allowance = new RetryAllowance(bounds);
--- a/src/services/gateway/retry-allowance.ts
+++ b/src/services/gateway/retry-allowance.ts
@@ -35,14 +35,19 @@
 		this.#bucket(service, now).requests++;
 	}
 
+	/** Whether the window has a retry left, for a request that may not need it. */
+	has(service: string, now: number, gateways: number): boolean {
+		this.#bucket(service, now);
+		return this.#remaining(service, gateways) >= 1;
+	}
+
 	/** Takes one retry from the budget; returns false when the window has none left. */
 	take(service: string, now: number, gateways: number): boolean {
-		const bucket = this.#bucket(service, now);
-		if (this.#remaining(service, gateways) < 1) {
+		if (!this.has(service, now, gateways)) {
 			return false;
 		}
 
-		bucket.retries++;
+		this.#bucket(service, now).retries++;
 		return true;
 	}
 
