--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -56,6 +56,8 @@
 	#sends = 0;
 	#failedConnections = 0;
 	#mayHaveRun = false;
+	/** An endpoint has ended a send without a whole answer, or has itself ended. */
+	#wasBrokenOff = false;
 	/** Engine that holds a replica of the run's KV cache; undefined when there is none or it has been used. */
 	#backup: Upstream | undefined;
 	#failedAnswer: BufferedAnswer | undefined;
@@ -139,8 +141,12 @@
 		this.#output.cut();
 	}
 
-	/** Cancels a send that an endpoint has not begun to answer when the request turns out to crash endpoints. */
+	/** Cancels a send that an endpoint has not begun to answer when the request turns out to crash endpoints. One that has left a slow endpoint after a part of its answer is not cut: it has crashed none. */
 	withdrawSuspect(): void {
+		if (this.#output.hasSentHeaders && !this.#wasBrokenOff) {
+			return;
+		}
+
 		const verdict = this.#context.crashSuspects.check(
 			this.#placement.fingerprints,
 			monotonicNow(),
@@ -376,6 +382,7 @@
 		}
 
 		this.#mayHaveRun ||= send.isSent && end.type !== 'rejected';
+		this.#wasBrokenOff ||= end.type === 'broken' || end.type === 'gone';
 		const wasOnTrial = upstream.health.isOnTrial;
 		upstream.ended(end, startedAt, now);
 		if (wasOnTrial && !upstream.health.isOnTrial) {
