Do not take a closed listener for the end of an endpoint (LOST)

What callers saw: a stream was ended after 0.4 s without data, and the request's prompt parts were held against it, when its server had closed its listener and went on with its open connections.

Cause: two refused probes counted as the end of the incarnation. A refused connection proves that nothing listens, not that the process on the open connection is dead: one that has ended has closed or reset its connections, and where its machine or path is cut nothing is refused.

Change: judgeLiveness() knows whether the silent connection is open or was closed. A refusal after a closed one is the end at once, as before, and so is a newer incarnation. With an open one it counts as silence, up to 2.5 s, and the end of the send is 'silent'. Checks for the two states run separately. A refusal proves a crash under a request only if the endpoint closed the connection of that request; one that the gateway left proves nothing.

--- a/src/daemons/gateway/crash-reports.ts
+++ b/src/daemons/gateway/crash-reports.ts
@@ -1,5 +1,6 @@
 import type {PromptPart} from '../../interfaces/index.js';
 import type {
+	ConnectionState,
 	CrashSuspects,
 	EndpointSet,
 	Upstream,
@@ -31,6 +32,8 @@
 	readonly at: number;
 	/** It ended because its engine had been judged to be gone. */
 	readonly isEngineGone: boolean;
+	/** Whether its endpoint or this gateway closed the connection. */
+	readonly connection: ConnectionState;
 };
 
 /** Bounds of the prompt parts in a log line: callers choose their number and length. */
@@ -50,12 +53,13 @@
 	/** Handles a request whose endpoint closed the connection or went silent before it had begun to answer; never rejects. */
 	async recordUnanswered(
 		upstream: Upstream,
-		{requestId, fingerprints, parts, at, isEngineGone}: UnansweredRequest,
+		request: UnansweredRequest,
 	): Promise<void> {
 		const {crashSuspects, notices, log, metrics} = this.#options;
+		const {requestId, fingerprints, parts, at, isEngineGone} = request;
 		if (
 			upstream.isLeaving ||
-			!(isEngineGone || (await this.#hasCrashed(upstream, at)))
+			!(isEngineGone || (await this.#hasCrashed(upstream, request)))
 		) {
 			return;
 		}
@@ -90,8 +94,11 @@
 		this.#options.notices.sendCrashesSoon();
 	}
 
-	/** Resolves to whether the incarnation of an endpoint that ended a connection at `at` has ended. */
-	async #hasCrashed(upstream: Upstream, at: number): Promise<boolean> {
+	/** Resolves to whether the incarnation of an endpoint has ended. That it refuses connections proves this only if it closed the one of the request as well. */
+	async #hasCrashed(
+		upstream: Upstream,
+		{at, connection}: UnansweredRequest,
+	): Promise<boolean> {
 		const {endpoints, livenessChecks} = this.#options;
 		if (!endpoints.has(upstream)) {
 			// A server may leave without notice: its entry is removed, and it exits later.
@@ -99,11 +106,15 @@
 		}
 
 		if (!upstream.kvCacheUsage) {
-			return this.#refusesConnections(upstream);
+			return connection === 'closed' && this.#refusesConnections(upstream);
 		}
 
-		const liveness = await livenessChecks.check(upstream, at);
-		return liveness.type === 'gone' && liveness.cause !== 'silent';
+		const liveness = await livenessChecks.check(upstream, at, connection);
+		return (
+			liveness.type === 'gone' &&
+			(liveness.cause === 'newer incarnation' ||
+				(liveness.cause === 'refused' && connection === 'closed'))
+		);
 	}
 
 	async #refusesConnections(upstream: Upstream): Promise<boolean> {
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -240,7 +240,7 @@
 			isOnce: route.retryMode === 'once',
 			position: this.#position,
 			checkLiveness: async (silentSince) =>
-				livenessChecks.check(upstream, silentSince),
+				livenessChecks.check(upstream, silentSince, 'open'),
 			readSockets: async () => loopLag.readSockets(),
 			tryMove: async (reason, isIdle) => this.#tryMove(reason, isIdle),
 			onHead(status, answerHead, isOwn) {
@@ -438,6 +438,7 @@
 						parts,
 						at: now,
 						isEngineGone: end.type === 'gone',
+						connection: end.type === 'broken' ? 'closed' : 'open',
 					});
 				}
 
--- a/src/daemons/gateway/liveness-checks.ts
+++ b/src/daemons/gateway/liveness-checks.ts
@@ -3,6 +3,7 @@
 	judgeLiveness,
 	maxPauseMs,
 	type Alive,
+	type ConnectionState,
 	type Gone,
 	type Liveness,
 	type ProbeOutcome,
@@ -31,44 +32,61 @@
 	readonly result: Promise<Alive | Gone>;
 };
 
-/** Finds out whether silent engines are alive. One check at a time serves all requests at an engine. */
+/** Finds out whether silent engines are alive. One check at a time serves all requests at an engine whose connections are open, and one those whose connections were closed. */
 export class LivenessChecks {
 	readonly #options: LivenessChecksOptions;
-	readonly #checks = new Map<Upstream, Check>();
+	readonly #checks: Readonly<Record<ConnectionState, Map<Upstream, Check>>> = {
+		open: new Map(),
+		closed: new Map(),
+	};
 
 	constructor(options: LivenessChecksOptions) {
 		this.#options = options;
 	}
 
 	/** Resolves once it is known whether an engine that has sent nothing since `silentSince`, on the monotonic clock, is alive; never rejects. A check that began before then may have been answered by an engine that has ended since. */
-	async check(upstream: Upstream, silentSince: number): Promise<Alive | Gone> {
-		const earlier = this.#checks.get(upstream);
+	async check(
+		upstream: Upstream,
+		silentSince: number,
+		connection: ConnectionState,
+	): Promise<Alive | Gone> {
+		const checks = this.#checks[connection];
+		const earlier = checks.get(upstream);
 		if (earlier) {
 			const liveness = await earlier.result;
 			return earlier.startedAt >= silentSince || liveness.type === 'gone'
 				? liveness
-				: this.check(upstream, silentSince);
+				: this.check(upstream, silentSince, connection);
 		}
 
-		const result = this.#check(upstream, silentSince);
-		this.#checks.set(upstream, {startedAt: monotonicNow(), result});
+		const result = this.#check(upstream, silentSince, connection);
+		checks.set(upstream, {startedAt: monotonicNow(), result});
 		try {
 			return await result;
 		} finally {
-			this.#checks.delete(upstream);
+			checks.delete(upstream);
 		}
 	}
 
-	async #check(upstream: Upstream, silentSince: number): Promise<Alive | Gone> {
+	async #check(
+		upstream: Upstream,
+		silentSince: number,
+		connection: ConnectionState,
+	): Promise<Alive | Gone> {
 		const startedAt = monotonicNow();
-		const liveness = await this.#probe(upstream, silentSince);
+		const liveness = await this.#probe(upstream, silentSince, connection);
 		const now = monotonicNow();
 		const silentMs = Math.round(now - silentSince);
 		const {log} = this.#options;
 		const endpoint = upstream.id;
 		if (liveness.type === 'gone') {
 			const {cause} = liveness;
-			log.info('endpoint_gone', {endpoint, cause, silent_ms: silentMs});
+			log.info('endpoint_gone', {
+				endpoint,
+				cause,
+				silent_ms: silentMs,
+				connection,
+			});
 		} else if (now - startedAt > usualAnswerMs) {
 			log.info('endpoint_was_silent', {endpoint, silent_ms: silentMs});
 		}
@@ -77,7 +95,11 @@
 	}
 
 	/** Sends two probes at once, because the first packet of a connection may be lost, and repeats each one that fails. */
-	async #probe(upstream: Upstream, silentSince: number): Promise<Alive | Gone> {
+	async #probe(
+		upstream: Upstream,
+		silentSince: number,
+		connection: ConnectionState,
+	): Promise<Alive | Gone> {
 		const {probeContext, readSockets} = this.#options;
 		const startedAt = monotonicNow();
 		const outcomes: ProbeOutcome[] = [{type: 'silent'}, {type: 'silent'}];
@@ -95,11 +117,11 @@
 					const liveness: Liveness =
 						upstream.lastReceivedAt > startedAt
 							? {type: 'alive'}
-							: judgeLiveness(
-									outcomes,
-									upstream.listed.startedAt,
-									this.#silentMs(upstream, silentSince),
-								);
+							: judgeLiveness(outcomes, {
+									startedAt: upstream.listed.startedAt,
+									silentMs: this.#silentMs(upstream, silentSince),
+									connection,
+								});
 					if (liveness.type !== 'silent') {
 						abort.abort();
 						resolve(liveness);
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -137,7 +137,7 @@
 				}
 			},
 			onDidLoseEndpoint: (cause) => {
-				const type = cause === 'silent' ? 'silent' : 'gone';
+				const type = cause === 'newer incarnation' ? 'gone' : 'silent';
 				this.cancel({
 					type: this.isSent ? type : 'unsent',
 					reason: reasons[cause],
--- a/src/services/gateway/liveness.ts
+++ b/src/services/gateway/liveness.ts
@@ -10,7 +10,7 @@
 			readonly type: 'answered';
 			readonly report: EngineReport | undefined;
 	  }
-	/** Nothing listens at the address. */
+	/** Nothing listens at the address: the process has ended, or it has closed its listener and goes on with its connections. */
 	| {readonly type: 'refused'}
 	/** The connection was accepted and closed again, as those are that exceed an endpoint's limit. */
 	| {readonly type: 'closed'}
@@ -26,11 +26,22 @@
 /** Whether an incarnation of an endpoint is alive; `silent` as long as that is not known. */
 export type Liveness = Alive | Gone | {readonly type: 'silent'};
 
-/** Judges the incarnation of an endpoint that was started at a Unix time (undefined if unknown) by the latest outcomes of probes that began at the same time, as a packet of one may be lost. `silentMs` is the time since its last byte on any connection, while bytes were due. */
+/** What is known of the connection that is silent. The connections of a process that ends are closed; only one whose machine or path has failed leaves them open, and then nothing is refused either. */
+export type ConnectionState = 'open' | 'closed';
+
+/** What is known of an endpoint beside the outcomes of its probes. */
+export type SilentEndpoint = {
+	/** Unix time of the start of the incarnation in milliseconds, undefined if unknown. */
+	readonly startedAt: number | undefined;
+	/** Time since its last byte on any connection, while bytes were due, in milliseconds. */
+	readonly silentMs: number;
+	readonly connection: ConnectionState;
+};
+
+/** Judges an incarnation of an endpoint by the latest outcomes of probes that began at the same time, as a packet of one may be lost. */
 export function judgeLiveness(
 	outcomes: readonly ProbeOutcome[],
-	startedAt: number | undefined,
-	silentMs: number,
+	{startedAt, silentMs, connection}: SilentEndpoint,
 ): Liveness {
 	const starts = outcomes.flatMap((outcome) =>
 		outcome.type === 'answered' ? [outcome.report?.startedAt] : [],
@@ -42,12 +53,14 @@
 			: {type: 'gone', cause: 'newer incarnation'};
 	}
 
-	if (outcomes.every(({type}) => type === 'refused')) {
-		return {type: 'gone', cause: 'refused'};
+	const isRefused = outcomes.every(({type}) => type === 'refused');
+	const isOver = connection === 'closed' && isRefused;
+	if (silentMs < maxPauseMs && !isOver) {
+		return {type: 'silent'};
 	}
 
-	if (silentMs < maxPauseMs) {
-		return {type: 'silent'};
+	if (isRefused) {
+		return {type: 'gone', cause: 'refused'};
 	}
 
 	// Only a running process closes connections for so long.
--- a/src/services/gateway/next-step.ts
+++ b/src/services/gateway/next-step.ts
@@ -16,7 +16,7 @@
 	| {readonly type: 'delivered'}
 	/** The request may have run, and its answer is lost or unusable. */
 	| {readonly type: 'broken'; readonly reason: string}
-	/** The request may have run, and the endpoint has been silent for longer than a sound one. */
+	/** The request may have run, and the endpoint has been silent for longer than a sound one; it may refuse connections as well. */
 	| {readonly type: 'silent'; readonly reason: string}
 	/** The request may be running at an endpoint that is slow, and another one gets it, where capacity is reserved; its retry has been taken. */
 	| {readonly type: 'moved'; readonly reason: string}
