Keep no pool for an endpoint that has been removed

What operators saw: nothing yet; a gateway kept a connection pool, and for 8 s its idle connections, for each endpoint that was checked for life after its entry had been removed, until the process ended.

Cause: a liveness check asks for the pool of its endpoint with each probe, and poolFor() created it again after remove().

Change: a removed endpoint gets a pool that keeps no idle connections and is not kept itself. Its requests in progress are still checked.

Evidence: connection-pools.test.ts failed before with the getter 'size' added (one pool and one idle connection left, expected none), and passes.

--- a/src/daemons/gateway/connection-pools.ts
+++ b/src/daemons/gateway/connection-pools.ts
@@ -8,6 +8,8 @@
 /** Connection pools of this process, one for each incarnation of an endpoint. */
 export class ConnectionPools implements Disposable {
 	readonly #pools = new Map<Upstream, ConnectionPool>();
+	/** Endpoints that are no longer used, but may still be probed for the requests in progress there. */
+	readonly #removed = new WeakSet<Upstream>();
 	/** Number of running gateways, which share the connections of an endpoint. */
 	readonly #gateways: () => number;
 
@@ -15,11 +17,20 @@
 		this.#gateways = gateways;
 	}
 
-	/** Returns the pool of an endpoint and creates it on first use. */
+	/** Number of endpoints whose idle connections are kept. */
+	get size(): number {
+		return this.#pools.size;
+	}
+
+	/** Returns the pool of an endpoint and creates it on first use. For one that has been removed, the pool keeps no idle connections and is not kept itself. */
 	poolFor(upstream: Upstream): ConnectionPool {
+		const {maxConnections, listed} = upstream;
+		if (this.#removed.has(upstream)) {
+			return new ConnectionPool(listed.address, () => 0);
+		}
+
 		let pool = this.#pools.get(upstream);
 		if (!pool) {
-			const {maxConnections, listed} = upstream;
 			pool = new ConnectionPool(listed.address, () =>
 				maxIdleConnections(
 					{maxConnections, slots: listed.slots},
@@ -34,6 +45,7 @@
 
 	/** Removes the pool of an endpoint that is no longer used and closes its idle connections. */
 	remove(upstream: Upstream): void {
+		this.#removed.add(upstream);
 		this.#pools.get(upstream)?.dispose();
 		this.#pools.delete(upstream);
 	}
