Repeat the probe of an engine that closed a connection after 0.1 s

What callers saw: none yet; since checks for open and closed connections are separate, the crash of an engine that closes the connection of a request 40 ms before its listener became known after 0.44 s, and a request that was sent again by then was passed on to one more engine.

Cause: the check for the closed connection begins at once, both probes are broken off by the crash, and the next ones came 0.4 s later.

Change: these probes are repeated after 0.1 s. Checks of silent engines with open connections keep 0.4 s.

--- a/src/daemons/gateway/liveness-checks.ts
+++ b/src/daemons/gateway/liveness-checks.ts
@@ -13,8 +13,14 @@
 import {monotonicNow} from '../state-machine.js';
 import {probeEngine, type EngineProbeContext} from './engine-probe.js';
 
-/** Time after which a probe that failed is repeated, in milliseconds: an engine may close it because it has too many connections. */
-const repeatMs = 400;
+/** Time after which a probe that failed is repeated, in milliseconds: an engine with an open connection may close it because it has too many. One that has closed the connection of a request may be about to end: its crash must be known before the caller sends the request again. */
+const repeatMs: Readonly<Record<ConnectionState, number>> = {
+	open: 400,
+	closed: 100,
+};
+
+/** Minimum timeout of a probe, in milliseconds. */
+const minProbeMs = 400;
 
 /** Time within which a sound endpoint usually answers a probe, in milliseconds; a later answer is logged. */
 const usualAnswerMs = 400;
@@ -110,7 +116,7 @@
 					const silentMs = this.#silentMs(upstream, silentSince);
 					outcomes[index] = await probeEngine(upstream, probeContext, {
 						isNewConnection: true,
-						timeoutMs: Math.max(repeatMs, maxPauseMs - silentMs),
+						timeoutMs: Math.max(minProbeMs, maxPauseMs - silentMs),
 						signal: abort.signal,
 					});
 					await readSockets();
@@ -128,7 +134,7 @@
 						return;
 					}
 
-					await delay(repeatMs);
+					await delay(repeatMs[connection]);
 				}
 			};
 
