Do not eject an endpoint for one failed connection while it answers others

What callers saw: one lost first packet of a connection ejected a sound endpoint for 0.5 s and, when it came again within 20 s, for longer. Its load moved to the others, and a request that found no other was refused.

Cause: each failed connection attempt ejects, and TCP sends a lost first packet again only after a second, later than the connect timeout of 0.4 s.

Change: a failed attempt ejects only an endpoint that has sent nothing on any connection since the attempt began. Otherwise it counts in the failure rate. A refused connection is reported at once, so it ejects as before.

Evidence: the new test in upstream.test.ts failed before (ejected although it had answered within the time), and passes.

--- a/src/services/gateway/upstream.test.ts
+++ b/src/services/gateway/upstream.test.ts
@@ -5,8 +5,8 @@
 import {PeerLoads} from './peer-loads.js';
 import {Upstream} from './upstream.js';
 
-/** Whether an endpoint that has sent nothing since the start of a send at 1000 is ejected when the send ends. */
-function isEjected(end: SendEnd, silentMs: number): boolean {
+/** Whether an endpoint that has last sent data at `receivedAt` is ejected when a send that started at 1000 ends. */
+function isEjected(end: SendEnd, silentMs: number, receivedAt = 900): boolean {
 	const upstream = new Upstream(
 		{
 			id: 'e',
@@ -22,7 +22,7 @@
 		undefined,
 		new PeerLoads(),
 	);
-	upstream.recordDataReceived(900);
+	upstream.recordDataReceived(receivedAt);
 	upstream.ended(end, 1000, 1000 + silentMs);
 	return upstream.unavailableMs(1000 + silentMs) > 0;
 }
@@ -35,3 +35,11 @@
 	expect(isEjected({type: 'silent', reason: ''}, maxPauseMs)).toEqual(true);
 	expect(isEjected({type: 'gone', reason: ''}, 400)).toEqual(true);
 });
+
+// Guards against a sound endpoint that gets no requests for half a second and longer because the first packet of a connection was lost, and against requests to one that has ended.
+test('a failed connection ejects only an endpoint that has answered nothing meanwhile', () => {
+	const unsent: SendEnd = {type: 'unsent', reason: ''};
+	expect(isEjected(unsent, 400, 1300)).toEqual(false);
+	expect(isEjected(unsent, 400)).toEqual(true);
+	expect(isEjected(unsent, 0, 1000)).toEqual(true);
+});
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -189,7 +189,17 @@
 	/** Updates the endpoint's health by the end of a send. */
 	ended(end: SendEnd, startedAt: number, now: number): void {
 		switch (end.type) {
-			case 'unsent':
+			case 'unsent': {
+				// A lost first packet fails a connection to a sound endpoint.
+				if (this.#lastReceivedAt > startedAt) {
+					this.health.failed(now);
+				} else {
+					this.health.block(now);
+				}
+
+				break;
+			}
+
 			case 'silent':
 			case 'gone': {
 				this.health.block(now);
