--- a/src/daemons/gateway/connection-pool.ts
+++ b/src/daemons/gateway/connection-pool.ts
@@ -13,6 +13,8 @@
 /** Maximum idle time of a connection that is reused for a request that must not be sent twice, in milliseconds. */
 const maxIdleNonIdempotentMs = 1000;
 
+type OnDidOpen = (...args: [null, net.Socket] | [Error, null]) => void;
+
 /** HTTP/1.1 connection to an endpoint, with one request at a time. */
 export class Connection implements Disposable {
 	/** The endpoint reset the connection: a response that is delimited by its close is incomplete. */
@@ -23,19 +25,22 @@
 	/** Time on the monotonic clock at which the connection was last released, in milliseconds. */
 	idleSince = 0;
 	readonly #client: Client;
+	readonly #address: {readonly host: string; readonly port: number};
+	/** Socket that was opened before the first request. */
+	#opened: net.Socket | undefined;
 
 	constructor(
 		address: string,
 		onDidDisconnect: (connection: Connection) => void,
 	) {
-		const {host, port} = splitAddress(address);
+		this.#address = splitAddress(address);
 		this.#client = new Client(`http://${address}`, {
 			pipelining: 1,
 			headersTimeout: 0,
 			bodyTimeout: 0,
 			keepAliveTimeout: maxIdleMs,
 			connect: (_options, callback) => {
-				this.#connect(host, port, callback);
+				this.#connect(callback);
 			},
 		});
 		this.#client.on('disconnect', () => {
@@ -52,16 +57,42 @@
 	}
 
 	dispose(): void {
+		this.#opened?.destroy();
 		this.#client.destroy(null, () => undefined);
 	}
 
+	/** Opens the socket before there is a request, for a caller that must know whether the endpoint accepts a connection; rejects when it does not. */
+	async connect(): Promise<void> {
+		if (this.isConnected) {
+			return;
+		}
+
+		const socket = await new Promise<net.Socket>((resolve, reject) => {
+			this.#open((error, opened) => {
+				if (error) {
+					reject(error);
+				} else {
+					resolve(opened);
+				}
+			});
+		});
+		this.#opened = socket;
+	}
+
+	/** Hands a socket to undici: the one that has been opened before, if it still is. */
+	#connect(callback: OnDidOpen): void {
+		const opened = this.#opened;
+		this.#opened = undefined;
+		if (opened && !opened.destroyed) {
+			callback(null, opened);
+		} else {
+			this.#open(callback);
+		}
+	}
+
 	/** Opens the socket here to detect a reset, which undici treats as the end of a response without a length. */
-	#connect(
-		host: string,
-		port: number,
-		callback: (...args: [null, net.Socket] | [Error, null]) => void,
-	): void {
-		const socket = net.connect({host, port, noDelay: true});
+	#open(callback: OnDidOpen): void {
+		const socket = net.connect({...this.#address, noDelay: true});
 		const timer = setTimeout(() => {
 			socket.destroy(
 				new Error(`connection not established within ${connectTimeoutMs} ms`),
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -2,7 +2,6 @@
 import {
 	backupFor,
 	expiresAt,
-	mayMove,
 	nextStep,
 	sendTimeouts,
 	stoppingRefusal,
@@ -16,6 +15,7 @@
 import type {CallerRequest, ExchangeContext} from './exchange-context.js';
 import {sendLocalReply} from './local-reply.js';
 import {loggedParts} from './crash-reports.js';
+import {RequestMove} from './request-move.js';
 import {
 	RequestPlacement,
 	withheldReason,
@@ -50,6 +50,7 @@
 	readonly #expiresAt: number;
 	readonly #position: StreamPosition;
 	readonly #placement: RequestPlacement;
+	readonly #move: RequestMove;
 	#send: Send | undefined;
 	/** Place for which the request has left its slow endpoint. */
 	#nextPlace: PlacedRequest | undefined;
@@ -86,6 +87,15 @@
 			isAbandoned: this.#isAbandoned,
 			expiresAt: this.#expiresAt,
 		}));
+		this.#move = new RequestMove({
+			context,
+			requestId: request.head.requestId,
+			isOnce: request.route.retryMode === 'once',
+			placement: this.#placement,
+			state: () => this.#requestState(),
+			hasRetry: () => this.#hasRetry(),
+			takeRetry: () => this.#takeRetry(),
+		});
 	}
 
 	/** Handles the request until the response has ended; never rejects. */
@@ -216,8 +226,14 @@
 	}
 
 	async #sendTo(placement: PlacedRequest): Promise<SendEnd> {
-		const {upstream, expectedMs, donor, activeRequest, resumeUpstream} =
-			placement;
+		const {
+			upstream,
+			expectedMs,
+			donor,
+			activeRequest,
+			resumeUpstream,
+			connection,
+		} = placement;
 		const {
 			format,
 			connections,
@@ -234,6 +250,7 @@
 			format,
 			upstream,
 			connections: connections.poolFor(upstream),
+			connection,
 			output: this.#output,
 			requestId: head.requestId,
 			isStream: route.isStream,
@@ -242,7 +259,11 @@
 			checkLiveness: async (silentSince) =>
 				livenessChecks.check(upstream, silentSince, 'open'),
 			readSockets: async () => loopLag.readSockets(),
-			tryMove: async (reason, isIdle) => this.#tryMove(reason, isIdle),
+			tryMove: async (reason, isIdle) =>
+				this.#move.try(isIdle, (place) => {
+					this.#nextPlace = place;
+					send.cancel({type: 'moved', reason});
+				}),
 			onHead(status, answerHead, isOwn) {
 				signals.applyHead(upstream, status, answerHead, isOwn);
 			},
@@ -292,35 +313,22 @@
 		return end;
 	}
 
-	/** Moves the request from its slow endpoint to another one, but only once that one has granted a place: until then the first endpoint may go on. The retry is taken last, so that a request that stays takes none. */
-	async #tryMove(reason: string, isIdle: () => boolean): Promise<void> {
-		if (!mayMove(this.#requestState(), () => this.#hasRetry())) {
-			return;
-		}
-
-		const place = await this.#placement.reserveElsewhere();
-		if (!place) {
-			return;
-		}
-
-		// Nothing is awaited from here on, so that the request holds the place or stays.
-		this.#nextPlace =
-			isIdle() && mayMove(this.#requestState(), () => this.#takeRetry())
-				? this.#placement.registerPlacement(place)
-				: undefined;
-		if (this.#nextPlace) {
-			this.#send!.cancel({type: 'moved', reason});
-		} else {
-			this.#log('place_unused', {endpoint: place.upstream.id});
-		}
-	}
-
 	#takeNextPlace(): PlacedRequest | undefined {
 		const place = this.#nextPlace;
 		this.#nextPlace = undefined;
 		return place;
 	}
 
+	/** Gives up the place of a request that has left its endpoint and ends before it is sent again. */
+	#releaseNextPlace(): void {
+		const place = this.#takeNextPlace();
+		if (place) {
+			const {upstream, activeRequest, connection} = place;
+			upstream.end(activeRequest);
+			this.#context.connections.poolFor(upstream).discard(connection!);
+		}
+	}
+
 	#hasRetry(): boolean {
 		const {retryAllowance, gateways} = this.#context;
 		const {name} = this.#request.service;
@@ -501,8 +509,7 @@
 	}
 
 	#finish(step: Exclude<NextStep, {type: 'send' | 'resume'}>): void {
-		const place = this.#takeNextPlace();
-		place?.upstream.end(place.activeRequest);
+		this.#releaseNextPlace();
 		let outcome: string = step.type;
 		switch (step.type) {
 			case 'deliver': {
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -16,6 +16,7 @@
 } from '../../services/gateway/index.js';
 import {monotonicNow} from '../state-machine.js';
 import type {CallerRequest, ExchangeContext} from './exchange-context.js';
+import type {Connection} from './connection-pool.js';
 import type {PeerAddress} from './peer-exchange.js';
 
 /** Fraction of its latency objective after which a request that could not be placed is refused. */
@@ -48,6 +49,8 @@
 	readonly activeRequest: ActiveRequest;
 	/** Engine that resumes the run from its replica of the KV cache; absent when the request runs from the start. */
 	readonly resumeUpstream?: Upstream;
+	/** Connection that was opened for the request; absent when its send acquires one. */
+	readonly connection?: Connection;
 };
 
 /** State of a request that its placement depends on. */
@@ -189,30 +192,32 @@
 		});
 	}
 
-	/** Reserves capacity at an endpoint that has not been tried, for a request that is in progress at a slow one; resolves to undefined when there is none now. Capacity that is not used is free again with the next reports, and the estimate of the prefill backlog as time passes. */
-	async reserveElsewhere(): Promise<PlaceAssignment | undefined> {
-		const {peers, loopLag} = this.#context;
+	/** Chooses an endpoint that has not been tried, for a request in progress at a slow one; undefined when none has capacity now. */
+	choose(): PlaceAssignment | undefined {
 		const now = monotonicNow();
 		const assignment =
 			this.#isTooLate || !this.#mayBeSent(now) ? undefined : this.#place(now);
-		if (assignment?.type !== 'send') {
-			return undefined;
-		}
+		return assignment?.type === 'send' ? assignment : undefined;
+	}
 
-		const {upstream, uncachedTokens} = assignment;
+	/** Resolves to whether capacity has been reserved at a chosen endpoint, by this gateway or by the one that owns it. */
+	async reserve({upstream, uncachedTokens}: PlaceAssignment): Promise<boolean> {
+		const {peers} = this.#context;
 		const need = this.#reservationNeed(uncachedTokens);
 		const owner = peers.owner(upstream, uncachedTokens);
-		const isReserved = owner
-			? await this.#requestCapacity(owner, upstream, need)
+		return owner
+			? this.#requestCapacity(owner, upstream, need)
 			: peers.reserve(upstream, need);
-		// The slow endpoint may have answered in the meantime.
-		await loopLag.readSockets();
-		return isReserved &&
+	}
+
+	/** Whether capacity that was reserved earlier may still be used. */
+	mayUse({upstream}: PlaceAssignment): boolean {
+		const now = monotonicNow();
+		return (
 			!this.#isTooLate &&
-			this.#mayBeSent(monotonicNow()) &&
-			this.#context.endpoints.canTakeRequests(upstream, monotonicNow())
-			? assignment
-			: undefined;
+			this.#mayBeSent(now) &&
+			this.#context.endpoints.canTakeRequests(upstream, now)
+		);
 	}
 
 	/** Whether no suspected fingerprint of the request forbids to send it now. */
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -67,6 +67,8 @@
 	readonly format: HttpFormat;
 	readonly upstream: Upstream;
 	readonly connections: ConnectionPool;
+	/** Connection of that pool that was opened for this send; undefined to acquire one. */
+	readonly connection: Connection | undefined;
 	readonly output: CallerOutput;
 	readonly requestId: string;
 	readonly isStream: boolean;
@@ -144,7 +146,8 @@
 				});
 			},
 		});
-		this.#connection = options.connections.acquire(options.isOnce);
+		this.#connection =
+			options.connection ?? options.connections.acquire(options.isOnce);
 		this.ended = new Promise((resolve) => {
 			this.#resolveEnded = resolve;
 		});
