--- a/src/daemons/gateway/connection-pool.ts
+++ b/src/daemons/gateway/connection-pool.ts
@@ -27,13 +27,16 @@
 	idleSince = 0;
 	readonly #client: Client;
 	readonly #loopLag: LoopLag;
+	readonly #address: {readonly host: string; readonly port: number};
+	/** Socket that was opened before the first request. */
+	#opened: net.Socket | undefined;
 
 	constructor(
 		address: string,
 		loopLag: LoopLag,
 		onDidDisconnect: (connection: Connection) => void,
 	) {
-		const {host, port} = splitAddress(address);
+		this.#address = splitAddress(address);
 		this.#loopLag = loopLag;
 		this.#client = new Client(`http://${address}`, {
 			pipelining: 1,
@@ -41,7 +44,7 @@
 			bodyTimeout: 0,
 			keepAliveTimeout: maxIdleMs,
 			connect: (_options, callback) => {
-				this.#connect(host, port, callback);
+				this.#connect(callback);
 			},
 		});
 		this.#client.on('disconnect', () => {
@@ -58,12 +61,42 @@
 	}
 
 	dispose(): void {
+		this.#opened?.destroy();
 		this.#client.destroy(null, () => undefined);
 	}
 
+	/** Opens the socket before there is a request, for a caller that must know whether the endpoint accepts a connection; rejects when it does not. */
+	async connect(): Promise<void> {
+		if (this.isConnected) {
+			return;
+		}
+
+		const socket = await new Promise<net.Socket>((resolve, reject) => {
+			this.#open((error, opened) => {
+				if (error) {
+					reject(error);
+				} else {
+					resolve(opened);
+				}
+			});
+		});
+		this.#opened = socket;
+	}
+
+	/** Hands a socket to undici: the one that has been opened before, if it still is. */
+	#connect(callback: ConnectCallback): void {
+		const opened = this.#opened;
+		this.#opened = undefined;
+		if (opened && !opened.destroyed) {
+			callback(null, opened);
+		} else {
+			this.#open(callback);
+		}
+	}
+
 	/** Opens the socket here to detect a reset, which undici treats as the end of a response without a length. */
-	#connect(host: string, port: number, callback: ConnectCallback): void {
-		const socket = net.connect({host, port, noDelay: true});
+	#open(callback: ConnectCallback): void {
+		const socket = net.connect({...this.#address, noDelay: true});
 		const timer = setTimeout(() => {
 			void this.#timeOut(socket);
 		}, connectTimeoutMs);
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -2,7 +2,6 @@
 import {
 	backupFor,
 	expiresAt,
-	mayMove,
 	nextStep,
 	sendTimeouts,
 	stoppingRefusal,
@@ -16,6 +15,7 @@
 import type {CallerRequest, ExchangeContext} from './exchange-context.js';
 import {sendLocalReply} from './local-reply.js';
 import {loggedParts} from './crash-reports.js';
+import {RequestMove} from './request-move.js';
 import {
 	RequestPlacement,
 	withheldReason,
@@ -50,10 +50,15 @@
 	readonly #expiresAt: number;
 	readonly #position: StreamPosition;
 	readonly #placement: RequestPlacement;
+	readonly #move: RequestMove;
 	#send: Send | undefined;
+	/** Place for which the request has left its slow endpoint. */
+	#nextPlace: PlacedRequest | undefined;
 	#sends = 0;
 	#failedConnections = 0;
 	#mayHaveRun = false;
+	/** An endpoint has ended a send without a whole answer, or has itself ended. */
+	#wasBrokenOff = false;
 	/** Engine that holds a replica of the run's KV cache; undefined when there is none or it has been used. */
 	#backup: Upstream | undefined;
 	#failedAnswer: BufferedAnswer | undefined;
@@ -76,12 +81,21 @@
 			request.receivedAt,
 		);
 		this.#placement = new RequestPlacement(context, request, () => ({
-			sends: this.#sends,
-			mayHaveRun: this.#mayHaveRun,
+			sends: this.#sentCount,
+			mayHaveRun: this.#mayHaveRun || this.#isInProgress,
 			hasAnswer: output.hasSentHeaders,
 			isAbandoned: this.#isAbandoned,
 			expiresAt: this.#expiresAt,
 		}));
+		this.#move = new RequestMove({
+			context,
+			requestId: request.head.requestId,
+			isOnce: request.route.retryMode === 'once',
+			placement: this.#placement,
+			state: () => this.#requestState(),
+			hasRetry: () => this.#hasRetry(),
+			takeRetry: () => this.#takeRetry(),
+		});
 	}
 
 	/** Handles the request until the response has ended; never rejects. */
@@ -137,8 +151,12 @@
 		this.#output.cut();
 	}
 
-	/** Cancels a send that an endpoint has not begun to answer when the request turns out to crash endpoints. */
+	/** Cancels a send that an endpoint has not begun to answer when the request turns out to crash endpoints. One that has left a slow endpoint after a part of its answer is not cut: it has crashed none. */
 	withdrawSuspect(): void {
+		if (this.#output.hasSentHeaders && !this.#wasBrokenOff) {
+			return;
+		}
+
 		const verdict = this.#context.crashSuspects.check(
 			this.#placement.fingerprints,
 			monotonicNow(),
@@ -158,7 +176,7 @@
 			return nextStep({type: 'expired'}, this.#requestState(), () => false);
 		}
 
-		const placement = await this.#placement.wait();
+		const placement = this.#takeNextPlace() ?? (await this.#placement.wait());
 		switch (placement.type) {
 			case 'refuse': {
 				const {reason, retryAfterMs} = placement;
@@ -208,8 +226,14 @@
 	}
 
 	async #sendTo(placement: PlacedRequest): Promise<SendEnd> {
-		const {upstream, expectedMs, donor, activeRequest, resumeUpstream} =
-			placement;
+		const {
+			upstream,
+			expectedMs,
+			donor,
+			activeRequest,
+			resumeUpstream,
+			connection,
+		} = placement;
 		const {
 			format,
 			connections,
@@ -226,15 +250,20 @@
 			format,
 			upstream,
 			connections: connections.poolFor(upstream),
+			connection,
 			output: this.#output,
 			requestId: head.requestId,
 			isStream: route.isStream,
 			isOnce: route.retryMode === 'once',
 			position: this.#position,
 			checkLiveness: async (silentSince) =>
-				livenessChecks.check(upstream, silentSince),
+				livenessChecks.check(upstream, silentSince, 'open'),
 			readSockets: async () => loopLag.readSockets(),
-			tryMove: () => this.#tryMove(),
+			tryMove: async (reason, isIdle) =>
+				this.#move.try(isIdle, (place) => {
+					this.#nextPlace = place;
+					send.cancel({type: 'moved', reason});
+				}),
 			onHead(status, answerHead, isOwn) {
 				signals.applyHead(upstream, status, answerHead, isOwn);
 			},
@@ -284,22 +313,32 @@
 		return end;
 	}
 
-	/** Takes a retry when the request may leave its slow endpoint for another one that has capacity. */
-	#tryMove(): boolean {
-		const state = {...this.#requestState(), sends: this.#sends + 1};
-		return mayMove(
-			state,
-			() => this.#placement.hasUntriedPlace() && this.#takeRetry(),
-		);
+	#takeNextPlace(): PlacedRequest | undefined {
+		const place = this.#nextPlace;
+		this.#nextPlace = undefined;
+		return place;
+	}
+
+	/** Gives up the place of a request that has left its endpoint and ends before it is sent again. */
+	#releaseNextPlace(): void {
+		const place = this.#takeNextPlace();
+		if (place) {
+			const {upstream, activeRequest, connection} = place;
+			upstream.end(activeRequest);
+			this.#context.connections.poolFor(upstream).discard(connection!);
+		}
+	}
+
+	#hasRetry(): boolean {
+		const {retryAllowance, gateways} = this.#context;
+		const {name} = this.#request.service;
+		return retryAllowance.has(name, monotonicNow(), gateways());
 	}
 
 	#takeRetry(): boolean {
 		const {retryAllowance, gateways} = this.#context;
-		return retryAllowance.take(
-			this.#request.service.name,
-			monotonicNow(),
-			gateways(),
-		);
+		const {name} = this.#request.service;
+		return retryAllowance.take(name, monotonicNow(), gateways());
 	}
 
 	/** Chooses an engine for a replica of the run's KV cache: only for a stream that runs at most once, as any other request can be retried when its engine fails, and only while failures are likely. */
@@ -351,6 +390,7 @@
 		}
 
 		this.#mayHaveRun ||= send.isSent && end.type !== 'rejected';
+		this.#wasBrokenOff ||= end.type === 'broken' || end.type === 'gone';
 		const wasOnTrial = upstream.health.isOnTrial;
 		upstream.ended(end, startedAt, now);
 		if (wasOnTrial && !upstream.health.isOnTrial) {
@@ -406,6 +446,7 @@
 						parts,
 						at: now,
 						isEngineGone: end.type === 'gone',
+						connection: end.type === 'broken' ? 'closed' : 'open',
 					});
 				}
 
@@ -468,6 +509,7 @@
 	}
 
 	#finish(step: Exclude<NextStep, {type: 'send' | 'resume'}>): void {
+		this.#releaseNextPlace();
 		let outcome: string = step.type;
 		switch (step.type) {
 			case 'deliver': {
@@ -559,7 +601,7 @@
 		const {route} = this.#request;
 		return {
 			retryMode: route.retryMode,
-			sends: this.#sends,
+			sends: this.#sentCount,
 			maxSends: route.maxSends,
 			failedConnections: this.#failedConnections,
 			mayHaveRun: this.#mayHaveRun,
@@ -573,6 +615,15 @@
 		};
 	}
 
+	get #isInProgress(): boolean {
+		return this.#send?.isInProgress === true;
+	}
+
+	/** Sends that may have reached an endpoint, with the one in progress. */
+	get #sentCount(): number {
+		return this.#sends + Number(this.#isInProgress);
+	}
+
 	/** Time at which the request expires, or gets its final answer because the gateway stops. */
 	get #endsAt(): number {
 		const {answersEndAt = Number.POSITIVE_INFINITY} =
--- a/src/daemons/gateway/liveness-checks.test.ts
+++ b/src/daemons/gateway/liveness-checks.test.ts
@@ -41,7 +41,7 @@
 		undefined,
 		new PeerLoads(),
 	);
-	const liveness = await checks.check(upstream, monotonicNow());
+	const liveness = await checks.check(upstream, monotonicNow(), 'closed');
 	return {liveness, pauses};
 }
 
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -16,6 +16,7 @@
 } from '../../services/gateway/index.js';
 import {monotonicNow} from '../state-machine.js';
 import type {CallerRequest, ExchangeContext} from './exchange-context.js';
+import type {Connection} from './connection-pool.js';
 import type {PeerAddress} from './peer-exchange.js';
 
 /** Fraction of its latency objective after which a request that could not be placed is refused. */
@@ -36,6 +37,9 @@
 
 type Refusal = Extract<Assignment, {type: 'refuse'}>;
 
+/** Endpoint chosen for a request that is not registered there yet. */
+export type PlaceAssignment = Extract<Assignment, {type: 'send'}>;
+
 /** Endpoint chosen for a request, with the request as registered there. */
 export type PlacedRequest = {
 	readonly type: 'send';
@@ -45,6 +49,8 @@
 	readonly activeRequest: ActiveRequest;
 	/** Engine that resumes the run from its replica of the KV cache; absent when the request runs from the start. */
 	readonly resumeUpstream?: Upstream;
+	/** Connection that was opened for the request; absent when its send acquires one. */
+	readonly connection?: Connection;
 };
 
 /** State of a request that its placement depends on. */
@@ -151,7 +157,7 @@
 								return false;
 							}
 
-							const placement = this.#registerPlacement(assignment);
+							const placement = this.registerPlacement(assignment);
 							if (placement) {
 								resolve(placement);
 							}
@@ -186,25 +192,49 @@
 		});
 	}
 
-	/** Whether an endpoint that has not been tried would get the request now; the gateway that owns it may still deny capacity. */
-	hasUntriedPlace(): boolean {
+	/** Chooses an endpoint that has not been tried, for a request in progress at a slow one; undefined when none has capacity now. */
+	choose(): PlaceAssignment | undefined {
+		const now = monotonicNow();
+		const assignment =
+			this.#isTooLate || !this.#mayBeSent(now) ? undefined : this.#place(now);
+		return assignment?.type === 'send' ? assignment : undefined;
+	}
+
+	/** Resolves to whether capacity has been reserved at a chosen endpoint, by this gateway or by the one that owns it. */
+	async reserve({upstream, uncachedTokens}: PlaceAssignment): Promise<boolean> {
+		const {peers} = this.#context;
+		const need = this.#reservationNeed(uncachedTokens);
+		const owner = peers.owner(upstream, uncachedTokens);
+		return owner
+			? this.#requestCapacity(owner, upstream, need)
+			: peers.reserve(upstream, need);
+	}
+
+	/** Whether capacity that was reserved earlier may still be used. */
+	mayUse({upstream}: PlaceAssignment): boolean {
 		const now = monotonicNow();
-		const verdict = this.#context.crashSuspects.check(this.fingerprints, now);
 		return (
-			(verdict.type === 'clear' || verdict.type === 'probe') &&
-			this.#place(now).type === 'send'
+			!this.#isTooLate &&
+			this.#mayBeSent(now) &&
+			this.#context.endpoints.canTakeRequests(upstream, now)
 		);
 	}
 
+	/** Whether no suspected fingerprint of the request forbids to send it now. */
+	#mayBeSent(now: number): boolean {
+		const {type} = this.#context.crashSuspects.check(this.fingerprints, now);
+		return type === 'clear' || type === 'probe';
+	}
+
 	/** Requests a reservation from the gateway that owns the engine. Places the request if capacity was reserved and the request is still wanted. */
 	async #requestReservation(
 		owner: PeerAddress,
-		assignment: Extract<Assignment, {type: 'send'}>,
+		assignment: PlaceAssignment,
 	): Promise<PlacedRequest | undefined> {
 		const {upstream, uncachedTokens} = assignment;
 		const need = this.#reservationNeed(uncachedTokens);
 		return (await this.#requestCapacity(owner, upstream, need))
-			? this.#registerPlacement(assignment)
+			? this.registerPlacement(assignment)
 			: undefined;
 	}
 
@@ -239,10 +269,8 @@
 		};
 	}
 
-	/** Returns undefined when the request must not be sent any more: another one has begun to probe its fingerprints, or crashed an endpoint, since it was placed. */
-	#registerPlacement(
-		assignment: Extract<Assignment, {type: 'send'}>,
-	): PlacedRequest | undefined {
+	/** Registers a request at the endpoint where capacity has been reserved for it. Returns undefined when the request must not be sent any more: another one has begun to probe its fingerprints, or crashed an endpoint, since it was placed. */
+	registerPlacement(assignment: PlaceAssignment): PlacedRequest | undefined {
 		const {upstream, expectedMs, uncachedTokens, donor, home} = assignment;
 		const {head} = this.#request;
 		const now = monotonicNow();
