Send on a connection that was opened for a moved request

A stream from an endpoint that sends single bytes in place of events could stay there: each byte cancelled the move.

Cause: undici sends nothing when its connect function returns a socket within the call. And any byte counted as data, while only events and pieces of a plain answer restart the idle watch.

Change: the socket is handed over in a microtask. The head of an answer, and whatever restarts the idle watch, cancel a move; other bytes do not.

--- a/src/daemons/gateway/connection-pool.ts
+++ b/src/daemons/gateway/connection-pool.ts
@@ -84,7 +84,10 @@
 		const opened = this.#opened;
 		this.#opened = undefined;
 		if (opened && !opened.destroyed) {
-			callback(null, opened);
+			// Undici sends nothing when it gets the socket within the call.
+			queueMicrotask(() => {
+				callback(null, opened);
+			});
 		} else {
 			this.#open(callback);
 		}
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -108,8 +108,6 @@
 	readonly #splitter = new EventSplitter();
 	#resolveEnded!: (end: SendEnd) => void;
 	#isEnded = false;
-	/** Heads and pieces of the body that have been read, also those that are no complete event. */
-	#reads = 0;
 	#controller: Dispatcher.DispatchController | undefined;
 	#status = 0;
 	#headers: RawHeaders = [];
@@ -129,10 +127,11 @@
 			onDidTimeOut: async (timeoutMs, isIdle) => {
 				const reason = `nothing for ${Math.round(timeoutMs)} ms`;
 				if (this.isSent) {
-					const reads = this.#reads;
+					// The head of an answer does not restart the idle watch, its body does.
+					const status = this.#status;
 					await options.tryMove(
 						reason,
-						() => isIdle() && this.#reads === reads,
+						() => isIdle() && this.#status === status,
 					);
 				} else {
 					this.cancel({type: 'unsent', reason});
@@ -179,12 +178,7 @@
 		controller: Dispatcher.DispatchController,
 		status: number,
 	): void {
-		if (this.#isEnded) {
-			return;
-		}
-
-		this.#reads++;
-		if (status < statusOk) {
+		if (this.#isEnded || status < statusOk) {
 			return;
 		}
 
@@ -231,7 +225,6 @@
 			return;
 		}
 
-		this.#reads++;
 		this.#options.upstream.recordDataReceived(monotonicNow());
 		switch (this.#mode) {
 			case 'events': {
