--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -14,26 +14,18 @@
 import type {CallerOutput} from './caller-output.js';
 import type {CallerRequest, ExchangeContext} from './exchange-context.js';
 import {sendLocalReply} from './local-reply.js';
-import {loggedParts} from './crash-reports.js';
+import {CrashEvidence} from './crash-evidence.js';
 import {RequestMove} from './request-move.js';
 import {
 	RequestPlacement,
 	withheldReason,
 	type PlacedRequest,
 } from './request-placement.js';
-import {
-	firstNonSuccessStatus,
-	Send,
-	type BufferedAnswer,
-	type StreamPosition,
-} from './send.js';
+import {Send, type BufferedAnswer, type StreamPosition} from './send.js';
 
 /** Width of the random jitter as a fraction of a Retry-After value, so that callers do not all retry at once. */
 const retryAfterJitter = 0.5;
 
-/** Time after the first output for which an endpoint must live until the request counts as harmless, in milliseconds. */
-const survivalMs = 250;
-
 /** Ends of a stream's send by which an answer of its engine is lost. */
 const lossTypes: ReadonlySet<SendEnd['type']> = new Set([
 	'broken',
@@ -51,6 +43,7 @@
 	readonly #position: StreamPosition;
 	readonly #placement: RequestPlacement;
 	readonly #move: RequestMove;
+	readonly #crashEvidence: CrashEvidence;
 	#send: Send | undefined;
 	/** Place for which the request has left its slow endpoint. */
 	#nextPlace: PlacedRequest | undefined;
@@ -87,6 +80,11 @@
 			isAbandoned: this.#isAbandoned,
 			expiresAt: this.#expiresAt,
 		}));
+		this.#crashEvidence = new CrashEvidence(
+			context,
+			request,
+			this.#placement.fingerprints,
+		);
 		this.#move = new RequestMove({
 			context,
 			requestId: request.head.requestId,
@@ -273,7 +271,7 @@
 		const startedAt = monotonicNow();
 		let survivalTimer: NodeJS.Timeout | undefined;
 		send.onDidReceiveOutput = () => {
-			survivalTimer = this.#scheduleSurvival();
+			survivalTimer = this.#crashEvidence.scheduleSurvival();
 			upstream.answered(activeRequest, this.#placement.links);
 			peers.queuePrefillNotices(
 				upstream,
@@ -397,7 +395,7 @@
 			this.#context.peers.notices.sendHealth();
 		}
 
-		this.#recordOutcome(send, end, upstream, now);
+		this.#crashEvidence.record(send, end, upstream, now);
 		if (this.#request.route.isStream && lossTypes.has(end.type)) {
 			this.#context.endpoints
 				.losses(this.#request.service.name)
@@ -405,75 +403,6 @@
 		}
 	}
 
-	/** Schedules the record that the request is harmless, if it is suspected. */
-	#scheduleSurvival(): NodeJS.Timeout | undefined {
-		const {crashReports, crashSuspects} = this.#context;
-		const {fingerprints} = this.#placement;
-		return crashSuspects.isSuspected(fingerprints)
-			? setTimeout(() => {
-					crashReports.recordSurvival(fingerprints, monotonicNow());
-				}, survivalMs)
-			: undefined;
-	}
-
-	/** Records what the end of a send shows about the request: whether it may crash endpoints. */
-	#recordOutcome(
-		send: Send,
-		end: SendEnd,
-		upstream: Upstream,
-		now: number,
-	): void {
-		const {crashReports} = this.#context;
-		const {fingerprints} = this.#placement;
-		const {requestId, prompt} = this.#request.head;
-		switch (end.type) {
-			case 'broken':
-			case 'silent':
-			case 'gone':
-			case 'moved': {
-				const answeredAt = send.firstByteAt ?? now;
-				if (send.isSent && now - answeredAt < survivalMs) {
-					const parts = prompt?.parts ?? [];
-					this.#log('send_unanswered', {
-						endpoint: upstream.id,
-						reason: end.reason,
-						fingerprint: fingerprints.at(-1)!,
-						parts: loggedParts(parts),
-					});
-					void crashReports.recordUnanswered(upstream, {
-						requestId,
-						fingerprints,
-						parts,
-						at: now,
-						isEngineGone: end.type === 'gone',
-						connection: end.type === 'broken' ? 'closed' : 'open',
-					});
-				}
-
-				break;
-			}
-
-			case 'answered':
-			case 'delivered': {
-				const isError =
-					end.type === 'answered' && end.status >= firstNonSuccessStatus;
-				if (!isError) {
-					crashReports.recordSurvival(fingerprints, now);
-				}
-
-				break;
-			}
-
-			case 'unsent':
-			case 'rejected':
-			case 'withdrawn':
-			case 'expired':
-			case 'abandoned': {
-				break;
-			}
-		}
-	}
-
 	#chooseNextStep(end: SendEnd): NextStep {
 		const {service} = this.#request;
 		const step = nextStep(end, this.#requestState(), () => this.#takeRetry());
