Read the sockets before a moved request uses its new connection

A connection that is opened for a moved request is handed over like one that is opened for any other: after a process that is behind has read its sockets.

--- a/src/daemons/gateway/connection-pool.ts
+++ b/src/daemons/gateway/connection-pool.ts
@@ -88,10 +88,7 @@
 		const opened = this.#opened;
 		this.#opened = undefined;
 		if (opened && !opened.destroyed) {
-			// Undici sends nothing when it gets the socket within the call.
-			queueMicrotask(() => {
-				callback(null, opened);
-			});
+			void this.#use(opened, callback);
 		} else {
 			this.#open(callback);
 		}
@@ -129,7 +126,7 @@
 		}
 	}
 
-	/** Lets the waiting request be sent. A process that is behind reads its sockets first: the caller may have disconnected meanwhile. */
+	/** Lets the waiting request be sent, but not within the call, as undici would send nothing then. A process that is behind reads its sockets first: the caller may have disconnected meanwhile. */
 	async #use(socket: net.Socket, callback: ConnectCallback): Promise<void> {
 		await this.#loopLag.catchUp();
 		if (socket.destroyed) {
