Read the answer of a probe before the probe has timed out (LOST)

What callers see: a stream ends at a sound engine that was silent for a moment, because the gateway was short of processor time when the answer to its probe arrived.

Cause: after a pause of the gateway its timers run before its sockets are read. The timer of a probe closed the connection of the probe, on which the answer was waiting; the sockets were read only after that.

A probe that times out now first waits until all that has arrived has been read; its own answer then ends it. Probes for the KV cache usage use the same code.

--- a/src/daemons/gateway/engine-probe.ts
+++ b/src/daemons/gateway/engine-probe.ts
@@ -13,6 +13,8 @@
 	readonly connections: ConnectionPools;
 	readonly format: HttpFormat;
 	readonly signals: EndpointSignals;
+	/** Resolves when all data that has arrived has been read: after a pause of this process, timers run before sockets are read. */
+	readonly readSockets: () => Promise<void>;
 };
 
 export type EngineProbeOptions = {
@@ -27,7 +29,7 @@
 /** Requests the state of an engine; never rejects. */
 export async function probeEngine(
 	upstream: Upstream,
-	{connections: pools, format, signals}: EngineProbeContext,
+	{connections: pools, format, signals, readSockets}: EngineProbeContext,
 	{isNewConnection, timeoutMs, signal}: EngineProbeOptions,
 ): Promise<ProbeOutcome> {
 	const pool = pools.poolFor(upstream);
@@ -57,7 +59,10 @@
 			end({type: 'silent'});
 		};
 
-		const timer = setTimeout(fail, timeoutMs);
+		const timer = setTimeout(() => {
+			// Its answer may have arrived: the end of a probe closes its connection.
+			void readSockets().then(fail);
+		}, timeoutMs);
 		signal?.addEventListener('abort', fail);
 		connection.dispatch(
 			{method: 'GET', path: format.engineReportPath, headers: []},
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -200,11 +200,15 @@
 				this.#peers.notices.sendRateLimits();
 			},
 		});
-		const probeContext = {connections, format: options.format, signals};
+		const probeContext = {
+			connections,
+			format: options.format,
+			signals,
+			readSockets: async () => this.#loopLag.readSockets(),
+		};
 		const livenessChecks = new LivenessChecks({
 			probeContext,
 			log: options.log,
-			readSockets: async () => this.#loopLag.readSockets(),
 		});
 		this.#kvCachePoller = this.#disposables.add(
 			new KvCachePoller({
--- a/src/daemons/gateway/liveness-checks.ts
+++ b/src/daemons/gateway/liveness-checks.ts
@@ -21,8 +21,6 @@
 export type LivenessChecksOptions = {
 	readonly probeContext: EngineProbeContext;
 	readonly log: Log;
-	/** Resolves when all data that has arrived has been read: after a pause of this process, the timers of probes run before sockets are read. */
-	readonly readSockets: () => Promise<void>;
 };
 
 type Check = {
@@ -78,7 +76,7 @@
 
 	/** Sends two probes at once, because the first packet of a connection may be lost, and repeats each one that fails. */
 	async #probe(upstream: Upstream, silentSince: number): Promise<Alive | Gone> {
-		const {probeContext, readSockets} = this.#options;
+		const {probeContext} = this.#options;
 		const startedAt = monotonicNow();
 		const outcomes: ProbeOutcome[] = [{type: 'silent'}, {type: 'silent'}];
 		const abort = new AbortController();
@@ -91,7 +89,7 @@
 						timeoutMs: Math.max(repeatMs, maxPauseMs - silentMs),
 						signal: abort.signal,
 					});
-					await readSockets();
+					await probeContext.readSockets();
 					const liveness: Liveness =
 						upstream.lastReceivedAt > startedAt
 							? {type: 'alive'}
