Use a connection that was established while the gateway was busy

What callers see: an endpoint that is sound gets no requests for half a second and longer, and requests that found no other one are refused, because the gateway was short of processor time for 0.4 s.

Cause: the timer of a connection attempt runs before the socket is read, and gives up a connection that has long been established; the send ends as unsent, which ejects the endpoint.

The timer now first waits until the sockets have been read, and gives up only a connection that is still not established.

Found by reading. 'a connection that is established while the process is busy is used' failed before ("connection not established within 400 ms") and passes now.

--- a/src/daemons/gateway/connection-pool.ts
+++ b/src/daemons/gateway/connection-pool.ts
@@ -3,6 +3,7 @@
 import type {Disposable} from '../../base/index.js';
 import {splitAddress} from '../listen.js';
 import {monotonicNow} from '../state-machine.js';
+import {readSockets} from './loop-lag.js';
 
 /** Connect timeout in milliseconds. TCP retransmits a lost first packet only after a second, so a slightly longer timeout would not help. */
 const connectTimeoutMs = 400;
@@ -63,9 +64,7 @@
 	): void {
 		const socket = net.connect({host, port, noDelay: true});
 		const timer = setTimeout(() => {
-			socket.destroy(
-				new Error(`connection not established within ${connectTimeoutMs} ms`),
-			);
+			void destroyUnconnected(socket);
 		}, connectTimeoutMs);
 		const onFailure = (error: Error) => {
 			clearTimeout(timer);
@@ -85,6 +84,16 @@
 	}
 }
 
+/** Gives up a socket, unless it has been connected while this process was busy. */
+async function destroyUnconnected(socket: net.Socket): Promise<void> {
+	await readSockets();
+	if (socket.connecting) {
+		socket.destroy(
+			new Error(`connection not established within ${connectTimeoutMs} ms`),
+		);
+	}
+}
+
 /** Pool of connections of this process to one endpoint. */
 export class ConnectionPool implements Disposable {
 	readonly #address: string;
--- a/src/daemons/gateway/loop-lag.ts
+++ b/src/daemons/gateway/loop-lag.ts
@@ -42,8 +42,7 @@
 
 	/** Resolves when all socket events that are pending now have been handled. */
 	async readSockets(): Promise<void> {
-		await nextEventLoopTurn();
-		await nextEventLoopTurn();
+		return readSockets();
 	}
 
 	async #trackCatchUp(): Promise<void> {
@@ -57,6 +56,12 @@
 	}
 }
 
+/** Resolves when all socket events that are pending now have been handled: the timers of a late turn of the event loop run before its sockets are read. */
+export async function readSockets(): Promise<void> {
+	await nextEventLoopTurn();
+	await nextEventLoopTurn();
+}
+
 async function nextEventLoopTurn(): Promise<void> {
 	return new Promise((resolve) => {
 		setImmediate(resolve);
