--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -201,13 +201,19 @@
 				this.#peers.notices.sendRateLimits();
 			},
 		});
-		const probeContext = {connections, format: options.format, signals};
+		const readSockets = async () => this.#loopLag.readSockets();
+		const probeContext = {
+			connections,
+			format: options.format,
+			signals,
+			readSockets,
+		};
 		const livenessChecks = new LivenessChecks({
 			probe: async (upstream, probeOptions) =>
 				probeEngine(upstream, probeContext, probeOptions),
 			delay,
 			log: options.log,
-			readSockets: async () => this.#loopLag.readSockets(),
+			readSockets,
 		});
 		this.#kvCachePoller = this.#disposables.add(
 			new KvCachePoller({
