--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -27,13 +27,11 @@
 	type BufferedAnswer,
 	type StreamPosition,
 } from './send.js';
+import {SurvivalWatch} from './survival-watch.js';
 
 /** Width of the random jitter as a fraction of a Retry-After value, so that callers do not all retry at once. */
 const retryAfterJitter = 0.5;
 
-/** Time after the first output for which an endpoint must live until the request counts as harmless, in milliseconds. */
-const survivalMs = 250;
-
 /** Ends of a stream's send by which an answer of its engine is lost. */
 const lossTypes: ReadonlySet<SendEnd['type']> = new Set([
 	'broken',
@@ -242,9 +240,9 @@
 		});
 		this.#send = send;
 		const startedAt = monotonicNow();
-		let survivalTimer: NodeJS.Timeout | undefined;
+		const survival = this.#watchSurvival();
 		send.onDidReceiveOutput = () => {
-			survivalTimer = this.#scheduleSurvival();
+			survival.start();
 			upstream.answered(activeRequest, this.#placement.links);
 			peers.queuePrefillNotices(
 				upstream,
@@ -277,9 +275,12 @@
 			body: body.length > 0 ? body : null,
 		});
 		const end = await send.ended;
-		clearTimeout(survivalTimer);
+		survival.dispose();
 		upstream.end(activeRequest);
 		this.#recordEnd(send, end, placement, startedAt);
+		this.#recordOutcome(end, upstream, {
+			isUnanswered: send.isSent && !survival.hasSurvived,
+		});
 		queue.dispatchSoon();
 		return end;
 	}
@@ -357,7 +358,6 @@
 			this.#context.peers.notices.sendHealth();
 		}
 
-		this.#recordOutcome(send, end, upstream, now);
 		if (this.#request.route.isStream && lossTypes.has(end.type)) {
 			this.#context.endpoints
 				.losses(this.#request.service.name)
@@ -365,24 +365,25 @@
 		}
 	}
 
-	/** Schedules the record that the request is harmless, if it is suspected. */
-	#scheduleSurvival(): NodeJS.Timeout | undefined {
-		const {crashReports, crashSuspects} = this.#context;
-		const {fingerprints} = this.#placement;
-		return crashSuspects.isSuspected(fingerprints)
-			? setTimeout(() => {
-					crashReports.recordSurvival(fingerprints, monotonicNow());
-				}, survivalMs)
-			: undefined;
+	/** Watches whether the request is harmless. */
+	#watchSurvival(): SurvivalWatch {
+		const {crashReports, loopLag} = this.#context;
+		return new SurvivalWatch(
+			async () => loopLag.readSockets(),
+			() => {
+				const {fingerprints} = this.#placement;
+				crashReports.recordSurvival(fingerprints, monotonicNow());
+			},
+		);
 	}
 
 	/** Records what the end of a send shows about the request: whether it may crash endpoints. */
 	#recordOutcome(
-		send: Send,
 		end: SendEnd,
 		upstream: Upstream,
-		now: number,
+		{isUnanswered}: {readonly isUnanswered: boolean},
 	): void {
+		const now = monotonicNow();
 		const {crashReports} = this.#context;
 		const {fingerprints} = this.#placement;
 		const {requestId, prompt} = this.#request.head;
@@ -391,8 +392,7 @@
 			case 'silent':
 			case 'gone':
 			case 'moved': {
-				const answeredAt = send.firstByteAt ?? now;
-				if (send.isSent && now - answeredAt < survivalMs) {
+				if (isUnanswered) {
 					const parts = prompt?.parts ?? [];
 					this.#log('send_unanswered', {
 						endpoint: upstream.id,
--- a/src/services/gateway/crash-suspects.ts
+++ b/src/services/gateway/crash-suspects.ts
@@ -68,11 +68,6 @@
 		return this.#records.add(crash, now);
 	}
 
-	/** Whether any crash is held against one of the fingerprints, so that their survival is of interest. */
-	isSuspected(fingerprints: readonly number[]): boolean {
-		return fingerprints.some((each) => this.#records.has(each));
-	}
-
 	/** Records that an endpoint has answered a request with the fingerprints, or has begun to and not crashed. Returns whether one of them was suspected. */
 	recordSurvival(fingerprints: readonly number[], now: number): boolean {
 		const suspected = fingerprints.filter((each) => this.#records.has(each));
