--- a/src/daemons/gateway/crash-reports.ts
+++ b/src/daemons/gateway/crash-reports.ts
@@ -1,8 +1,11 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import type {PromptPart} from '../../interfaces/index.js';
-import type {
-	CrashSuspects,
-	EndpointSet,
-	Upstream,
+import {
+	EndedSends,
+	type CrashSuspects,
+	type EndedSend,
+	type EndpointSet,
+	type Upstream,
 } from '../../services/gateway/index.js';
 import type {Log} from '../log.js';
 import {monotonicNow} from '../state-machine.js';
@@ -23,16 +26,15 @@
 };
 
 /** Request that ended without an answer, for the record of a crash. */
-export type UnansweredRequest = {
-	readonly requestId: string;
-	readonly fingerprints: readonly number[];
-	readonly parts: readonly PromptPart[];
-	/** Time at which its connection ended, in milliseconds of the monotonic clock. */
-	readonly at: number;
+export type UnansweredRequest = EndedSend & {
 	/** It ended because its engine had been judged to be gone. */
 	readonly isEngineGone: boolean;
 };
 
+/** Times after the first unanswered end at an endpoint, and after each check, at which it is checked whether it has crashed, in milliseconds: early enough for a caller that sends its request again at once, and long enough after the end for the request to have run. */
+const firstCheckMs = 250;
+const nextCheckMs = 750;
+
 /** Bounds of the prompt parts in a log line: callers choose their number and length. */
 const maxLoggedParts = 8;
 const maxLoggedIdLength = 32;
@@ -42,6 +44,10 @@
 	readonly #options: CrashReportsOptions;
 	/** Probes of plain servers in progress; one serves all requests that were broken off. */
 	readonly #probes = new Map<Upstream, Promise<boolean>>();
+	/** Sends that ended unanswered at endpoints that are not known to have crashed. */
+	readonly #endedSends = new Map<Upstream, EndedSends>();
+	/** Time at which an endpoint was found to have crashed. */
+	readonly #crashedAt = new WeakMap<Upstream, number>();
 
 	constructor(options: CrashReportsOptions) {
 		this.#options = options;
@@ -50,16 +56,57 @@
 	/** Handles a request whose endpoint closed the connection or went silent before it had begun to answer; never rejects. */
 	async recordUnanswered(
 		upstream: Upstream,
-		{requestId, fingerprints, parts, at, isEngineGone}: UnansweredRequest,
+		request: UnansweredRequest,
 	): Promise<void> {
-		const {crashSuspects, notices, log, metrics} = this.#options;
-		if (
-			upstream.isLeaving ||
-			!(isEngineGone || (await this.#hasCrashed(upstream, at)))
-		) {
+		const {at, isEngineGone} = request;
+		if (upstream.isLeaving) {
+			return;
+		}
+
+		if (isEngineGone || (await this.#hasCrashed(upstream, at))) {
+			this.#recordCrash(upstream, [request], at);
+		} else {
+			this.recordEnd(upstream, request);
+		}
+	}
+
+	/** Handles a request that ended unanswered at the gateway, or at an endpoint that seems alive: it may crash its endpoint within a second. One check of the endpoint at a time serves all of them. */
+	recordEnd(upstream: Upstream, send: EndedSend): void {
+		const crashedAt = this.#crashedAt.get(upstream);
+		if (crashedAt !== undefined && send.at - crashedAt < nextCheckMs) {
+			this.#recordCrash(upstream, [send], crashedAt);
 			return;
 		}
 
+		let sends = this.#endedSends.get(upstream);
+		if (!sends) {
+			sends = new EndedSends();
+			this.#endedSends.set(upstream, sends);
+			void this.#checkAfterEnds(upstream, sends);
+		}
+
+		sends.add(send);
+	}
+
+	/** Holds a crash against the requests, and against those that ended there shortly before. */
+	#recordCrash(
+		upstream: Upstream,
+		sends: readonly EndedSend[],
+		at: number,
+	): void {
+		this.#crashedAt.set(upstream, at);
+		const ended = this.#endedSends.get(upstream)?.take() ?? [];
+		for (const send of [...sends, ...ended]) {
+			this.#holdAgainst(upstream, send, at);
+		}
+	}
+
+	#holdAgainst(
+		upstream: Upstream,
+		{requestId, fingerprints, parts}: EndedSend,
+		at: number,
+	): void {
+		const {crashSuspects, notices, log, metrics} = this.#options;
 		const {key: endpoint, listed} = upstream;
 		const {startedAt = 0} = listed;
 		const crash = {endpoint, startedAt, at, fingerprints};
@@ -76,6 +123,37 @@
 		}
 	}
 
+	/** Checks an endpoint until it is known whether it has crashed under the sends. Never rejects. */
+	async #checkAfterEnds(upstream: Upstream, sends: EndedSends): Promise<void> {
+		await delay(firstCheckMs, undefined, {ref: false});
+		while (!sends.isEmpty) {
+			const checkedAt = monotonicNow();
+			if (await this.#hasCrashedAlone(upstream)) {
+				this.#recordCrash(upstream, [], checkedAt);
+			} else {
+				sends.wasAlive(checkedAt);
+			}
+
+			if (!sends.isEmpty) {
+				await delay(nextCheckMs, undefined, {ref: false});
+			}
+		}
+
+		this.#endedSends.delete(upstream);
+	}
+
+	/** Resolves to whether an endpoint has crashed with no request of this gateway in progress there, whose end would show it. */
+	async #hasCrashedAlone(upstream: Upstream): Promise<boolean> {
+		if (upstream.ownRunning > 0) {
+			return false;
+		}
+
+		const hasCrashed = this.#options.endpoints.has(upstream)
+			? await refusesConnections(upstream.listed.address)
+			: await this.#hasCrashed(upstream, monotonicNow());
+		return hasCrashed && !upstream.isLeaving;
+	}
+
 	/** Records that an endpoint has answered a request with the fingerprints, or has begun to and not crashed. */
 	recordSurvival(fingerprints: readonly number[], now: number): void {
 		if (this.#options.crashSuspects.recordSurvival(fingerprints, now)) {
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -423,11 +423,24 @@
 				break;
 			}
 
-			case 'unsent':
-			case 'rejected':
 			case 'withdrawn':
 			case 'expired':
 			case 'abandoned': {
+				if (isUnanswered) {
+					const parts = prompt?.parts ?? [];
+					crashReports.recordEnd(upstream, {
+						requestId,
+						fingerprints,
+						parts,
+						at: now,
+					});
+				}
+
+				break;
+			}
+
+			case 'unsent':
+			case 'rejected': {
 				break;
 			}
 		}
--- a/src/services/gateway/index.ts
+++ b/src/services/gateway/index.ts
@@ -8,6 +8,7 @@
 export type {ObservedCrash} from './crash-records.js';
 export * from './crash-suspects.js';
 export * from './drain-schedule.js';
+export * from './ended-sends.js';
 export * from './endpoint-set.js';
 export * from './engine-losses.js';
 export * from './kv-cache-usage.js';
