--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -3,6 +3,7 @@
 	backupFor,
 	expiresAt,
 	mayMove,
+	minServerErrorStatus,
 	nextStep,
 	sendTimeouts,
 	stoppingRefusal,
@@ -414,11 +415,8 @@
 
 			case 'answered':
 			case 'delivered': {
-				const isError =
-					end.type === 'answered' && end.status >= firstNonSuccessStatus;
-				if (!isError) {
-					crashReports.recordSurvival(fingerprints, now);
-				}
+				const status = end.type === 'answered' ? end.status : 0;
+				crashReports.recordSurvival(survivors(fingerprints, status), now);
 
 				break;
 			}
@@ -607,6 +605,18 @@
 	}
 }
 
+/** Fingerprints that an answer with a status shows to be harmless: a server that has refused a request for its content has run it, but not read its prompt, and one that has failed may have done neither. */
+function survivors(
+	fingerprints: readonly number[],
+	status: number,
+): readonly number[] {
+	if (status < firstNonSuccessStatus) {
+		return fingerprints;
+	}
+
+	return status < minServerErrorStatus ? fingerprints.slice(-1) : [];
+}
+
 function withJitter(ms: number): number {
 	return ms * (1 + retryAfterJitter * (Math.random() - 0.5));
 }
--- a/src/services/gateway/crash-suspects.test.ts
+++ b/src/services/gateway/crash-suspects.test.ts
@@ -48,6 +48,35 @@
 	expect(suspects.check([deadly], 1300)).toEqual({type: 'clear'});
 });
 
+// Guards against callers that send a request at once to several servers, whose crashes then count as one, again and again.
+test('a request whose endpoints crash together probes, one at a time', () => {
+	const suspects = new CrashSuspects();
+	recordCrash(suspects, 10, 1, [first, request], 1000);
+	expect(suspects.check([first, request], 1001)).toEqual({type: 'clear'});
+	recordCrash(suspects, 11, 1, [first, request], 1020);
+	expect(suspects.check([first, request], 1030)).toEqual({type: 'probe'});
+	suspects.beginProbe([first, request], 1030);
+	recordCrash(suspects, 12, 1, [first, request], 1040);
+	expect(suspects.check([first, request], 1050)).toEqual({type: 'wait'});
+	expect(suspects.check([first, otherRequest], 1050)).toEqual({type: 'clear'});
+	expect(suspects.check([first, request], 1430)).toEqual({type: 'probe'});
+	recordCrash(suspects, 13, 1, [first, request], 1450);
+	expect(suspects.check([first, request], 1460).type).toEqual('withheld');
+});
+
+// Guards against a popular request that is refused because many of it were in progress when servers failed together.
+test('the first answer clears a request whose endpoints crashed together', () => {
+	const suspects = new CrashSuspects();
+	for (const [index, at] of [1000, 1010, 1020, 1030].entries()) {
+		recordCrash(suspects, index, 1, [request, otherRequest], at);
+	}
+
+	suspects.beginProbe([request], 1040);
+	expect(suspects.check([request], 1050, true).type).toEqual('wait');
+	suspects.recordSurvival([request], 1080);
+	expect(suspects.check([request], 1090)).toEqual({type: 'clear'});
+});
+
 // Guards against requests that crash further engines, and against withholding sound ones that share their other parts.
 test('a request with all parts that explain the crashes is withheld, and one with some of them probes', () => {
 	const suspects = afterTwoCrashes();
--- a/src/services/gateway/crash-suspects.ts
+++ b/src/services/gateway/crash-suspects.ts
@@ -16,6 +16,9 @@
 /** Separate crashes under unanswered requests with a fingerprint after which these are withheld. One crash may have any cause. */
 const minCrashes = 2;
 
+/** Endpoints that must have crashed under a request, even together, before it is sent to one endpoint at a time: few callers share it, so that its own burst is more likely than a common cause. */
+const minEndpoints = 2;
+
 /** Crashes up to which another cause excuses a request itself. Few callers miss one request, so it gets less benefit of the doubt than a part of many prompts. */
 const maxExcusedCrashes = 3;
 
@@ -27,6 +30,9 @@
 /** Time after which a probe that has neither crashed its endpoint nor been answered no longer keeps others back, in milliseconds. */
 const probeTimeoutMs = 3000;
 
+/** The same while all crashes count as one, in milliseconds: longer than the time after which a further one counts separately, and short for the callers of a popular request whose endpoints failed together. */
+const firstProbeTimeoutMs = 400;
+
 /** Age at which a crash is forgotten, in milliseconds: beyond the longest time for which a request is withheld. */
 const maxCrashAgeMs = 3 * maxWithheldMs;
 
@@ -99,7 +105,7 @@
 
 		this.#expire(now);
 		const suspected = fingerprints.filter(
-			(each) => this.#records.count(each) >= minCrashes,
+			(each) => this.#isConfirmed(each) || this.#isProbedFirst(each),
 		);
 		if (suspected.length === 0) {
 			return {type: 'clear'};
@@ -117,7 +123,7 @@
 	/** Fingerprints whose requests are withheld, for operators. */
 	withheld(now: number): WithheldFingerprint[] {
 		return this.#records.fingerprints
-			.filter((each) => this.#records.count(each) >= minCrashes)
+			.filter((each) => this.#isConfirmed(each))
 			.map((each) => this.#withheld(each, now));
 	}
 
@@ -170,6 +176,19 @@
 		return isChanged;
 	}
 
+	/** Whether the crashes held against a fingerprint withhold its requests. */
+	#isConfirmed(fingerprint: number): boolean {
+		return this.#records.count(fingerprint) >= minCrashes;
+	}
+
+	/** Whether one request at a time with a fingerprint is sent until one is answered or crashes an endpoint separately. A part that many callers share is not held back: endpoints that fail together have a common cause. */
+	#isProbedFirst(fingerprint: number): boolean {
+		return (
+			fingerprintKind(fingerprint) !== 'shared part' &&
+			this.#records.with(fingerprint).size >= minEndpoints
+		);
+	}
+
 	#withheld(fingerprint: number, now: number): WithheldFingerprint {
 		const kind = fingerprintKind(fingerprint);
 		const crashes = this.#records.count(fingerprint);
@@ -185,10 +204,12 @@
 		return {fingerprint, kind, crashes, retryAfterMs};
 	}
 
-	/** Whether a request with the fingerprint is under way whose outcome is not known. */
+	/** Whether a request with the fingerprint is under way whose outcome is not known. While all crashes count as one, it may be another that is recorded last. */
 	#isProbed(fingerprint: number, now: number): boolean {
 		const at = this.#probes.get(fingerprint)?.at ?? Number.NEGATIVE_INFINITY;
-		return at > this.#records.lastAt(fingerprint) && now - at < probeTimeoutMs;
+		return this.#isConfirmed(fingerprint)
+			? at > this.#records.lastAt(fingerprint) && now - at < probeTimeoutMs
+			: now - at < firstProbeTimeoutMs;
 	}
 
 	/** Decides about one suspected fingerprint of a request. Requests that excuse each other probe one after the other, as a crash under both would tell nothing. */
@@ -203,7 +224,7 @@
 		}
 
 		const withheld = this.#withheld(fingerprint, now);
-		if (withheld.retryAfterMs === 0) {
+		if (!this.#isConfirmed(fingerprint) || withheld.retryAfterMs === 0) {
 			return {type: 'probe'};
 		}
 
