--- a/src/daemons/gateway/crash-reports.ts
+++ b/src/daemons/gateway/crash-reports.ts
@@ -168,19 +168,26 @@
 		this.#options.notices.sendCrashesSoon();
 	}
 
-	/** Resolves to whether the incarnation of an endpoint that ended a connection at `at` has ended. */
+	/** Resolves to whether the incarnation of an endpoint that ended a connection at `at` has ended. One whose entry was removed may be in use again with a new one, as after a row that could not be read. */
 	async #hasCrashed(upstream: Upstream, at: number): Promise<boolean> {
 		const {endpoints, livenessChecks} = this.#options;
-		if (!endpoints.has(upstream)) {
+		const current = endpoints.has(upstream)
+			? upstream
+			: endpoints.byKey(upstream.key);
+		if (!current) {
 			// A server may leave without notice: its entry is removed, and it exits later.
-			return endpoints.byKey(upstream.key) !== undefined;
+			return false;
+		}
+
+		if (current.listed.startedAt !== upstream.listed.startedAt) {
+			return true;
 		}
 
-		if (!upstream.kvCacheUsage) {
-			return this.#refusesConnections(upstream);
+		if (!current.kvCacheUsage) {
+			return this.#refusesConnections(current);
 		}
 
-		const liveness = await livenessChecks.check(upstream, at);
+		const liveness = await livenessChecks.check(current, at);
 		return liveness.type === 'gone' && liveness.cause !== 'silent';
 	}
 
