--- a/src/daemons/gateway/liveness-checks.ts
+++ b/src/daemons/gateway/liveness-checks.ts
@@ -1,10 +1,10 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	judgeLiveness,
+	withReceivedData,
 	maxPauseMs,
 	type Alive,
 	type Gone,
-	type Liveness,
 	type ProbeOutcome,
 	type Upstream,
 } from '../../services/gateway/index.js';
@@ -92,14 +92,13 @@
 						signal: abort.signal,
 					});
 					await readSockets();
-					const liveness: Liveness =
-						upstream.lastReceivedAt > startedAt
-							? {type: 'alive'}
-							: judgeLiveness(
-									outcomes,
-									upstream.listed.startedAt,
-									this.#silentMs(upstream, silentSince),
-								);
+					const judged = judgeLiveness(
+						outcomes,
+						upstream.listed.startedAt,
+						this.#silentMs(upstream, silentSince),
+					);
+					const hasReceivedData = upstream.lastReceivedAt > startedAt;
+					const liveness = withReceivedData(judged, hasReceivedData);
 					if (liveness.type !== 'silent') {
 						abort.abort();
 						resolve(liveness);
--- a/src/services/gateway/liveness.test.ts
+++ b/src/services/gateway/liveness.test.ts
@@ -3,6 +3,7 @@
 import {
 	judgeLiveness,
 	maxPauseMs,
+	withReceivedData,
 	type Liveness,
 	type ProbeOutcome,
 } from './liveness.js';
@@ -61,3 +62,18 @@
 	expect(judgeLiveness([closed, closed], startedAt, 400)).toEqual(silent);
 	expect(judgeLiveness([closed, none], startedAt, maxPauseMs)).toEqual(alive);
 });
+
+// Guards against a crash that is overlooked because the last bytes of another stream are read after the probes of its engine began.
+test('last bytes do not outweigh refused probes or a newer incarnation', () => {
+	for (const outcomes of [
+		[refused, refused],
+		[answered(8), none],
+	]) {
+		const judged = judgeLiveness(outcomes, startedAt, 400);
+		expect(withReceivedData(judged, true)).toEqual(judged);
+		expect(judged.type).toEqual('gone');
+	}
+
+	expect(withReceivedData(silent, true)).toEqual(alive);
+	expect(withReceivedData(silent, false)).toEqual(silent);
+});
--- a/src/services/gateway/liveness.ts
+++ b/src/services/gateway/liveness.ts
@@ -55,3 +55,11 @@
 		? {type: 'alive'}
 		: {type: 'gone', cause: 'silent'};
 }
+
+/** Adds to what probes show whether data of the endpoint has been read since they began. It decides only where they do not: the last bytes of a process that has ended may be read after it refuses connections. */
+export function withReceivedData(
+	judged: Liveness,
+	hasReceivedData: boolean,
+): Liveness {
+	return judged.type === 'silent' && hasReceivedData ? {type: 'alive'} : judged;
+}
