--- a/src/daemons/gateway/crash-evidence.ts
+++ b/src/daemons/gateway/crash-evidence.ts
@@ -1,11 +1,13 @@
-import type {SendEnd, Upstream} from '../../services/gateway/index.js';
+import {
+	minServerErrorStatus,
+	type SendEnd,
+	type Upstream,
+} from '../../services/gateway/index.js';
 import {monotonicNow} from '../state-machine.js';
 import {loggedParts} from './crash-reports.js';
 import type {CallerRequest, ExchangeContext} from './exchange-context.js';
-import {firstNonSuccessStatus, type Send} from './send.js';
-
-/** Time after the first output for which an endpoint must live until the request counts as harmless, in milliseconds. */
-const survivalMs = 250;
+import {firstNonSuccessStatus} from './send.js';
+import {SurvivalWatch} from './survival-watch.js';
 
 /** What the sends of one request show about whether it crashes endpoints. */
 export class CrashEvidence {
@@ -23,31 +25,36 @@
 		this.#fingerprints = fingerprints;
 	}
 
-	/** Schedules the record that the request is harmless, if it is suspected. */
-	scheduleSurvival(): NodeJS.Timeout | undefined {
-		const {crashReports, crashSuspects} = this.#context;
-		const fingerprints = this.#fingerprints;
-		return crashSuspects.isSuspected(fingerprints)
-			? setTimeout(() => {
-					crashReports.recordSurvival(fingerprints, monotonicNow());
-				}, survivalMs)
-			: undefined;
+	/** Watches whether the request is harmless. */
+	watchSurvival(): SurvivalWatch {
+		const {crashReports, loopLag} = this.#context;
+		return new SurvivalWatch(
+			async () => loopLag.readSockets(),
+			() => {
+				crashReports.recordSurvival(this.#fingerprints, monotonicNow());
+			},
+		);
 	}
 
 	/** Records what the end of a send shows about the request: whether it may crash endpoints. */
-	record(send: Send, end: SendEnd, upstream: Upstream, now: number): void {
+	record(
+		end: SendEnd,
+		upstream: Upstream,
+		{isUnanswered}: {readonly isUnanswered: boolean},
+	): void {
+		const now = monotonicNow();
 		const {crashReports, log} = this.#context;
 		const fingerprints = this.#fingerprints;
 		const {head, route} = this.#request;
 		const {requestId, prompt} = head;
+		const parts = prompt?.parts ?? [];
+		const send = {requestId, fingerprints, parts, at: now};
 		switch (end.type) {
 			case 'broken':
 			case 'silent':
 			case 'gone':
 			case 'moved': {
-				const answeredAt = send.firstByteAt ?? now;
-				if (send.isSent && now - answeredAt < survivalMs) {
-					const parts = prompt?.parts ?? [];
+				if (isUnanswered) {
 					log.info('send_unanswered', {
 						request: requestId,
 						route: route.name,
@@ -57,10 +64,7 @@
 						parts: loggedParts(parts),
 					});
 					void crashReports.recordUnanswered(upstream, {
-						requestId,
-						fingerprints,
-						parts,
-						at: now,
+						...send,
 						isEngineGone: end.type === 'gone',
 						connection: end.type === 'broken' ? 'closed' : 'open',
 					});
@@ -71,22 +75,37 @@
 
 			case 'answered':
 			case 'delivered': {
-				const isError =
-					end.type === 'answered' && end.status >= firstNonSuccessStatus;
-				if (!isError) {
-					crashReports.recordSurvival(fingerprints, now);
-				}
-
+				const status = end.type === 'answered' ? end.status : 0;
+				crashReports.recordSurvival(survivors(fingerprints, status), now);
 				break;
 			}
 
-			case 'unsent':
-			case 'rejected':
 			case 'withdrawn':
 			case 'expired':
 			case 'abandoned': {
+				if (isUnanswered) {
+					crashReports.recordEnd(upstream, send);
+				}
+
+				break;
+			}
+
+			case 'unsent':
+			case 'rejected': {
 				break;
 			}
 		}
 	}
 }
+
+/** Fingerprints that an answer with a status shows to be harmless: a server that has refused a request for its content has run it, but not read its prompt, and one that has failed may have done neither. */
+function survivors(
+	fingerprints: readonly number[],
+	status: number,
+): readonly number[] {
+	if (status < firstNonSuccessStatus) {
+		return fingerprints;
+	}
+
+	return status < minServerErrorStatus ? fingerprints.slice(-1) : [];
+}
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -275,9 +275,9 @@
 		});
 		this.#send = send;
 		const startedAt = monotonicNow();
-		let survivalTimer: NodeJS.Timeout | undefined;
+		const survival = this.#crashEvidence.watchSurvival();
 		send.onDidReceiveOutput = () => {
-			survivalTimer = this.#crashEvidence.scheduleSurvival();
+			survival.start();
 			upstream.answered(activeRequest, this.#placement.links);
 			peers.queuePrefillNotices(
 				upstream,
@@ -310,9 +310,12 @@
 			body: body.length > 0 ? body : null,
 		});
 		const end = await send.ended;
-		clearTimeout(survivalTimer);
+		survival.dispose();
 		upstream.end(activeRequest);
 		this.#recordEnd(send, end, placement, startedAt);
+		this.#crashEvidence.record(end, upstream, {
+			isUnanswered: send.isSent && !survival.hasSurvived,
+		});
 		queue.dispatchSoon();
 		return end;
 	}
@@ -401,7 +404,6 @@
 			this.#context.peers.notices.sendHealth();
 		}
 
-		this.#crashEvidence.record(send, end, upstream, now);
 		if (this.#request.route.isStream && lossTypes.has(end.type)) {
 			this.#context.endpoints
 				.losses(this.#request.service.name)
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -239,17 +239,19 @@
 			rateLimits,
 			crashSuspects: this.#crashSuspects,
 			livenessChecks,
-			crashReports: new CrashReports({
-				crashSuspects: this.#crashSuspects,
-				endpoints: this.#platform.endpoints,
-				livenessChecks,
-				notices: this.#peers.notices,
-				log: options.log,
-				metrics: this.#metrics,
-				onDidChangeSuspects: () => {
-					this.#applySuspects();
-				},
-			}),
+			crashReports: this.#disposables.add(
+				new CrashReports({
+					crashSuspects: this.#crashSuspects,
+					endpoints: this.#platform.endpoints,
+					livenessChecks,
+					notices: this.#peers.notices,
+					log: options.log,
+					metrics: this.#metrics,
+					onDidChangeSuspects: () => {
+						this.#applySuspects();
+					},
+				}),
+			),
 		};
 		this.#platform.endpoints.onDidRemove(({upstream}) => {
 			connections.remove(upstream);
--- a/src/daemons/gateway/liveness-checks.ts
+++ b/src/daemons/gateway/liveness-checks.ts
@@ -1,10 +1,10 @@
 import {
 	judgeLiveness,
+	withReceivedData,
 	maxPauseMs,
 	type Alive,
 	type ConnectionState,
 	type Gone,
-	type Liveness,
 	type ProbeOutcome,
 	type Upstream,
 } from '../../services/gateway/index.js';
@@ -125,14 +125,13 @@
 						signal: abort.signal,
 					});
 					await readSockets();
-					const liveness: Liveness =
-						upstream.lastReceivedAt > startedAt
-							? {type: 'alive'}
-							: judgeLiveness(outcomes, {
-									startedAt: upstream.listed.startedAt,
-									silentMs: this.#silentMs(upstream, silentSince),
-									connection,
-								});
+					const judged = judgeLiveness(outcomes, {
+						startedAt: upstream.listed.startedAt,
+						silentMs: this.#silentMs(upstream, silentSince),
+						connection,
+					});
+					const hasReceivedData = upstream.lastReceivedAt > startedAt;
+					const liveness = withReceivedData(judged, hasReceivedData);
 					if (liveness.type !== 'silent') {
 						abort.abort();
 						resolve(liveness);
