Take one refused probe beside a silent one for a crash

After 2.5 s of silence an engine whose one probe was refused and whose other probe was lost counted as silent, and its crash was held against nobody. A refusal shows that nothing listens there; silence shows nothing.

The new case in liveness.test.ts failed before (cause silent).

--- a/src/services/gateway/liveness.test.ts
+++ b/src/services/gateway/liveness.test.ts
@@ -43,6 +43,14 @@
 	});
 });
 
+// Guards against a crash that is taken for mere silence because the packets of one probe are lost.
+test('one refused probe shows a crash when the other one stays silent', () => {
+	expect(judgeLiveness([refused, none], startedAt, maxPauseMs)).toEqual({
+		type: 'gone',
+		cause: 'refused',
+	});
+});
+
 // Guards against a single lost or refused probe that outweighs an answer.
 test('one answer of the incarnation shows that it is alive', () => {
 	for (const other of [none, refused, closed, answered(8)]) {
--- a/src/services/gateway/liveness.ts
+++ b/src/services/gateway/liveness.ts
@@ -51,9 +51,12 @@
 	}
 
 	// Only a running process closes connections for so long.
-	return outcomes.some(({type}) => type === 'closed')
-		? {type: 'alive'}
-		: {type: 'gone', cause: 'silent'};
+	if (outcomes.some(({type}) => type === 'closed')) {
+		return {type: 'alive'};
+	}
+
+	const isRefused = outcomes.some(({type}) => type === 'refused');
+	return {type: 'gone', cause: isRefused ? 'refused' : 'silent'};
 }
 
 /** Adds to what probes show whether data of the endpoint has been read since they began. It decides only where they do not: the last bytes of a process that has ended may be read after it refuses connections. */
