Keep the fingerprints of prompt parts whose token counts are ignored

A prompt with more tokens than an engine holds is placed like one without counts, and lost the fingerprints of its parts: a part that crashes engines was not withheld from such requests. The fingerprints now come from the parts that the caller named. The comment on the tier of a request says what the code does.

--- a/src/daemons/gateway/exchange-context.ts
+++ b/src/daemons/gateway/exchange-context.ts
@@ -1,6 +1,7 @@
 import type {
 	HttpFormat,
 	KeyHolder,
+	PromptPart,
 	RequestHead,
 	Route,
 	Service,
@@ -30,6 +31,8 @@
 	readonly headers: readonly string[];
 	readonly body: Uint8Array;
 	readonly head: RequestHead;
+	/** Parts of its prompt as its caller named them, also where the prompt is ignored: an engine may read and crash on them in any case. */
+	readonly namedParts: readonly PromptPart[];
 	readonly route: Route;
 	readonly service: Service;
 	readonly workspace: KeyHolder | undefined;
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -515,6 +515,7 @@
 						headers: rawHeaders,
 						body: body.bytes,
 						head: this.#withoutOddPrompt(head, service),
+						namedParts: head.prompt?.parts ?? [],
 						route,
 						service,
 						workspace,
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -83,7 +83,8 @@
 		this.#context = context;
 		this.#request = request;
 		this.#state = state;
-		const {method, target, body, route, service, workspace, head} = request;
+		const {method, target, body, route, service, workspace} = request;
+		const {head, namedParts} = request;
 		const {parts = []} = head.prompt ?? {};
 		this.links = prefixLinks(parts);
 		this.fingerprints = requestFingerprints({
@@ -93,7 +94,7 @@
 			workspace: workspace?.name,
 			bodyLength: body.length,
 			bodyChecksum: crc32(body),
-			parts: service.engine ? parts : [],
+			parts: service.engine ? namedParts : [],
 		});
 	}
 
@@ -445,7 +446,7 @@
 		return this.#state().hasAnswer ? 0 : this.requestedTier;
 	}
 
-	/** Tier of the request itself: the workspace's own tier overrides that of the route. */
+	/** Tier of the request itself: that of its workspace, or of its route where that names none. Among workspaces of equal tier the route decides, see the rank. */
 	get requestedTier(): number {
 		const {route, workspace} = this.#request;
 		return workspace?.tier ?? route.tier;
