Rank requests by the configuration, not by what a gateway receives (TIER)

What callers saw: with all drafts at one gateway and chats and notes at two others, 57% of the chats and 24% of the notes were served, but 92% of the drafts of three times their size.

Cause: the rank of a request was its position among the routes of which a gateway had itself received 3% of its requests. A gateway with few chats gave drafts the rank of a chat, and the owner of an engine compared ranks that different gateways had counted differently. A route with a loose target could also rank behind a less urgent one.

Change: RequestRanks derives the rank from the configuration in force, by the tiers of the workspaces and of the routes to the service, as EnginePriorities does. The line placed has the rank.

--- a/src/daemons/gateway/exchange-context.ts
+++ b/src/daemons/gateway/exchange-context.ts
@@ -35,6 +35,8 @@
 	readonly workspace: KeyHolder | undefined;
 	/** Priority that engines are told, 0 first. */
 	readonly priority: number;
+	/** Rank in which it gets capacity, 0 first. */
+	readonly rank: number;
 	/** Time at which its headers had been read, in milliseconds of the monotonic clock. */
 	readonly receivedAt: number;
 	/** Version of the configuration that was in force when it was admitted. */
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -93,7 +93,7 @@
 		endpoints.demand(service.name).recordRequest(
 			{
 				tier: this.#placement.tier,
-				routeTier: route.tier,
+				rank: this.#request.rank,
 				objectiveMs: route.objectiveMs,
 				timeoutMs: route.timeoutMs,
 				outputTokens: head.prompt?.outputTokens ?? 0,
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -506,7 +506,7 @@
 			}
 
 			case 'admitted': {
-				const {route, service, workspace, priority} = admission;
+				const {route, service, workspace, priority, rank} = admission;
 				const exchange = new Exchange(
 					this.#context,
 					{
@@ -519,6 +519,7 @@
 						service,
 						workspace,
 						priority,
+						rank,
 						receivedAt,
 						configurationVersion: routing?.configuration.version ?? 0,
 					},
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -113,7 +113,7 @@
 		);
 		return new Promise((resolve, reject) => {
 			const queuedRequest: QueuedRequest = {
-				rank: this.#rank(monotonicNow()),
+				rank: this.#rank,
 				arrivedAt: receivedAt,
 				lateAt,
 				tryPlace: (now) => {
@@ -235,7 +235,7 @@
 		return {
 			uncachedTokens,
 			kvCacheTokens: promptTokens + outputTokens,
-			rank: this.#rank(monotonicNow()),
+			rank: this.#rank,
 		};
 	}
 
@@ -261,6 +261,7 @@
 			endpoint: upstream.id,
 			tier: this.requestedTier,
 			priority: this.#request.priority,
+			rank: this.#rank,
 			expected_ms: Math.round(expectedMs),
 			waited_ms: Math.round(now - this.#request.receivedAt),
 			denials: this.denials,
@@ -372,7 +373,7 @@
 				isOnce: route.retryMode === 'once',
 				dataCentre,
 				objectiveMs: route.objectiveMs,
-				rank: this.#rank(now),
+				rank: this.#rank,
 			},
 			endpoints.serving(service.name, now),
 			now,
@@ -451,18 +452,9 @@
 		return workspace?.tier ?? route.tier;
 	}
 
-	#rank(now: number): number {
-		const {route, service} = this.#request;
-		return this.#state().hasAnswer
-			? 0
-			: this.#context.endpoints.demand(service.name).rank(
-					{
-						tier: this.tier,
-						routeTier: route.tier,
-						objectiveMs: route.objectiveMs,
-					},
-					now,
-				);
+	/** Rank in which the request gets capacity, 0 first. A started response takes precedence over all new ones. */
+	get #rank(): number {
+		return this.#state().hasAnswer ? 0 : this.#request.rank;
 	}
 
 	/** The caller has disconnected, the request's time is over, or it would be sent too late in a stop. */
--- a/src/services/gateway/admission.ts
+++ b/src/services/gateway/admission.ts
@@ -49,6 +49,8 @@
 			readonly workspace: KeyHolder | undefined;
 			/** Priority that engines are told, 0 first. */
 			readonly priority: number;
+			/** Rank in which it gets capacity, 0 first. */
+			readonly rank: number;
 	  }
 	| {
 			readonly type: 'rejected';
@@ -109,6 +111,7 @@
 				service,
 				workspace,
 				priority: routing.priority(route, workspace),
+				rank: routing.rank(route, workspace, service),
 			}
 		: deferred('route without service', startupRetryAfterMs);
 }
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -103,7 +103,7 @@
 	readonly dataCentre: string;
 	/** Latency target, in milliseconds. */
 	readonly objectiveMs: number;
-	/** Rank in which it gets capacity, 0 first: its tier, and half a tier more if its latency target is loose. */
+	/** Rank in which it gets capacity, 0 first. */
 	readonly rank: number;
 };
 
--- a/src/services/gateway/routing-table.ts
+++ b/src/services/gateway/routing-table.ts
@@ -6,6 +6,7 @@
 	KeyHolder,
 } from '../../interfaces/index.js';
 import {EnginePriorities} from './engine-priorities.js';
+import {RequestRanks} from './request-ranks.js';
 
 /** Index for lookups in one version of the configuration, built once for each version. */
 export class RoutingTable {
@@ -14,9 +15,11 @@
 	readonly #services = new Map<string, Service>();
 	readonly #workspaces = new Map<string, KeyHolder>();
 	readonly #priorities: EnginePriorities;
+	readonly #ranks: RequestRanks;
 
 	constructor(readonly configuration: Configuration) {
 		this.#priorities = new EnginePriorities(configuration);
+		this.#ranks = new RequestRanks(configuration);
 		for (const route of configuration.routes) {
 			const host = route.host.toLowerCase();
 			const prefixes = this.#routes.get(host) ?? new Map<string, Route>();
@@ -75,6 +78,15 @@
 		return this.#priorities.of(route, workspace);
 	}
 
+	/** Rank in which a request to a service gets capacity, 0 first. */
+	rank(
+		route: Route,
+		workspace: KeyHolder | undefined,
+		service: Service,
+	): number {
+		return this.#ranks.of(route, workspace, service.name);
+	}
+
 	/** Chooses the service for a request by the weights of its route; the same request id always gets the same service. */
 	target(route: Route, requestId: string): Service | undefined {
 		const total = route.targets.reduce((sum, {weight}) => sum + weight, 0);
--- a/src/services/gateway/service-demand.ts
+++ b/src/services/gateway/service-demand.ts
@@ -7,15 +7,6 @@
 /** Target time per token, as a fraction of the mean time that answers have for each token: long answers have several times the mean length. */
 const paceFraction = 0.35;
 
-/** Multiple of the tightest latency target of its tier above which the target of a request counts as loose: the request can wait while others are served. */
-const looseFactor = 3;
-
-/** Added to the rank of a request with a loose target; less than 1, so that it still goes before all requests of the next lower tier. */
-const looseRankOffset = 0.5;
-
-/** Upper bound of what the tier of its route adds to the rank of a request. A small difference lets urgent requests take the capacity that becomes free; a larger one would leave capacity unused when there are none. */
-const maxRouteRankOffset = 0.25;
-
 /** Maximum age of the cached summary, in milliseconds. */
 const maxSummaryAgeMs = 100;
 
@@ -23,7 +14,8 @@
 export type DemandSample = {
 	/** Tier of the workspace, or of the route if the workspace has none; 0 is the highest. */
 	readonly tier: number;
-	readonly routeTier: number;
+	/** Rank in which it gets capacity, 0 first. */
+	readonly rank: number;
 	/** Latency target, in milliseconds. */
 	readonly objectiveMs: number;
 	/** Maximum time until the end of the answer, in milliseconds. */
@@ -32,13 +24,10 @@
 	readonly outputTokens: number;
 };
 
-/** Properties of a request that decide its rank. */
-type RankedRequest = Pick<DemandSample, 'tier' | 'routeTier' | 'objectiveMs'>;
-
-/** Requests with the same tiers, latency target and timeout. */
+/** Requests with the same tier, rank, latency target and timeout. */
 type RequestKind = {
 	readonly tier: number;
-	readonly routeTier: number;
+	readonly rank: number;
 	readonly objectiveMs: number;
 	readonly timeoutMs: number;
 	/** Number of requests, decayed exponentially since `updatedAt`. */
@@ -67,13 +56,13 @@
 
 	/** Adds a request to its kind. */
 	recordRequest(sample: DemandSample, now: number): void {
-		const {tier, routeTier, objectiveMs, timeoutMs} = sample;
-		const name = `${tier}/${routeTier}/${objectiveMs}/${timeoutMs}`;
+		const {tier, rank, objectiveMs, timeoutMs} = sample;
+		const name = `${tier}/${rank}/${objectiveMs}/${timeoutMs}`;
 		let kind = this.#kinds.get(name);
 		if (!kind) {
 			kind = {
 				tier,
-				routeTier,
+				rank,
 				objectiveMs,
 				timeoutMs,
 				weight: 0,
@@ -109,24 +98,6 @@
 		return this.#summarize(now).tokenMs;
 	}
 
-	/** Rank in which a request gets capacity, 0 first: its tier, and a fraction that is larger for less urgent routes and for loose latency targets. */
-	rank({tier, routeTier, objectiveMs}: RankedRequest, now: number): number {
-		const {kinds} = this.#summarize(now);
-		const inTier = kinds.filter((kind) => kind.tier === tier);
-		const isLoose = inTier.some(
-			(kind) =>
-				kind.routeTier <= routeTier &&
-				kind.objectiveMs * looseFactor < objectiveMs,
-		);
-		const routeTiers = new Set(inTier.map((kind) => kind.routeTier));
-		const moreUrgent = [...routeTiers].filter((other) => other < routeTier);
-		return (
-			tier +
-			(isLoose ? looseRankOffset : 0) +
-			(maxRouteRankOffset * moreUrgent.length) / (moreUrgent.length + 1)
-		);
-	}
-
 	/** Rank of the least urgent requests, which is the highest number; 0 if there are no requests. */
 	lowestRank(now: number): number {
 		return this.#summarize(now).lowestRank;
@@ -147,13 +118,8 @@
 				at: now,
 				kinds,
 				tokenMs: minTokenMs(kinds),
-				lowestRank: 0,
+				lowestRank: Math.max(0, ...kinds.map(({rank}) => rank)),
 			};
-			const lowestRank = Math.max(
-				0,
-				...kinds.map((kind) => this.rank(kind, now)),
-			);
-			this.#summary = {...this.#summary, lowestRank};
 		}
 
 		return this.#summary;
