Keep the order of requests over all gateways at the owner of an engine (TIER)

What callers saw: under overload 13% to 19% of the notes got nothing while drafts of three times their size began, even with an even distribution of callers.

Cause: the owner of an engine granted its capacity to whoever asked first. The limits of neighbouring ranks hardly differ, so the order came from each gateway's own queue only, and a draft of one gateway took what a chat of another one had been denied some milliseconds before.

Change: a request that waits at the owner or was denied capacity claims what becomes free next (CapacityClaims): less urgent ones are denied until 100 ms after there may be capacity, 1 s at most. A claim ends by itself, so that no engine idles for a request that does not come back. A gateway that is denied although its own estimate shows capacity asks again after 40 ms instead of at once.

Evidence: three of the four new tests in engine-reservations.test.ts fail without claims (the fourth bounds them).

--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -232,6 +232,7 @@
 			uncachedTokens,
 			result,
 			monotonicNow(),
+			rank,
 		);
 	}
 
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -1,5 +1,6 @@
 import {crc32} from 'node:zlib';
 import {
+	claimCapacity,
 	hasFreeSlot,
 	place,
 	prefixLinks,
@@ -166,6 +167,7 @@
 
 						case 'wait': {
 							if (now < waitUntil) {
+								this.#claimCapacity(now);
 								return false;
 							}
 
@@ -380,6 +382,18 @@
 		);
 	}
 
+	/** Claims the next free capacity of the engines that this gateway owns; the owners of others do so when they deny it. */
+	#claimCapacity(now: number): void {
+		const {service, head} = this.#request;
+		if (service.engine && head.prompt) {
+			claimCapacity(
+				{links: this.links, rank: this.#rank},
+				this.#context.endpoints.serving(service.name, now),
+				now,
+			);
+		}
+	}
+
 	/** Queues the run until the engine that holds its replica has capacity to resume it. Resolves to false when it has none in time, or takes no requests. */
 	async waitToResume(upstream: Upstream): Promise<boolean> {
 		const {queue, peers, endpoints} = this.#context;
--- a/src/services/gateway/engine-reservations.test.ts
+++ b/src/services/gateway/engine-reservations.test.ts
@@ -3,7 +3,7 @@
 import {hash32} from '../../base/index.js';
 import {EndpointSet} from './endpoint-set.js';
 import {PeerLoads} from './peer-loads.js';
-import {timeToCapacityMs} from './placement.js';
+import {claimCapacity, timeToCapacityMs} from './placement.js';
 import {EngineReservations} from './engine-reservations.js';
 import type {Upstream} from './upstream.js';
 
@@ -279,3 +279,75 @@
 	// 22 requests are in progress, and the most urgent rank may use 95% of 26 slots.
 	expect(sends).toEqual(3);
 });
+
+const urgentRank = 1;
+const lessUrgentRank = 1.125;
+
+/** Owner of an engine whose backlog allows requests of either rank after 300 ms, and what it replies to another gateway. */
+function busyOwner() {
+	const all = gateways(2);
+	const owner = all.find(
+		({reservations, upstream}) =>
+			reservations.owner(upstream, promptTokens, 0) === undefined,
+	)!;
+	let number = 0;
+	owner.upstream.plan.overwrite({leftMs: 900, pacedMs: 900}, 0);
+	return {
+		owner,
+		other: all.find((gateway) => gateway !== owner)!,
+		ask(rank: number, now: number) {
+			number++;
+			const request = {
+				gateway: 'g',
+				number,
+				endpoint: engine,
+				unreadTokens: promptTokens,
+				rank,
+				kvCacheTokens: promptTokens,
+			};
+			return owner.reservations.decide(request, now).type;
+		},
+	};
+}
+
+// Guards against drafts that take, by asking first, the capacity that was denied to chats of another gateway a moment ago.
+test('the owner keeps free capacity for a more urgent request that it denied', () => {
+	const {ask} = busyOwner();
+	expect(ask(urgentRank, 260)).toEqual('denied');
+	expect(ask(lessUrgentRank, 310)).toEqual('denied');
+	expect(ask(urgentRank, 350)).toEqual('granted');
+});
+
+// Guards against chats that wait at the owner itself while another gateway takes the capacity for drafts.
+test('the owner keeps free capacity for its own more urgent requests', () => {
+	const {owner, ask} = busyOwner();
+	claimCapacity({links: [], rank: urgentRank}, [owner.upstream], 260);
+	expect(ask(lessUrgentRank, 310)).toEqual('denied');
+	const need = {
+		uncachedTokens: promptTokens,
+		kvCacheTokens: promptTokens,
+		rank: urgentRank,
+	};
+	expect(owner.reservations.reserve(owner.upstream, need, 320).type).toEqual(
+		'granted',
+	);
+});
+
+// Guards against an engine that idles for a request which was placed elsewhere or given up.
+test('capacity that an urgent request does not come back for is granted to others', () => {
+	const {ask} = busyOwner();
+	expect(ask(urgentRank, 260)).toEqual('denied');
+	expect(ask(lessUrgentRank, 450)).toEqual('granted');
+});
+
+// Guards against a gateway that asks again at once, all the time, for capacity that is kept for others.
+test('a request that is denied free capacity waits, and more urgent ones do not', () => {
+	const {reservations, upstream} = busyOwner().other;
+	const denial = {type: 'denied', backlog: {leftMs: 0, pacedMs: 0}} as const;
+	reservations.applyResult(upstream, promptTokens, denial, 0, lessUrgentRank);
+	const isHeld = (rank: number, now: number) =>
+		timeToCapacityMs(upstream, rank, promptTokens, now) > 0;
+	expect(isHeld(lessUrgentRank, 30)).toEqual(true);
+	expect(isHeld(urgentRank, 30)).toEqual(false);
+	expect(isHeld(lessUrgentRank, 50)).toEqual(false);
+});
--- a/src/services/gateway/engine-reservations.ts
+++ b/src/services/gateway/engine-reservations.ts
@@ -6,6 +6,7 @@
 	hasFreeSlot,
 	prefillBacklog,
 	timeToCapacityMs,
+	timeToFreeMs,
 } from './placement.js';
 import type {Backlog} from './prefill-estimate.js';
 import {RateLimits} from './rate-limits.js';
@@ -41,7 +42,7 @@
 /** Result of a request for capacity. */
 export type ReservationResult =
 	| {readonly type: 'granted'}
-	/** The prefill backlog is too long. */
+	/** The prefill backlog is too long, or more urgent requests have claimed the capacity. */
 	| {readonly type: 'denied'; readonly backlog: Backlog}
 	/** The engine's slots are taken, or its KV cache is full. */
 	| {readonly type: 'full'}
@@ -155,6 +156,8 @@
 		now: number,
 	): Exclude<ReservationResult, {type: 'unanswered'}> {
 		if (timeToCapacityMs(upstream, rank, uncachedTokens, now) > 0) {
+			const freeInMs = timeToFreeMs(upstream, rank, uncachedTokens, now);
+			upstream.claims.add(rank, freeInMs, now);
 			return {type: 'denied', backlog: prefillBacklog(upstream, now)};
 		}
 
@@ -166,6 +169,7 @@
 				kvCacheUsage.hasCapacityFor(kvCacheTokens, rank, now)
 			)
 		) {
+			upstream.claims.add(rank, fullBackoffMs, now);
 			return {type: 'full'};
 		}
 
@@ -216,6 +220,7 @@
 		uncachedTokens: number,
 		result: ReservationResult,
 		now: number,
+		rank = mostUrgentRank,
 	): boolean {
 		switch (result.type) {
 			case 'granted': {
@@ -231,6 +236,10 @@
 
 			case 'denied': {
 				upstream.plan.overwrite(result.backlog, now);
+				if (timeToFreeMs(upstream, rank, uncachedTokens, now) <= 0) {
+					upstream.claims.keepBack(rank, now);
+				}
+
 				return false;
 			}
 
--- a/src/services/gateway/heavy-load-simulation.ts
+++ b/src/services/gateway/heavy-load-simulation.ts
@@ -1,6 +1,6 @@
 import {EndpointSet} from './endpoint-set.js';
 import {PeerLoads} from './peer-loads.js';
-import {place} from './placement.js';
+import {claimCapacity, place} from './placement.js';
 import {prefixLinks} from './prefix-index.js';
 import {EngineReservations} from './engine-reservations.js';
 import type {DemandSample} from './service-demand.js';
@@ -192,6 +192,10 @@
 				);
 				if (assignment.type !== 'send') {
 					call.isRefused = at >= now + kind.objectiveMs;
+					if (!call.isRefused) {
+						claimCapacity({links, rank}, this.endpoints.serving('s', at), at);
+					}
+
 					return call.isRefused;
 				}
 
@@ -221,7 +225,9 @@
 						},
 						at,
 					);
-					if (!this.reservations.applyResult(upstream, tokens, result, at)) {
+					if (
+						!this.reservations.applyResult(upstream, tokens, result, at, rank)
+					) {
 						return false;
 					}
 				}
@@ -293,6 +299,7 @@
 	distribution: Distribution = even,
 ): Call[] {
 	const byId = new Map(engines.map((id) => [id, new Engine()]));
+	const ranks = ranksOf(load.map(([kind]) => kind));
 	const gateways: Gateway[] = ['g0', 'g1', 'g2'].map(
 		(name) =>
 			new Gateway(
@@ -303,7 +310,6 @@
 				(owner) => gateways[Number(owner.slice(1))]!.reservations,
 			),
 	);
-	const ranks = ranksOf(load.map(([kind]) => kind));
 	const calls: Call[] = [];
 	for (let now = 0; now < 20_000; now++) {
 		for (const [kind, sizes] of load) {
--- a/src/services/gateway/placement.ts
+++ b/src/services/gateway/placement.ts
@@ -216,6 +216,23 @@
 		: {type: 'send', upstream, expectedMs, uncachedTokens, donor, home};
 }
 
+/** Claims the next free capacity of each engine that has none for a waiting request now, so that the owner keeps it from less urgent requests of other gateways. */
+export function claimCapacity(
+	{links, rank}: Pick<PlacementRequest, 'links' | 'rank'>,
+	serving: readonly Upstream[],
+	now: number,
+): void {
+	const minTokens = links.at(-1)?.tokens ?? 0;
+	for (const upstream of serving) {
+		if (!upstream.claims.isFresh(rank, now)) {
+			const freeInMs = timeToFreeMs(upstream, rank, minTokens, now);
+			if (freeInMs > 0 || !hasFreeSlot(upstream, rank, now)) {
+				upstream.claims.add(rank, freeInMs, now);
+			}
+		}
+	}
+}
+
 /** Lets a request wait if the Retry-After of an endpoint ends within its objective. Otherwise there is no known time to wait for, and the request is refused. */
 function unavailable(
 	{waitedMs, objectiveMs}: PlacementRequest,
@@ -305,12 +322,24 @@
 	return {leftMs: Math.max(leftMs, reportedMs), pacedMs};
 }
 
-/** Time until an engine has capacity for a prompt of a rank, in milliseconds; zero or negative if it has now. */
+/** Time until an engine has capacity for a prompt of a rank that no more urgent requests have claimed, in milliseconds; zero or negative if it has now. */
 export function timeToCapacityMs(
 	upstream: Upstream,
 	rank: number,
 	uncachedTokens: number,
 	now: number,
+): number {
+	const heldMs = upstream.claims.heldMs(rank, now);
+	const freeInMs = timeToFreeMs(upstream, rank, uncachedTokens, now);
+	return heldMs > 0 ? Math.max(heldMs, freeInMs) : freeInMs;
+}
+
+/** Time until the prefill backlog of an engine allows a prompt of a rank, in milliseconds; zero or negative if it does now. */
+export function timeToFreeMs(
+	upstream: Upstream,
+	rank: number,
+	uncachedTokens: number,
+	now: number,
 ): number {
 	const {leftMs, pacedMs} = prefillBacklog(upstream, now);
 	const objectiveMs =
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -5,6 +5,7 @@
 	Service,
 	ReportedLoad,
 } from '../../interfaces/index.js';
+import {CapacityClaims} from './capacity-claims.js';
 import {KvCacheUsage} from './kv-cache-usage.js';
 import {Health} from './health.js';
 import {maxPauseMs} from './liveness.js';
@@ -45,6 +46,8 @@
 	readonly prefixIndex: PrefixIndex;
 	/** Estimate of its prefill backlog, from the prompts for which capacity was reserved. */
 	readonly plan = new PrefillEstimate();
+	/** Requests that wait for its next free capacity. */
+	readonly claims = new CapacityClaims();
 	/** Time of one decoding step. */
 	readonly step = new StepTime();
 	/** Number of tokens in one event of its streams. */
