--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -158,8 +158,6 @@
 				endpoints: this.#platform.endpoints,
 				loads,
 				rateLimits,
-				objectiveOf: (service, rank) =>
-					this.#platform.routing?.objectiveMs(rank, service),
 				crashSuspects: this.#crashSuspects,
 				onDidChangeSuspects: () => {
 					this.#applySuspects();
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -7,7 +7,6 @@
 	type PrefixLink,
 	type PrefillNotice,
 	type ReservationResult,
-	type ObjectiveOf,
 	type ReservationNeed,
 	type CopyFreshness,
 	isRecent,
@@ -51,8 +50,6 @@
 	/** UDP address on which messages are received. */
 	readonly address: string;
 	readonly loads: PeerLoads;
-	/** Latency targets of the requests of other gateways, by rank. */
-	readonly objectiveOf?: ObjectiveOf;
 	/** A report has updated the known load of the endpoints. */
 	readonly onDidReceiveReport: () => void;
 	/** A report came from an address that is not among the peers. */
@@ -123,7 +120,6 @@
 			options.endpoints,
 			options.loads,
 			options.rateLimits,
-			options.objectiveOf,
 		);
 		this.#storeReaders = new StoreReaders(options.instance);
 		this.#socket = createSocket('udp4');
--- a/src/services/gateway/engine-reservations.test.ts
+++ b/src/services/gateway/engine-reservations.test.ts
@@ -351,32 +351,3 @@
 	expect(isHeld(urgentRank, 30)).toEqual(false);
 	expect(isHeld(lessUrgentRank, 50)).toEqual(false);
 });
-
-// Guards against an owner that gets only drafts and fills its engines with them to a backlog at which the chats of other gateways do not even ask.
-test('the limits of an engine suit the requests of other gateways', () => {
-	const [gateway] = gateways(1);
-	const {name, endpoints, loads, upstream} = gateway!;
-	const reservations = new EngineReservations(
-		name,
-		endpoints,
-		loads,
-		undefined,
-		(_, rank) => (rank === urgentRank ? 300 : undefined),
-	);
-	upstream.demand.recordRequest(
-		{tier: 1, rank: 2, objectiveMs: 2000, timeoutMs: 12_000, outputTokens: 1},
-		0,
-	);
-	reservations.decide(
-		{
-			gateway: 'g1',
-			number: 1,
-			endpoint: engine,
-			unreadTokens: promptTokens,
-			rank: urgentRank,
-			kvCacheTokens: promptTokens,
-		},
-		0,
-	);
-	expect(upstream.demand.tightestObjectiveMs(1, 0)).toEqual(300);
-});
--- a/src/services/gateway/engine-reservations.ts
+++ b/src/services/gateway/engine-reservations.ts
@@ -51,9 +51,6 @@
 	/** The owner did not reply in time. */
 	| {readonly type: 'unanswered'};
 
-/** Tightest latency target of the requests to a service that have a rank, in milliseconds; undefined if none have it. */
-export type ObjectiveOf = (service: string, rank: number) => number | undefined;
-
 /** Rank that may use most of an engine's slots. */
 const mostUrgentRank = 0;
 
@@ -72,20 +69,17 @@
 	readonly #endpoints: EndpointSet;
 	readonly #loads: PeerLoads;
 	readonly #rateLimits: RateLimits;
-	readonly #objectiveOf: ObjectiveOf;
 
 	constructor(
 		gateway: string,
 		endpoints: EndpointSet,
 		loads: PeerLoads,
 		rateLimits = new RateLimits(),
-		objectiveOf: ObjectiveOf = () => undefined,
 	) {
 		this.#ownHash = hash32(gateway);
 		this.#endpoints = endpoints;
 		this.#loads = loads;
 		this.#rateLimits = rateLimits;
-		this.#objectiveOf = objectiveOf;
 	}
 
 	/** Name of the gateway that owns an endpoint; undefined if this one does, or if the request needs no reservation there. */
@@ -130,10 +124,6 @@
 		now: number,
 	): Exclude<ReservationResult, {type: 'unanswered'}> {
 		const upstream = this.#endpoints.byKey(request.endpoint);
-		if (upstream) {
-			this.#recordDemand(upstream, request.rank, now);
-		}
-
 		const result = upstream
 			? this.#reserve(
 					upstream,
@@ -149,23 +139,6 @@
 		return result;
 	}
 
-	/** Counts a request of another gateway among those to the service: the limits of an engine must suit the requests of all gateways. */
-	#recordDemand({listed, demand}: Upstream, rank: number, now: number): void {
-		const objectiveMs = this.#objectiveOf(listed.service, rank);
-		if (objectiveMs !== undefined) {
-			demand.recordRequest(
-				{
-					tier: Math.floor(rank),
-					rank,
-					objectiveMs,
-					timeoutMs: Number.POSITIVE_INFINITY,
-					outputTokens: 0,
-				},
-				now,
-			);
-		}
-	}
-
 	/** Reserves capacity for a request of this gateway at an endpoint that it owns, or returns why there is none. */
 	reserve(
 		upstream: Upstream,
--- a/src/services/gateway/heavy-load-simulation.ts
+++ b/src/services/gateway/heavy-load-simulation.ts
@@ -115,7 +115,6 @@
 		name: string,
 		readonly send: (engine: string, call: Call) => void,
 		readonly reservationsOf: (name: string) => EngineReservations,
-		ranks: RequestRanks,
 	) {
 		this.#name = name;
 		for (const id of engines) {
@@ -142,8 +141,6 @@
 			name,
 			this.endpoints,
 			this.loads,
-			undefined,
-			(_, rank) => ranks.objectiveMs(rank, 's'),
 		);
 	}
 
@@ -302,7 +299,7 @@
 	distribution: Distribution = even,
 ): Call[] {
 	const byId = new Map(engines.map((id) => [id, new Engine()]));
-	const {ranks, rankOf} = rank(load.map(([kind]) => kind));
+	const ranks = ranksOf(load.map(([kind]) => kind));
 	const gateways: Gateway[] = ['g0', 'g1', 'g2'].map(
 		(name) =>
 			new Gateway(
@@ -311,7 +308,6 @@
 					byId.get(engine)!.accept(call);
 				},
 				(owner) => gateways[Number(owner.slice(1))]!.reservations,
-				ranks,
 			),
 	);
 	const calls: Call[] = [];
@@ -320,7 +316,7 @@
 			if (now % Math.round(1000 / kind.perSecond) === 0) {
 				const tokens = sizes[calls.length % sizes.length]!;
 				const gateway = gateways[distribution(kind, calls.length)]!;
-				calls.push(gateway.receive(kind, rankOf.get(kind)!, tokens, now));
+				calls.push(gateway.receive(kind, ranks.get(kind)!, tokens, now));
 			}
 		}
 
@@ -342,11 +338,8 @@
 	return calls;
 }
 
-/** Ranks under a configuration that has a route for each kind of request, and those of the kinds. */
-function rank(kinds: readonly Kind[]): {
-	readonly ranks: RequestRanks;
-	readonly rankOf: ReadonlyMap<Kind, number>;
-} {
+/** Ranks of kinds of requests under a configuration that has a route for each of them. */
+function ranksOf(kinds: readonly Kind[]): Map<Kind, number> {
 	const routes = kinds.map(({routeTier, objectiveMs, timeoutMs}, index) => ({
 		name: `r${index}`,
 		host: 'h',
@@ -378,11 +371,10 @@
 			idleTimeoutMs: 1,
 		},
 	});
-	const rankOf = new Map(
+	return new Map(
 		kinds.map((kind, index) => [
 			kind,
 			ranks.of(routes[index]!, workspaces[index], 's'),
 		]),
 	);
-	return {ranks, rankOf};
 }
--- a/src/services/gateway/request-ranks.test.ts
+++ b/src/services/gateway/request-ranks.test.ts
@@ -9,15 +9,7 @@
 function ranks(
 	routeProperties: readonly RouteProperties[],
 	workspaceTier: number | undefined,
-): readonly number[] {
-	return rankRoutes(routeProperties, workspaceTier).all;
-}
-
-/** The same, with the table that they come from. */
-function rankRoutes(
-	routeProperties: readonly RouteProperties[],
-	workspaceTier: number | undefined,
-): {readonly all: readonly number[]; readonly table: RequestRanks} {
+): number[] {
 	const routes = [{tier: -1, objectiveMs: 1}, ...routeProperties].map(
 		(properties, index): Route => ({
 			name: `r${index}`,
@@ -46,8 +38,7 @@
 			idleTimeoutMs: 1,
 		},
 	});
-	const all = routes.slice(1).map((route) => table.of(route, workspace, 's'));
-	return {all, table};
+	return routes.slice(1).map((route) => table.of(route, workspace, 's'));
 }
 
 function expectAscending(values: readonly number[]): void {
@@ -112,20 +103,3 @@
 		),
 	);
 });
-
-// Guards against an owner of engines that does not know how urgent the requests of other gateways are.
-test('the latency target of a rank is the tightest of its routes', () => {
-	const {all, table} = rankRoutes(
-		[
-			{tier: 0, objectiveMs: 1200},
-			{tier: 1, objectiveMs: 1500},
-			{tier: 1, objectiveMs: 1300},
-		],
-		1,
-	);
-	expect(all.map((rank) => table.objectiveMs(rank, 's'))).toEqual([
-		1200, 1300, 1300,
-	]);
-	expect(table.objectiveMs(1.7, 's')).toEqual(undefined);
-	expect(table.objectiveMs(-0.5, 's')).toEqual(undefined);
-});
--- a/src/services/gateway/request-ranks.ts
+++ b/src/services/gateway/request-ranks.ts
@@ -13,9 +13,6 @@
 /** Upper bound of what the tier of its route adds to the rank of a request. A small difference lets urgent requests take the capacity that becomes free; a larger one would leave capacity unused when there are none. */
 const maxRouteRankOffset = 0.25;
 
-/** Maximum number of cached latency targets: ranks come in messages, which may hold any number. */
-const maxObjectives = 1000;
-
 /** Properties of a route that decide its rank among others. */
 type RankedRoute = Pick<Route, 'tier' | 'objectiveMs'>;
 
@@ -31,8 +28,6 @@
 	readonly #workspaceTiers: ReadonlySet<number | undefined>;
 	/** Ranks by service, tier, tier of the route and latency target. */
 	readonly #ranks = new Map<string, number>();
-	/** Tightest latency targets by service and rank. */
-	readonly #objectives = new Map<string, number | undefined>();
 
 	constructor(configuration: Configuration) {
 		this.#configuration = configuration;
@@ -52,28 +47,6 @@
 		return rank;
 	}
 
-	/** Tightest latency target of the requests to a service that have a rank, in milliseconds; undefined if none have it. */
-	objectiveMs(rank: number, service: string): number | undefined {
-		const key = JSON.stringify([service, rank]);
-		if (!this.#objectives.has(key)) {
-			const tier = Math.floor(rank);
-			const inTier = this.#routesInTier(tier, service);
-			const objectives = inTier
-				.filter((route) => tier + rankOffset(route, inTier) === rank)
-				.map(({objectiveMs}) => objectiveMs);
-			if (this.#objectives.size === maxObjectives) {
-				this.#objectives.clear();
-			}
-
-			this.#objectives.set(
-				key,
-				objectives.length > 0 ? Math.min(...objectives) : undefined,
-			);
-		}
-
-		return this.#objectives.get(key);
-	}
-
 	/** Routes to a service whose requests can have a tier. */
 	#routesInTier(tier: number, service: string): Route[] {
 		return this.#configuration.routes.filter(
--- a/src/services/gateway/routing-table.ts
+++ b/src/services/gateway/routing-table.ts
@@ -87,11 +87,6 @@
 		return this.#ranks.of(route, workspace, service.name);
 	}
 
-	/** Tightest latency target of the requests to a service that have a rank, in milliseconds; undefined if none have it. */
-	objectiveMs(rank: number, service: string): number | undefined {
-		return this.#ranks.objectiveMs(rank, service);
-	}
-
 	/** Chooses the service for a request by the weights of its route; the same request id always gets the same service. */
 	target(route: Route, requestId: string): Service | undefined {
 		const total = route.targets.reduce((sum, {weight}) => sum + weight, 0);
