--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -517,7 +517,7 @@
 			}
 
 			case 'admitted': {
-				const {route, service, workspace, priority} = admission;
+				const {route, service, workspace, priority, rank} = admission;
 				const exchange = new Exchange(
 					this.#context,
 					{
@@ -531,6 +531,7 @@
 						service,
 						workspace,
 						priority,
+						rank,
 						receivedAt,
 						configurationVersion: routing?.configuration.version ?? 0,
 					},
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -1,5 +1,6 @@
 import {crc32} from 'node:zlib';
 import {
+	claimCapacity,
 	hasFreeSlot,
 	place,
 	prefixLinks,
@@ -120,7 +121,7 @@
 		);
 		return new Promise((resolve, reject) => {
 			const queuedRequest: QueuedRequest = {
-				rank: this.#rank(monotonicNow()),
+				rank: this.#rank,
 				arrivedAt: receivedAt,
 				lateAt,
 				tryPlace: (now) => {
@@ -173,6 +174,7 @@
 
 						case 'wait': {
 							if (now < waitUntil) {
+								this.#claimCapacity(now);
 								return false;
 							}
 
@@ -266,7 +268,7 @@
 		return {
 			uncachedTokens,
 			kvCacheTokens: promptTokens + outputTokens,
-			rank: this.#rank(monotonicNow()),
+			rank: this.#rank,
 		};
 	}
 
@@ -290,6 +292,7 @@
 			endpoint: upstream.id,
 			tier: this.requestedTier,
 			priority: this.#request.priority,
+			rank: this.#rank,
 			expected_ms: Math.round(expectedMs),
 			waited_ms: Math.round(now - this.#request.receivedAt),
 			denials: this.denials,
@@ -401,13 +404,25 @@
 				isOnce: route.retryMode === 'once',
 				dataCentre,
 				objectiveMs: route.objectiveMs,
-				rank: this.#rank(now),
+				rank: this.#rank,
 			},
 			endpoints.serving(service.name, now),
 			now,
 		);
 	}
 
+	/** Claims the next free capacity of the engines that this gateway owns; the owners of others do so when they deny it. */
+	#claimCapacity(now: number): void {
+		const {service, head} = this.#request;
+		if (service.engine && head.prompt) {
+			claimCapacity(
+				{links: this.links, rank: this.#rank},
+				this.#context.endpoints.serving(service.name, now),
+				now,
+			);
+		}
+	}
+
 	/** Queues the run until the engine that holds its replica has capacity to resume it. Resolves to false when it has none in time, or takes no requests. */
 	async waitToResume(upstream: Upstream): Promise<boolean> {
 		const {queue, peers, endpoints} = this.#context;
@@ -480,18 +495,9 @@
 		return workspace?.tier ?? route.tier;
 	}
 
-	#rank(now: number): number {
-		const {route, service} = this.#request;
-		return this.#state().hasAnswer
-			? 0
-			: this.#context.endpoints.demand(service.name).rank(
-					{
-						tier: this.tier,
-						routeTier: route.tier,
-						objectiveMs: route.objectiveMs,
-					},
-					now,
-				);
+	/** Rank in which the request gets capacity, 0 first. A started response takes precedence over all new ones. */
+	get #rank(): number {
+		return this.#state().hasAnswer ? 0 : this.#request.rank;
 	}
 
 	/** The caller has disconnected, the request's time is over, or it would be sent too late in a stop. */
