--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -201,6 +201,10 @@
 				this.#peers.notices.sendRateLimits();
 			},
 		});
+		this.#loopLag.onDidStall = (stalledMs) => {
+			options.log.info('process_stalled', {ms: Math.round(stalledMs)});
+		};
+
 		const readSockets = async () => this.#loopLag.readSockets();
 		const probeContext = {
 			connections,
--- a/src/daemons/gateway/loop-lag.test.ts
+++ b/src/daemons/gateway/loop-lag.test.ts
@@ -38,3 +38,19 @@
 	server.close();
 	expect(seen).toEqual([true]);
 });
+
+// Guards against a lack of processor time that no log shows.
+test('a stall of the event loop is reported with its length', async () => {
+	const lag = new LoopLag();
+	const stalls: number[] = [];
+	lag.onDidStall = (ms) => {
+		stalls.push(ms);
+	};
+
+	await new Promise((resolve) => {
+		setImmediate(resolve);
+	});
+	block(600);
+	await waitUntil('reported', async () => stalls.some((ms) => ms >= 600));
+	lag.dispose();
+});
--- a/src/daemons/gateway/loop-lag.ts
+++ b/src/daemons/gateway/loop-lag.ts
@@ -7,8 +7,13 @@
 /** Delay of a sample that still counts as normal, in milliseconds. */
 const normalDelayMs = 150;
 
+/** Delay of a sample that is reported, in milliseconds: requests whose callers left meanwhile may be sent on. */
+const reportedDelayMs = 300;
+
 /** Detects that the process is short of processor time, so that data waits in its sockets before it is read. */
 export class LoopLag implements Disposable {
+	/** Called when the event loop has not turned for long, with the time in milliseconds. */
+	onDidStall: (stalledMs: number) => void = () => undefined;
 	readonly #timer: NodeJS.Timeout;
 	#sampledAt = monotonicNow();
 	/** Remains set for two turns after a late sample: the timers of a late turn run before its sockets are read. */
@@ -20,7 +25,12 @@
 				void this.#trackCatchUp();
 			}
 
-			this.#sampledAt = monotonicNow();
+			const now = monotonicNow();
+			const stalledMs = now - this.#sampledAt;
+			this.#sampledAt = now;
+			if (stalledMs > sampleIntervalMs + reportedDelayMs) {
+				this.onDidStall(stalledMs);
+			}
 		}, sampleIntervalMs);
 	}
 
