--- a/src/daemons/gateway/connection-pool.test.ts
+++ b/src/daemons/gateway/connection-pool.test.ts
@@ -3,8 +3,8 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {DisposableStore} from '../../base/index.js';
+import {block} from '../../lab/block.js';
 import {freePort, waitUntil} from '../../lab/fleet/loopback.js';
-import {monotonicNow} from '../state-machine.js';
 import {ConnectionPool, type Connection} from './connection-pool.js';
 import {LoopLag} from './loop-lag.js';
 
@@ -14,13 +14,6 @@
 /** Shorter than that timeout, but long enough for the process to count as behind. */
 const lagMs = 300;
 
-function block(ms: number): void {
-	const endsAt = monotonicNow() + ms;
-	while (monotonicNow() < endsAt) {
-		// Busy wait.
-	}
-}
-
 async function listen(server: Server): Promise<string> {
 	const port = await freePort();
 	server.listen(port, '127.0.0.1');
--- a/src/daemons/gateway/loop-lag.test.ts
+++ b/src/daemons/gateway/loop-lag.test.ts
@@ -2,18 +2,10 @@
 import {connect} from 'node:net';
 import {test} from 'node:test';
 import {expect} from 'earl';
+import {block} from '../../lab/block.js';
 import {freePort, waitUntil} from '../../lab/fleet/loopback.js';
-import {monotonicNow} from '../state-machine.js';
 import {LoopLag} from './loop-lag.js';
 
-/** Blocks the event loop, as a lack of processor time does. */
-function block(ms: number): void {
-	const endsAt = monotonicNow() + ms;
-	while (monotonicNow() < endsAt) {
-		// Busy wait.
-	}
-}
-
 // Guards against requests that are sent to endpoints although their callers disconnected before a busy gateway read them.
 test('a process that is behind handles the disconnect of a caller before it continues', async () => {
 	const lag = new LoopLag();
--- a/src/daemons/gateway/request-queue-task.test.ts
+++ b/src/daemons/gateway/request-queue-task.test.ts
@@ -2,19 +2,11 @@
 import {connect} from 'node:net';
 import {test} from 'node:test';
 import {expect} from 'earl';
+import {block} from '../../lab/block.js';
 import {freePort, waitUntil} from '../../lab/fleet/loopback.js';
-import {monotonicNow} from '../state-machine.js';
 import {LoopLag} from './loop-lag.js';
 import {RequestQueueTask} from './request-queue-task.js';
 
-/** Keeps the event loop from turning, as a lack of processor time does. */
-function block(ms: number): void {
-	const endsAt = monotonicNow() + ms;
-	while (monotonicNow() < endsAt) {
-		// Busy wait.
-	}
-}
-
 // Guards against sending queued requests whose callers have disconnected: a gateway short of CPU time runs its timers before it reads the closed sockets.
 test('a gateway that is behind detects disconnected callers before it places queued requests', async () => {
 	const lag = new LoopLag();
