--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -2,7 +2,7 @@
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {createWriteStream, readFileSync} from 'node:fs';
-import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {mkdtemp, readFile, rename, rm, writeFile} from 'node:fs/promises';
 import {get} from 'node:http';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
@@ -66,10 +66,29 @@
 
 	async start() {
 		this.#folder = await mkdtemp(path.join(tmpdir(), 'cicadaswitch-review-'));
-		const host = `${this.#network}.250`;
+		this.#storeAddress = await this.addStoreAddress(250);
+	}
+
+	/** Lets the store listen at a further address, and resolves to that. */
+	async addStoreAddress(number) {
+		const host = this.host(number);
 		const port = await freePort(host);
 		await this.store.listen(host, port);
-		this.#storeAddress = `${host}:${port}`;
+		return `${host}:${port}`;
+	}
+
+	/** Moves the store to another address: the settings of all gateways change, and each gets a SIGHUP. Resolves to the address before. */
+	async changeStoreAddress(address) {
+		const before = this.#storeAddress;
+		this.#storeAddress = address;
+		for (const [name, {file}] of this.#gateways) {
+			const text = await readFile(file, 'utf8');
+			await writeFile(`${file}.new`, text.replace(before, address));
+			await rename(`${file}.new`, file);
+			this.signal(name, 'SIGHUP');
+		}
+
+		return before;
 	}
 
 	/** Writes one line with the time since the start to the record. */
--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -8,6 +8,7 @@
 /** Stand-in of a sound server: writes its entry, answers the state and health calls, and rejects requests for another instance. */
 export class Server {
 	id;
+	service;
 	/** Requests that the server has begun to run, in order. */
 	runs = [];
 	#store;
@@ -21,6 +22,7 @@
 	/** `run` answers a request. */
 	constructor({id, service, store, capacity = 64, run}) {
 		this.id = id;
+		this.service = service;
 		this.#store = store;
 		this.#run = run;
 		this.#entry = {backend: service, zone: 'bole', version: 'v1', capacity};
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -20,20 +20,28 @@
 	#rows = new Map();
 	#version = 0;
 	#isDown = false;
-	#server;
+	#servers = new Map();
 
+	/** May be called again, for a further address of the same store. */
 	async listen(host, port) {
-		this.#server = createServer((request, response) => {
+		const server = createServer((request, response) => {
 			this.#handle(request, response);
 		});
+		this.#servers.set(`${host}:${port}`, server);
 		await new Promise((resolve) => {
-			this.#server.listen(port, host, resolve);
+			server.listen(port, host, resolve);
 		});
 	}
 
-	close() {
-		this.#server.close();
-		this.#server.closeAllConnections();
+	/** Stops listening at one address, or at all of them. */
+	close(address) {
+		for (const [known, server] of this.#servers) {
+			if (address === undefined || address === known) {
+				this.#servers.delete(known);
+				server.close();
+				server.closeAllConnections();
+			}
+		}
 	}
 
 	/** Writes a value as JSON, or deletes the row when the value is undefined. */
