--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -190,7 +190,7 @@
 			`${partial} of ${requests} callers got a part of the body as a complete 200`,
 		);
 		for (const server of servers) {
-			server.close();
+			server.end();
 		}
 
 		return partial === 0;
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -158,7 +158,7 @@
 			`${broken.length} of ${streams} streams look complete and lack events`,
 		);
 		for (const server of servers) {
-			server.close();
+			server.end();
 		}
 
 		return broken.length === 0;
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -124,7 +124,7 @@
 		deployment.note(
 			`${late.length} requests ran that were sent over ${revokeMs} ms after their key had been taken away, or with a key that no configuration held`,
 		);
-		server.close();
+		server.end();
 		return late.length === 0;
 	},
 );
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -94,7 +94,9 @@
 	/** Writes one line with the time since the start to the record. */
 	note(text) {
 		const at = ((performance.now() - this.#startedAt) / 1000).toFixed(3);
-		this.#record.write(`${at.padStart(8)} s  ${text}\n`);
+		if (!this.#record.writableEnded) {
+			this.#record.write(`${at.padStart(8)} s  ${text}\n`);
+		}
 	}
 
 	/** Loopback address for a stand-in. */
--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -41,7 +41,8 @@
 		}, heartbeatMs);
 	}
 
-	close() {
+	/** Ends the server. */
+	end() {
 		clearInterval(this.#timer);
 		this.#server.close();
 		this.#server.closeAllConnections();
