--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -18,6 +18,9 @@
 
 const startTimeoutMs = 15_000;
 
+/** Time after which a case that has not ended could not run, in milliseconds. */
+const caseTimeoutMs = 110_000;
+
 export const delay = async (ms) =>
 	new Promise((resolve) => {
 		setTimeout(resolve, ms);
@@ -234,18 +237,36 @@
 	});
 }
 
+/** Rejects when the case has taken too long, unless it is aborted before. */
+async function timeOut(signal) {
+	return new Promise((_resolve, reject) => {
+		const timer = setTimeout(() => {
+			reject(new CannotRun('the case has not ended in time'));
+		}, caseTimeoutMs);
+		signal.addEventListener('abort', () => {
+			clearTimeout(timer);
+		});
+	});
+}
+
 /** Runs a case: exits with 1 if `play` resolves to false, with 0 if it resolves to true, and with 2 if the case could not run. */
 export async function runCase(recordFile, play) {
 	const hasTrouble = process.env.TROUBLE !== '0';
 	const deployment = new Deployment(recordFile);
+	const deadline = new AbortController();
 	let status = 2;
 	try {
 		await deployment.start();
-		status = (await play(deployment, hasTrouble)) ? 0 : 1;
+		const isKept = await Promise.race([
+			play(deployment, hasTrouble),
+			timeOut(deadline.signal),
+		]);
+		status = isKept ? 0 : 1;
 	} catch (error) {
 		console.error(error);
 	}
 
+	deadline.abort();
 	await deployment.close();
 	process.exitCode = status;
 }
--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -34,11 +34,12 @@
 		});
 		this.#server.listen(0, host);
 		await once(this.#server, 'listening');
+		this.#server.unref();
 		this.#entry.address = `${host}:${this.#server.address().port}`;
 		this.#beat();
 		this.#timer = setInterval(() => {
 			this.#beat();
-		}, heartbeatMs);
+		}, heartbeatMs).unref();
 	}
 
 	/** Ends the server. */
