Detect resets that Node.js reports as the end of an answer

Callers got a part of an answer as a complete 200 with the server's stamp (MIXED, review/1) when a server reset an answer that has neither a length nor chunks. Such an answer was not requested again where that is allowed, and a stream was not resumed.

Cause: when the last bytes and the reset arrive together, Node.js 20.19 emits "end" and no "error": after a short read it sees the hang-up and does not read the socket again. Connection.isReset relied on "error" alone.

Change: at "end", while its own side is still open, a socket without a peer address counts as reset. That covers buffered and forwarded answers, streams and probes of engines, which counted a reset answer as a sign of life. Why it works: the kernel drops the peer of a socket that has received a reset, and keeps it in the state after an orderly end.

--- a/src/daemons/gateway/connection-pool.ts
+++ b/src/daemons/gateway/connection-pool.ts
@@ -18,7 +18,7 @@
 
 /** HTTP/1.1 connection to an endpoint, with one request at a time. */
 export class Connection implements Disposable {
-	/** The endpoint reset the connection: a response that is delimited by its close is incomplete. */
+	/** The connection was reset, or its orderly end cannot be verified: a response that is delimited by its close is incomplete. */
 	isReset = false;
 	isConnected = false;
 	/** It has carried an earlier request, whose answer may arrive once more. */
@@ -112,6 +112,9 @@
 			socket.on('error', () => {
 				this.isReset = true;
 			});
+			socket.once('end', () => {
+				this.isReset ||= isDisconnected(socket);
+			});
 			void this.#use(socket, callback);
 		});
 	}
@@ -139,6 +142,16 @@
 	}
 }
 
+/**
+ * Whether an ended socket has no peer any more, although its own side is still
+ * open: it was reset. Node.js reports a reset that arrives together with the last
+ * data as an end without an error. The address of the peer must not have been
+ * read before, as Node.js caches it.
+ */
+function isDisconnected(socket: net.Socket): boolean {
+	return socket.remoteAddress === undefined;
+}
+
 /** Pool of connections of this process to one endpoint. */
 export class ConnectionPool implements Disposable {
 	readonly #address: string;
--- a/src/daemons/gateway/engine-probe.ts
+++ b/src/daemons/gateway/engine-probe.ts
@@ -90,6 +90,11 @@
 						return;
 					}
 
+					if (connection.isReset) {
+						end({type: 'closed'});
+						return;
+					}
+
 					const report = format.parseEngineReport(
 						Buffer.concat(chunks).toString(),
 					);
