Mark the end of each body that is sent to a caller

Cause: an answer with neither a length nor chunks was passed on in that form, whose end is the close of the connection. The system closes the connections of a killed process in order. Only a running gateway could reset them.

Change: an answer that is buffered whole gets a Content-Length; a stream or an answer over the buffer's limit is sent in chunks, with the last chunk only after the orderly end of the server's answer. An HTTP/1.0 caller understands no chunks: its answers are buffered whole, and one that is too large and has no length fails with 502. Why it works: the mark of the end is sent by the gateway after it has verified the end, and a killed one does not send it.

--- a/src/daemons/gateway/caller-output.ts
+++ b/src/daemons/gateway/caller-output.ts
@@ -1,10 +1,13 @@
 import type {ServerResponse} from 'node:http';
 
-/** Response to a caller: its head is written once, its body is then written, ended or aborted. */
+/**
+ * Response to a caller: its head is written once, its body is then written, ended
+ * or aborted. The end of each body is marked by a length or a last chunk and never
+ * by the close of the connection, which also follows when this process is killed.
+ */
 export class CallerOutput {
 	readonly #response: ServerResponse;
 	#isPaused = false;
-	#isCloseDelimited = false;
 
 	constructor(response: ServerResponse) {
 		this.#response = response;
@@ -20,32 +23,18 @@
 		return this.#response.destroyed || this.#response.writableEnded;
 	}
 
+	/** Whether the caller understands chunked encoding, which HTTP/1.0 lacks: any other caller needs the length of a body before its first byte. */
+	get acceptsChunks(): boolean {
+		return this.#response.useChunkedEncodingByDefault;
+	}
+
 	/** Closes the connection after the response, so that the caller opens a new one for its next request. */
 	disableKeepAlive(): void {
 		this.#response.shouldKeepAlive = false;
 	}
 
-	/** The end of the response body is marked only by the close of the connection. */
-	get isCloseDelimited(): boolean {
-		return this.#isCloseDelimited;
-	}
-
-	/**
-	 * Writes the status and headers. A close-delimited response stays one for
-	 * the caller: a length or chunked encoding would mark the body as complete,
-	 * although the endpoint's connection may have closed too early.
-	 */
-	writeHead(
-		status: number,
-		headers: readonly string[],
-		isCloseDelimited: boolean,
-	): void {
-		this.#isCloseDelimited = isCloseDelimited;
-		if (isCloseDelimited) {
-			this.#response.useChunkedEncodingByDefault = false;
-			this.#response.shouldKeepAlive = false;
-		}
-
+	/** Writes the status and headers. A body without a Content-Length is sent in chunks. */
+	writeHead(status: number, headers: readonly string[]): void {
 		this.#response.writeHead(status, [...headers]);
 	}
 
@@ -70,23 +59,14 @@
 		this.#response.end();
 	}
 
-	/** Sends a complete response. */
-	send(
-		status: number,
-		headers: readonly string[],
-		body: Uint8Array,
-		isCloseDelimited = false,
-	): void {
-		this.writeHead(status, headers, isCloseDelimited);
+	/** Sends a complete response; the headers must contain the length of its body. */
+	send(status: number, headers: readonly string[], body: Uint8Array): void {
+		this.writeHead(status, headers);
 		this.#response.end(body);
 	}
 
-	/** Destroys the connection, so that the caller does not take the response for complete. A response that ends with its connection needs a reset, because any other end completes it. */
+	/** Destroys the connection before the end of the body has been marked, so that the caller does not take the response for complete. */
 	cut(): void {
-		if (this.#isCloseDelimited) {
-			this.#response.socket?.resetAndDestroy();
-		}
-
 		this.#response.destroy();
 	}
 }
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -21,6 +21,7 @@
 	withheldReason,
 	type PlacedRequest,
 } from './request-placement.js';
+import {hasContentLength} from './raw-headers.js';
 import {Send, type BufferedAnswer, type StreamPosition} from './send.js';
 
 /** Width of the random jitter as a fraction of a Retry-After value, so that callers do not all retry at once. */
@@ -34,6 +35,9 @@
 	'moved',
 ]);
 
+/** Statuses whose responses have no body. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
 /** Handles one request of a caller: places it, sends it to endpoints, retries where allowed and responds. */
 export class Exchange implements Disposable {
 	readonly #context: ExchangeContext;
@@ -521,16 +525,17 @@
 			return 'abandoned';
 		}
 
-		const {status, headers, body, isCloseDelimited} = answer;
+		const {status, headers, body} = answer;
 		const forwardedHeaders = this.#context.format.answerHeaders(headers);
-		this.#output.send(
-			status,
-			isCloseDelimited
-				? forwardedHeaders
-				: withContentLength(forwardedHeaders, body.length),
-			body,
-			isCloseDelimited,
-		);
+		if (
+			this.#request.method !== 'HEAD' &&
+			!bodilessStatuses.has(status) &&
+			!hasContentLength(headers)
+		) {
+			forwardedHeaders.push('Content-Length', String(body.length));
+		}
+
+		this.#output.send(status, forwardedHeaders, body);
 		return `answered ${status}`;
 	}
 
@@ -585,11 +590,3 @@
 function withJitter(ms: number): number {
 	return ms * (1 + retryAfterJitter * (Math.random() - 0.5));
 }
-
-/** Adds a Content-Length header when the endpoint sent none. */
-function withContentLength(headers: string[], length: number): string[] {
-	const hasLength = headers.some(
-		(name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length',
-	);
-	return hasLength ? headers : [...headers, 'Content-Length', String(length)];
-}
--- a/src/daemons/gateway/raw-headers.ts
+++ b/src/daemons/gateway/raw-headers.ts
@@ -11,3 +11,10 @@
 			)
 		: [];
 }
+
+/** Whether the length of the body is stated. */
+export function hasContentLength(headers: RawHeaders): boolean {
+	return headers.some(
+		(name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length',
+	);
+}
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -15,7 +15,7 @@
 import type {CallerOutput} from './caller-output.js';
 import {IdleWatch, type IdleWatchOptions} from './idle-watch.js';
 import type {Connection, ConnectionPool} from './connection-pool.js';
-import {decodeRawHeaders} from './raw-headers.js';
+import {decodeRawHeaders, hasContentLength} from './raw-headers.js';
 
 /** Maximum size of a response, or of an event of a stream, that is buffered until it is complete, in bytes. A larger response is forwarded as it arrives, and a retry can no longer replace it; a larger event or refusal is aborted. */
 const maxBufferedBytes = 256 * 1024;
@@ -32,9 +32,6 @@
 	serviceUnavailable,
 ]);
 
-/** Statuses whose responses have no body. */
-const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
-
 /** Reasons in the log and in answers for each way in which an endpoint is gone. */
 const reasons: Readonly<Record<GoneCause, string>> = {
 	silent: 'endpoint is silent on all connections',
@@ -42,19 +39,16 @@
 	'newer incarnation': 'endpoint has restarted',
 };
 
-/** Headers that mark the end of a body within the connection. */
-const framingHeaders: ReadonlySet<string> = new Set([
-	'content-length',
-	'transfer-encoding',
-]);
+const incompleteEvent: SendEnd = {
+	type: 'broken',
+	reason: 'stream ended within an event',
+};
 
 /** Complete response of an endpoint, not yet forwarded to the caller. */
 export type BufferedAnswer = {
 	readonly status: number;
 	readonly headers: RawHeaders;
 	readonly body: Uint8Array;
-	/** It had neither a length nor chunked encoding and ended with the connection. */
-	readonly isCloseDelimited: boolean;
 };
 
 /** Progress of the caller's stream, shared by the sends that continue it. */
@@ -111,7 +105,6 @@
 	#controller: Dispatcher.DispatchController | undefined;
 	#status = 0;
 	#headers: RawHeaders = [];
-	#isCloseDelimited = false;
 	#head: AnswerHead | undefined;
 	/** The caller has a part of the stream, and the next event must follow it. */
 	#mustContinue = false;
@@ -186,7 +179,6 @@
 		const now = monotonicNow();
 		this.#status = status;
 		this.#headers = decodeRawHeaders(controller.rawHeaders);
-		this.#isCloseDelimited = isCloseDelimited(status, this.#headers);
 		const head = format.parseAnswer(status, this.#headers);
 		this.#head = head;
 		upstream.recordDataReceived(now);
@@ -209,7 +201,7 @@
 			return;
 		}
 
-		if (this.#options.isStream && status === statusOk) {
+		if (this.#isEventStream && this.#options.output.acceptsChunks) {
 			this.#mode = 'events';
 			this.#mustContinue =
 				this.#options.output.hasSentHeaders &&
@@ -281,6 +273,10 @@
 		);
 	}
 
+	get #isEventStream(): boolean {
+		return this.#options.isStream && this.#status === statusOk;
+	}
+
 	/** Classifies a response that has been read to its end. */
 	#classifyEnd(): SendEnd {
 		if (this.#head!.isNotExecuted || notRunStatuses.has(this.#status)) {
@@ -293,11 +289,15 @@
 			}
 
 			case 'buffered': {
+				const body = Buffer.concat(this.#buffered);
+				if (this.#isEventStream && !endsWithWholeEvent(body)) {
+					return incompleteEvent;
+				}
+
 				this.answer = {
 					status: this.#status,
 					headers: this.#headers,
-					body: Buffer.concat(this.#buffered),
-					isCloseDelimited: this.#isCloseDelimited,
+					body,
 				};
 				return {type: 'answered', status: this.#status};
 			}
@@ -320,13 +320,9 @@
 	}
 
 	#classifyStreamEnd(): SendEnd {
-		const {output} = this.#options;
-		if (this.#splitter.pendingLength > 0 || !output.hasSentHeaders) {
-			return {type: 'broken', reason: 'stream ended within an event'};
-		}
-
-		return this.#isCloseDelimited && !output.isCloseDelimited
-			? {type: 'broken', reason: 'end of the stream cannot be verified'}
+		return this.#splitter.pendingLength > 0 ||
+			!this.#options.output.hasSentHeaders
+			? incompleteEvent
 			: {type: 'delivered'};
 	}
 
@@ -401,10 +397,16 @@
 			return;
 		}
 
+		const {output} = this.#options;
 		if (this.#head!.isNotExecuted || notRunStatuses.has(this.#status)) {
 			// The head identifies a refusal; its body may be endless.
 			this.cancel(this.#classifyRefusal());
-		} else if (this.#options.output.hasSentHeaders) {
+		} else if (!output.acceptsChunks && !hasContentLength(this.#headers)) {
+			this.cancel({
+				type: 'broken',
+				reason: 'answer too large for a caller that needs its length',
+			});
+		} else if (output.hasSentHeaders) {
 			this.cancel({
 				type: 'broken',
 				reason: `status ${this.#status} in place of the rest`,
@@ -428,11 +430,7 @@
 	#writeHead(): void {
 		const {output, format} = this.#options;
 		if (!output.hasSentHeaders) {
-			output.writeHead(
-				this.#status,
-				format.answerHeaders(this.#headers),
-				this.#isCloseDelimited,
-			);
+			output.writeHead(this.#status, format.answerHeaders(this.#headers));
 		}
 	}
 
@@ -465,13 +463,7 @@
 	return event[0] === ':'.codePointAt(0);
 }
 
-/** Whether the response body ends only with the connection: it has neither a length nor chunked encoding. */
-function isCloseDelimited(status: number, headers: RawHeaders): boolean {
-	return (
-		!bodilessStatuses.has(status) &&
-		!headers.some(
-			(name, index) =>
-				index % 2 === 0 && framingHeaders.has(name.toLowerCase()),
-		)
-	);
+function endsWithWholeEvent(body: Uint8Array): boolean {
+	const splitter = new EventSplitter();
+	return splitter.push(body).length > 0 && splitter.pendingLength === 0;
 }
