Reject answers of plain services whose end cannot be verified

Here undici owns the connections, and it takes even an ECONNRESET for the end of an answer with neither a length nor chunks.

Change: an answer of that form is an error of the endpoint, as for a broken connection. Streams of engines end with their own last event and are not affected.

--- a/src/interfaces/adapters/dispatch-stream.ts
+++ b/src/interfaces/adapters/dispatch-stream.ts
@@ -6,17 +6,24 @@
 	Record<string, string | string[] | undefined>
 >;
 
+/** Statuses whose answers have no body. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
 /** Reports one HTTP answer as endpoint events; reports nothing more after `cancel` or the last event. */
 export abstract class DispatchStream
 	implements Dispatcher.DispatchHandler, Execution
 {
 	readonly #onEvent: (event: EndpointEvent) => void;
+	readonly #method: string;
 	#controller: Dispatcher.DispatchController | undefined;
 	/** The request was assigned a connection, so that part of it may have been sent. */
 	#hasConnection = false;
 	#hasEnded = false;
+	/** The body has neither a length nor chunks and ends with its connection. */
+	#isCloseDelimited = false;
 
-	constructor(onEvent: (event: EndpointEvent) => void) {
+	constructor(method: string, onEvent: (event: EndpointEvent) => void) {
+		this.#method = method;
 		this.#onEvent = onEvent;
 	}
 
@@ -53,6 +60,11 @@
 		status: number,
 		headers: ResponseHeaders,
 	): void {
+		this.#isCloseDelimited =
+			this.#method !== 'HEAD' &&
+			!bodilessStatuses.has(status) &&
+			headers['content-length'] === undefined &&
+			headers['transfer-encoding'] === undefined;
 		this.readHead(status, headers);
 	}
 
@@ -63,7 +75,17 @@
 		this.readData(chunk);
 	}
 
+	/** Undici reports a reset as the end of a close-delimited body, so none of these is known to be whole. */
 	onResponseEnd(): void {
+		if (this.#isCloseDelimited) {
+			this.report({
+				type: 'error',
+				sent: true,
+				reason: 'the answer has neither a length nor chunks',
+			});
+			return;
+		}
+
 		this.readEnd();
 	}
 
--- a/src/interfaces/adapters/http-engine.ts
+++ b/src/interfaces/adapters/http-engine.ts
@@ -54,7 +54,7 @@
 		options: RunOptions,
 		onEvent: (event: EndpointEvent) => void,
 	): Execution {
-		const stream = new EngineStream(onEvent);
+		const stream = new EngineStream('POST', onEvent);
 		this.#pool.dispatch(
 			{
 				origin: this.#url,
--- a/src/interfaces/adapters/http-service.ts
+++ b/src/interfaces/adapters/http-service.ts
@@ -41,7 +41,7 @@
 		options: {readonly requestId: string},
 		onEvent: (event: EndpointEvent) => void,
 	): Execution {
-		const stream = new ServiceStream(onEvent);
+		const stream = new ServiceStream(call.method, onEvent);
 		this.#pool.dispatch(
 			{
 				origin: this.#url,
