Check keys also when no workspace is left

Cause: the list of tenants was decoded with [] as its default, so an empty list was the same as a missing one, and keys were asked for only where the list had an entry.

Evidence: with another tenant left the same requests got 401.

Change: the list of workspaces is undefined where the configuration has none, and only then no key is asked for. Other gateways confirm version and age of a configuration and pass none on, and the copy in force compares whole configurations, so neither confuses the two. /state has requiresKeys.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -407,6 +407,7 @@
 			isReady: this.isReady,
 			isDraining: this.#drain !== undefined,
 			configuration: this.#platform.routing?.configuration.version,
+			requiresKeys: this.#platform.routing?.requiresKeys,
 			configurationAgeMs: Math.round(this.#platform.ageMs),
 			storeEra: this.#platform.era,
 			gateways: this.#roster.count,
--- a/src/daemons/gateway/platform-copy.ts
+++ b/src/daemons/gateway/platform-copy.ts
@@ -310,7 +310,7 @@
 					version,
 					before,
 					routes: configuration.routes.length,
-					workspaces: configuration.workspaces.length,
+					workspaces: configuration.workspaces?.length ?? '',
 				});
 				break;
 			}
--- a/src/interfaces/ports/routing.ts
+++ b/src/interfaces/ports/routing.ts
@@ -87,7 +87,8 @@
 	readonly version: number;
 	readonly routes: readonly Route[];
 	readonly services: readonly Service[];
-	readonly workspaces: readonly KeyHolder[];
+	/** Workspaces with the keys that may be used; undefined where the configuration checks no keys. An empty list accepts none. */
+	readonly workspaces: readonly KeyHolder[] | undefined;
 	readonly limits: CallerLimits;
 };
 
--- a/src/services/gateway/admission.test.ts
+++ b/src/services/gateway/admission.test.ts
@@ -1,6 +1,10 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
-import type {RequestHead, Route} from '../../interfaces/ports/index.js';
+import type {
+	Configuration,
+	RequestHead,
+	Route,
+} from '../../interfaces/ports/index.js';
 import {admit} from './admission.js';
 import {DrainSchedule} from './drain-schedule.js';
 import {RoutingTable} from './routing-table.js';
@@ -20,7 +24,7 @@
 	isPublic: false,
 };
 
-const routing = new RoutingTable({
+const configuration: Configuration = {
 	version: 1,
 	routes: [
 		route,
@@ -34,7 +38,9 @@
 		headerTimeoutMs: 1,
 		idleTimeoutMs: 1,
 	},
-});
+};
+
+const routing = new RoutingTable(configuration);
 
 const now = 10_000;
 
@@ -48,9 +54,14 @@
 	};
 }
 
-function outcome(target: string, key: string | undefined, ageMs: number) {
+function outcome(
+	target: string,
+	key: string | undefined,
+	ageMs: number,
+	table = routing,
+) {
 	const view = {
-		routing,
+		routing: table,
 		ageMs,
 		revocationMs: 5000,
 		drain: undefined,
@@ -77,6 +88,17 @@
 	expect(outcome('/open/', undefined, 1_000_000)).toEqual('admitted');
 });
 
+// Guards against routes that are open to everybody, and keys that are not checked for long, once no workspace is left.
+test('an empty list of workspaces accepts no key, a missing one asks for none', () => {
+	const empty = new RoutingTable({...configuration, workspaces: []});
+	expect(outcome('/keyed/', 'k', 1000, empty)).toEqual(401);
+	expect(outcome('/keyed/', undefined, 1000, empty)).toEqual(401);
+	expect(outcome('/keyed/', 'k', 4100, empty)).toEqual('deferred');
+	expect(outcome('/open/', undefined, 1000, empty)).toEqual('admitted');
+	const none = new RoutingTable({...configuration, workspaces: undefined});
+	expect(outcome('/keyed/', undefined, 4100, none)).toEqual('admitted');
+});
+
 // Guards against a 404 for an existing route from a gateway that has just started.
 test('without a configuration every request is deferred', () => {
 	const admission = admit('h', '/keyed/', head('k'), {
--- a/src/services/gateway/admission.ts
+++ b/src/services/gateway/admission.ts
@@ -87,7 +87,7 @@
 	}
 
 	let workspace: KeyHolder | undefined;
-	if (routing.hasWorkspaces && !route.isPublic) {
+	if (routing.requiresKeys && !route.isPublic) {
 		if (ageMs > revocationMs * maxKeyAgeFraction) {
 			return deferred('keys cannot be checked', otherGatewayRetryAfterMs);
 		}
--- a/src/services/gateway/engine-priorities.ts
+++ b/src/services/gateway/engine-priorities.ts
@@ -25,7 +25,7 @@
 
 	constructor({routes, workspaces}: Configuration) {
 		const known = new Map<string, Tiers>();
-		const workspaceTiers = new Set(workspaces.map(({tier}) => tier));
+		const workspaceTiers = new Set(workspaces?.map(({tier}) => tier));
 		const routeTiers = new Set(routes.map(({tier}) => tier));
 		for (const routeTier of routeTiers) {
 			for (const tier of [undefined, ...workspaceTiers]) {
--- a/src/services/gateway/request-ranks.ts
+++ b/src/services/gateway/request-ranks.ts
@@ -32,7 +32,7 @@
 	constructor(configuration: Configuration) {
 		this.#configuration = configuration;
 		this.#workspaceTiers = new Set(
-			configuration.workspaces.map(({tier}) => tier),
+			configuration.workspaces?.map(({tier}) => tier),
 		);
 	}
 
--- a/src/services/gateway/routing-table.ts
+++ b/src/services/gateway/routing-table.ts
@@ -31,16 +31,16 @@
 			this.#services.set(service.name, service);
 		}
 
-		for (const workspace of configuration.workspaces) {
+		for (const workspace of configuration.workspaces ?? []) {
 			for (const key of workspace.keys) {
 				this.#workspaces.set(key, workspace);
 			}
 		}
 	}
 
-	/** Whether API keys are in use: a request on a route that is not public then needs one. */
-	get hasWorkspaces(): boolean {
-		return this.configuration.workspaces.length > 0;
+	/** Whether a request on a route that is not public needs a key, also when no workspace is left to hold one. */
+	get requiresKeys(): boolean {
+		return this.configuration.workspaces !== undefined;
 	}
 
 	/** Route with the longest matching path prefix. The lookup time depends on the depth of the path, not on the number of routes. */
