Count silence from the last answered probe

A stream was cut, or answered with 504 before its first event, 0.4 to 0.8 s after its sound server had fallen silent, when the server had been busy before: no byte on any connection of the gateway for 2.1 s or longer, as during a long prefill or while other requests go first.

Cause: a silent endpoint counts as gone after 2.5 s without a byte. Probes that it had answered meanwhile did not move the beginning of that time, so one pair of unanswered probes was enough once it had passed.

Change: the silence counts from the later of the last byte and the last check that found the endpoint alive. Why it works: such a check is a proof of life that is as good as a byte, so 2.5 s of real silence are needed again.

--- a/src/daemons/gateway/idle-watch.ts
+++ b/src/daemons/gateway/idle-watch.ts
@@ -36,7 +36,7 @@
 	#timeoutMs = 0;
 	/** Time on the monotonic clock at which the timeout is reported next. */
 	#timeoutAt = 0;
-	/** Time of the last check, or of the start of the period. Compared with the time at which data was last received, as timers may fire a little early. */
+	/** Time of the last check, or of the start of the period. Compared with the last sign of life, as timers may fire a little early. */
 	#checkedAt = 0;
 	#isChecking = false;
 	#isDisposed = false;
@@ -107,12 +107,12 @@
 		}
 	}
 
-	/** Checks whether the endpoint is alive, unless bytes from it have arrived on another connection in the meantime. */
+	/** Checks whether the endpoint is alive, unless it has shown so on another connection in the meantime. */
 	async #check(): Promise<void> {
 		const {upstream, checkLiveness, onDidLoseEndpoint} = this.#options;
-		const hasReceivedData = upstream.lastReceivedAt > this.#checkedAt;
+		const wasAlive = upstream.lastAliveAt > this.#checkedAt;
 		this.#checkedAt = monotonicNow();
-		if (hasReceivedData) {
+		if (wasAlive) {
 			this.#schedule();
 			return;
 		}
@@ -121,7 +121,7 @@
 		this.#isChecking = true;
 		this.#schedule();
 		const liveness = await checkLiveness(
-			Math.max(this.#idleSince, upstream.lastReceivedAt),
+			Math.max(this.#idleSince, upstream.lastAliveAt),
 		);
 		if (period !== this.#period) {
 			return;
--- a/src/daemons/gateway/liveness-checks.ts
+++ b/src/daemons/gateway/liveness-checks.ts
@@ -133,6 +133,10 @@
 					const hasReceivedData = upstream.lastReceivedAt > startedAt;
 					const liveness = withReceivedData(judged, hasReceivedData);
 					if (liveness.type !== 'silent') {
+						if (liveness.type === 'alive') {
+							upstream.recordCheckedAlive(monotonicNow());
+						}
+
 						abort.abort();
 						resolve(liveness);
 						return;
@@ -149,8 +153,8 @@
 		});
 	}
 
-	/** Time without a byte of an engine on any connection, in milliseconds. */
-	#silentMs({lastReceivedAt}: Upstream, silentSince: number): number {
-		return monotonicNow() - Math.max(silentSince, lastReceivedAt);
+	/** Time without a sign of life of an engine on any connection, in milliseconds. */
+	#silentMs({lastAliveAt}: Upstream, silentSince: number): number {
+		return monotonicNow() - Math.max(silentSince, lastAliveAt);
 	}
 }
--- a/src/services/gateway/liveness.ts
+++ b/src/services/gateway/liveness.ts
@@ -1,6 +1,6 @@
 import type {EngineReport} from '../../interfaces/index.js';
 
-/** Time without a byte on any connection after which an endpoint counts as gone, in milliseconds: a sound one may be silent for a second or so and go on, and callers abandon a stream after two seconds or more. */
+/** Time without a byte or an answered probe on any connection after which an endpoint counts as gone, in milliseconds: a sound one may be silent for a second or so and go on, and callers abandon a stream after two seconds or more. */
 export const maxPauseMs = 2500;
 
 /** Result of a probe on a new connection. */
@@ -33,7 +33,7 @@
 export type SilentEndpoint = {
 	/** Unix time of the start of the incarnation in milliseconds, undefined if unknown. */
 	readonly startedAt: number | undefined;
-	/** Time since its last byte on any connection, while bytes were due, in milliseconds. */
+	/** Time since its last sign of life on any connection, while bytes were due, in milliseconds. */
 	readonly silentMs: number;
 	readonly connection: ConnectionState;
 };
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -68,6 +68,7 @@
 	#slowness = 1;
 	#slownessUpdatedAt = 0;
 	#lastReceivedAt = 0;
+	#lastCheckedAliveAt = 0;
 	#reservingTokens = 0;
 	#ownUnreadTokens = 0;
 	/** Requests whose answers are in progress. */
@@ -153,6 +154,15 @@
 		this.#lastReceivedAt = now;
 	}
 
+	/** Time at which it last sent data or a check found it alive. A busy endpoint may send no data for long, which is no silence as long as it answers checks. */
+	get lastAliveAt(): number {
+		return Math.max(this.#lastReceivedAt, this.#lastCheckedAliveAt);
+	}
+
+	recordCheckedAlive(now: number): void {
+		this.#lastCheckedAliveAt = now;
+	}
+
 	begin(
 		links: readonly PrefixLink[],
 		uncachedTokens: number,
@@ -194,7 +204,7 @@
 		switch (end.type) {
 			case 'unsent': {
 				// A lost first packet fails a connection to a sound endpoint.
-				if (this.#lastReceivedAt > startedAt) {
+				if (this.lastAliveAt > startedAt) {
 					this.health.failed(now);
 				} else {
 					this.health.block(now);
@@ -231,7 +241,7 @@
 			}
 
 			case 'moved': {
-				const silentSince = Math.max(startedAt, this.#lastReceivedAt);
+				const silentSince = Math.max(startedAt, this.lastAliveAt);
 				if (now - silentSince >= maxPauseMs) {
 					this.health.block(now);
 				} else {
