Take a refusal whose body is broken off for a refusal

A server that states that it has not run a request, and closes the connection before the whole body of that answer has arrived, was taken for one that may have run it: the caller of an unsafe request got 502 instead of 503 with Retry-After, and another server was not tried.

Cause: the end of the send was classified by the body. For an answer without a length this came with the detection of resets; for one with a length it was so before. A refusal whose body is too large was classified by its head already.

Change: a response that breaks off after its head is classified by the head where that states that the request has not run.

--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -246,7 +246,7 @@
 		}
 
 		if (this.#connection.isReset) {
-			this.cancel({type: 'broken', reason: 'connection reset'});
+			this.#breakOff('connection reset');
 			return;
 		}
 
@@ -266,10 +266,19 @@
 		controller: Dispatcher.DispatchController,
 		error: Error,
 	): void {
+		if (this.isSent) {
+			this.#breakOff(error.message);
+		} else {
+			this.cancel({type: 'unsent', reason: error.message});
+		}
+	}
+
+	/** Ends a send whose response is incomplete. The head alone states that a request has not run. */
+	#breakOff(reason: string): void {
 		this.cancel(
-			this.isSent
-				? {type: 'broken', reason: error.message}
-				: {type: 'unsent', reason: error.message},
+			this.#head?.isNotExecuted
+				? this.#classifyRefusal()
+				: {type: 'broken', reason},
 		);
 	}
 
