Compare the first configuration with those of the other gateways

Cause: a gateway keeps a newer configuration through a restore only when it has read an earlier era. One that has just started took the first configuration that it read as current.

Change: before its first configuration decides on requests, a gateway asks up to 8 others for the versions in force there, a second time if none answers (0.2 s in all). While one has a newer version it is not ready and answers 503. The others also answer while their two tables belong to different eras, with ages that confirm nothing. Why it works: a gateway that has acknowledged the withdrawal, or learned of it, keeps its version and says so.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -496,10 +496,10 @@
 
 		const {method = 'GET', url = '/', rawHeaders} = request;
 		const head = this.#options.format.parseRequest(rawHeaders);
-		const {routing, ageMs} = this.#platform;
+		const {routing, ageMs, isConfirmed} = this.#platform;
 		const {revocationMs} = this.#bounds;
 		const admission = admit(request.headers.host ?? '', url, head, {
-			routing,
+			routing: isConfirmed ? routing : undefined,
 			ageMs,
 			revocationMs,
 			drain: this.#drain,
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -1,4 +1,5 @@
 import {createSocket, type RemoteInfo, type Socket} from 'node:dgram';
+import {setTimeout as delay} from 'node:timers/promises';
 import type {Disposable} from '../../base/index.js';
 import {
 	EngineReservations,
@@ -40,6 +41,12 @@
 /** Timeout of a revalidation request, in milliseconds; after it the store is read instead. */
 const freshnessTimeoutMs = 100;
 
+/** Number of other gateways that are asked for their versions of the configuration. */
+const maxAskedPeers = 8;
+
+/** Time to wait for the first list of the other gateways before they are asked, in milliseconds. */
+const firstPeersTimeoutMs = 1000;
+
 /** Time for which a gateway without a recent confirmation gets no further revalidation requests, in milliseconds. */
 const peerBackoffMs = 3000;
 
@@ -93,6 +100,11 @@
 	/** Time until which a gateway gets no revalidation requests, by name. */
 	readonly #peersInBackoff = new Map<string, number>();
 	#peers: readonly string[] = [];
+	#resolveFirstPeers!: () => void;
+	readonly #firstPeers = new Promise<void>((resolve) => {
+		this.#resolveFirstPeers = resolve;
+	});
+
 	#sequence = 0;
 	/** Also rises across restarts: a late answer to the previous process must not complete a request of this one. */
 	#lastRequestNumber = Date.now();
@@ -142,6 +154,7 @@
 		this.#peers = addresses.filter(
 			(address) => address !== this.#options.address,
 		);
+		this.#resolveFirstPeers();
 	}
 
 	/** Adds the prompt parts that an engine prefills for this gateway to the next report. */
@@ -257,6 +270,37 @@
 		return freshness;
 	}
 
+	/** Asks some of the other gateways for the versions of the configuration in force there, a second time if none answers; resolves to the highest one, or to undefined. */
+	async requestNewestConfiguration(): Promise<number | undefined> {
+		await Promise.race([
+			this.#firstPeers,
+			delay(firstPeersTimeoutMs, undefined, {ref: false}),
+		]);
+		for (let round = 0; round < 2; round++) {
+			const versions = await this.#requestVersions();
+			if (versions.length > 0) {
+				return Math.max(...versions);
+			}
+		}
+
+		return undefined;
+	}
+
+	async #requestVersions(): Promise<number[]> {
+		const asked = this.#peers
+			.toSorted(() => Math.random() - 0.5)
+			.slice(0, maxAskedPeers);
+		const answers = await Promise.all(
+			asked.map(async (address) => {
+				const {host, port} = splitAddress(address);
+				return this.#requestFreshnessFrom({address: host, port});
+			}),
+		);
+		return answers.flatMap((freshness) =>
+			freshness ? [freshness.configurationVersion] : [],
+		);
+	}
+
 	async #requestFreshnessFrom(
 		reader: PeerAddress,
 	): Promise<CopyFreshness | undefined> {
--- a/src/daemons/gateway/platform-copy.ts
+++ b/src/daemons/gateway/platform-copy.ts
@@ -32,6 +32,9 @@
 /** Pause between two reads of the endpoint feed, in milliseconds; a leaving endpoint must be known well within 2 s. */
 const endpointPollPauseMs = 700;
 
+/** Age that is stated to other gateways for a copy that has not been confirmed, in milliseconds. */
+const unconfirmedAgeMs = 86_400_000;
+
 export type PlatformCopyOptions = {
 	readonly configuration: WatchedTable<ConfigurationChange>;
 	readonly endpoints: WatchedTable<EndpointChange>;
@@ -50,6 +53,8 @@
 	readonly hasFollowers: boolean;
 	/** Requests a confirmation from another gateway; resolves to undefined when this gateway must read the store itself. */
 	requestFreshness(): Promise<CopyFreshness | undefined>;
+	/** Requests the versions of the configuration in force at other gateways; resolves to the highest one, or to undefined when there is none. */
+	requestNewestConfiguration(): Promise<number | undefined>;
 };
 
 /** Local copies of the operator's configuration and of the endpoint list, kept up to date from the platform's store. */
@@ -74,6 +79,10 @@
 
 	/** It has been logged that the store holds an older configuration than the one in force. */
 	#hasLoggedAwaited = false;
+	/** It has been logged that another gateway has a newer configuration than the store. */
+	#hasLoggedBehind = false;
+	/** The first configuration has been compared with those of the other gateways. */
+	#isCompared = false;
 
 	constructor(options: PlatformCopyOptions) {
 		this.#options = options;
@@ -103,6 +112,11 @@
 		return this.#configuration.routing;
 	}
 
+	/** Whether the configuration in force may decide on requests: the first one that is read may be older than that of other gateways, when the store was restored from a backup. */
+	get isConfirmed(): boolean {
+		return this.#isCompared;
+	}
+
 	/** Both tables have been read. */
 	get isComplete(): boolean {
 		return this.routing !== undefined && this.#endpointsEra !== undefined;
@@ -118,19 +132,26 @@
 		return this.#configurationEra;
 	}
 
-	/** Versions and ages of the copies, with which other gateways revalidate theirs; undefined until both tables have been read in the same era. */
+	/** Versions and ages of the copies, with which other gateways revalidate theirs; undefined until both tables have been read. Copies of different eras confirm nothing. */
 	proof(): CopyFreshness | undefined {
 		const {routing} = this;
-		const era = this.#endpointsEra;
-		return routing && era !== undefined && era === this.#configurationEra
-			? {
-					era,
-					configurationVersion: routing.configuration.version,
-					configurationAgeMs: this.ageMs,
-					endpointsDigest: this.endpoints.digest(),
-					endpointsAgeMs: this.#endpointsConfirmation.ageMs(readClocks()),
-				}
-			: undefined;
+		const era = this.#configurationEra;
+		if (!routing || era === undefined || this.#endpointsEra === undefined) {
+			return undefined;
+		}
+
+		const isOfOneEra = this.#endpointsEra === era;
+		const statedAgeMs = (ageMs: number) =>
+			isOfOneEra ? Math.min(ageMs, unconfirmedAgeMs) : unconfirmedAgeMs;
+		return {
+			era,
+			configurationVersion: routing.configuration.version,
+			configurationAgeMs: statedAgeMs(this.ageMs),
+			endpointsDigest: this.endpoints.digest(),
+			endpointsAgeMs: statedAgeMs(
+				this.#endpointsConfirmation.ageMs(readClocks()),
+			),
+		};
 	}
 
 	start(): void {
@@ -176,9 +197,7 @@
 				this.#onConfiguration(change);
 			},
 			onConfirmed: (sentAt) => {
-				if (this.#configuration.isRecovered(monotonicNow())) {
-					confirmIfLater(this.#configurationConfirmation, sentAt);
-				}
+				void this.#confirmConfiguration(sentAt);
 			},
 			onReachabilityChange: () => undefined,
 		});
@@ -277,6 +296,38 @@
 		watch.start();
 	}
 
+	async #confirmConfiguration(sentAt: Clocks): Promise<void> {
+		if (
+			this.#configuration.isRecovered(monotonicNow()) &&
+			(this.#isCompared || (await this.#compareConfiguration()))
+		) {
+			confirmIfLater(this.#configurationConfirmation, sentAt);
+		}
+	}
+
+	/** Resolves to whether no other gateway has a newer configuration than the first one that was read. */
+	async #compareConfiguration(): Promise<boolean> {
+		const newest = await this.#options
+			.freshnessSource()
+			.requestNewestConfiguration();
+		const version = this.routing?.configuration.version;
+		if (version === undefined) {
+			return false;
+		}
+
+		if (newest === undefined || newest <= version) {
+			this.#isCompared = true;
+			return true;
+		}
+
+		if (!this.#hasLoggedBehind) {
+			this.#hasLoggedBehind = true;
+			this.#options.log.warn('configuration_behind', {version, newest});
+		}
+
+		return false;
+	}
+
 	#onConfiguration(change: ConfigurationChange): void {
 		switch (change.type) {
 			case 'unreadable': {
--- a/src/services/gateway/admission.ts
+++ b/src/services/gateway/admission.ts
@@ -27,7 +27,7 @@
 
 /** State of the gateway that the admission of a request depends on. */
 export type AdmissionState = {
-	/** Undefined until the first configuration has been read. */
+	/** Undefined until the first configuration has been read and no other gateway is known to have a newer one. */
 	readonly routing: RoutingTable | undefined;
 	/** Time since the configuration was last confirmed as current, in milliseconds. */
 	readonly ageMs: number;
