Move the requests about copies of the store to a class of their own

PeerFreshness asks other gateways how current their copies of the store are and answers their requests; the datagrams are unchanged.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -149,7 +149,7 @@
 				loads,
 				metrics: () => this.#metrics,
 				drainMs: () => this.#bounds.drainMs,
-				freshnessSource: () => this.#peers,
+				freshnessSource: () => this.#peers.freshness,
 			}),
 		);
 		this.#peers = this.#disposables.add(
--- a/src/daemons/gateway/peer-exchange.test.ts
+++ b/src/daemons/gateway/peer-exchange.test.ts
@@ -98,7 +98,7 @@
 			async () => {
 				sequence++;
 				sendReports(sequence);
-				await gateway.requestFreshness();
+				await gateway.freshness.requestFreshness();
 				return receivedNumbers.length > before;
 			},
 		);
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -1,5 +1,4 @@
 import {createSocket, type RemoteInfo, type Socket} from 'node:dgram';
-import {setTimeout as delay} from 'node:timers/promises';
 import type {Disposable} from '../../base/index.js';
 import {
 	EngineReservations,
@@ -10,14 +9,13 @@
 	type ReservationResult,
 	type ReservationNeed,
 	type CopyFreshness,
-	isRecent,
-	StoreReaders,
 	type Upstream,
 } from '../../services/gateway/index.js';
 import {splitAddress} from '../listen.js';
 import {monotonicNow} from '../state-machine.js';
 import {decodeMessage, encodeMessage} from './peer-messages.js';
 import {UnreadableRows} from './unreadable-rows.js';
+import {PeerFreshness, type PeerAddress} from './peer-freshness.js';
 import {PeerNotices, type PeerNoticesOptions} from './peer-notices.js';
 
 /** Interval between reports of a changed load, in milliseconds for each peer: with more peers each one reports less often, which limits what a gateway receives to a few hundred reports a second. */
@@ -38,21 +36,6 @@
 /** Timeout of a reservation request, in milliseconds. The network path takes 1 ms, and a busy gateway on a quarter of a core about 10 ms. */
 const reservationTimeoutMs = 60;
 
-/** Timeout of a revalidation request, in milliseconds; after it the store is read instead. */
-const freshnessTimeoutMs = 100;
-
-/** Number of other gateways that are asked for their versions of the configuration. */
-const maxAskedPeers = 8;
-
-/** Time to wait for the first list of the other gateways before they are asked, in milliseconds. */
-const firstPeersTimeoutMs = 1000;
-
-/** Time for which a gateway without a recent confirmation gets no further revalidation requests, in milliseconds. */
-const peerBackoffMs = 3000;
-
-/** Time after a revalidation request from another gateway for which this one counts as having followers, in milliseconds. */
-const followerTimeoutMs = 3000;
-
 export type PeerExchangeOptions = PeerNoticesOptions & {
 	/** UDP address on which messages are received. */
 	readonly address: string;
@@ -65,9 +48,6 @@
 	readonly proof: () => CopyFreshness | undefined;
 };
 
-/** UDP address of another gateway. */
-export type PeerAddress = {readonly address: string; readonly port: number};
-
 type PendingReservation = {
 	readonly number: number;
 	readonly timer: NodeJS.Timeout;
@@ -82,6 +62,8 @@
 export class PeerExchange implements Disposable {
 	/** Observations about endpoints, shared with the other gateways. */
 	readonly notices: PeerNotices;
+	/** How current the copies of the store are at the other gateways. */
+	readonly freshness: PeerFreshness;
 	readonly #options: PeerExchangeOptions;
 	readonly #reservations: EngineReservations;
 	readonly #socket: Socket;
@@ -91,20 +73,7 @@
 	/** Source addresses of the gateways' reports, by name. */
 	readonly #addresses = new Map<string, PeerAddress>();
 	readonly #pendingReservations = new Map<number, PendingReservation>();
-	readonly #storeReaders: StoreReaders;
-	readonly #pendingRevalidations = new Map<
-		number,
-		(freshness: CopyFreshness | undefined) => void
-	>();
-
-	/** Time until which a gateway gets no revalidation requests, by name. */
-	readonly #peersInBackoff = new Map<string, number>();
 	#peers: readonly string[] = [];
-	#resolveFirstPeers!: () => void;
-	readonly #firstPeers = new Promise<void>((resolve) => {
-		this.#resolveFirstPeers = resolve;
-	});
-
 	#sequence = 0;
 	/** Also rises across restarts: a late answer to the previous process must not complete a request of this one. */
 	#lastRequestNumber = Date.now();
@@ -115,7 +84,6 @@
 	#lastReportAt = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#consecutiveFailures = 0;
-	#lastRevalidationRequestAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: PeerExchangeOptions) {
 		this.#options = options;
@@ -133,7 +101,13 @@
 			options.loads,
 			options.rateLimits,
 		);
-		this.#storeReaders = new StoreReaders(options.instance);
+		this.freshness = new PeerFreshness({
+			...options,
+			addressOf: (name) => this.#addresses.get(name),
+			send: (message, {address, port}) => {
+				this.#send(encodeMessage(message), address, port);
+			},
+		});
 		this.#socket = createSocket('udp4');
 		this.#socket.on('message', (message, from) => {
 			this.#receive(message, from);
@@ -154,7 +128,7 @@
 		this.#peers = addresses.filter(
 			(address) => address !== this.#options.address,
 		);
-		this.#resolveFirstPeers();
+		this.freshness.setPeers(this.#peers);
 	}
 
 	/** Adds the prompt parts that an engine prefills for this gateway to the next report. */
@@ -249,85 +223,11 @@
 		);
 	}
 
-	/** Other gateways revalidate their copies of the store with this one. */
-	get hasFollowers(): boolean {
-		return monotonicNow() - this.#lastRevalidationRequestAt < followerTimeoutMs;
-	}
-
-	/** Sends a revalidation request to a gateway that reads the store directly; resolves to undefined when this gateway is such a reader, or when no answer comes. */
-	async requestFreshness(): Promise<CopyFreshness | undefined> {
-		const name = this.#storeReaders.readerFor(this.#freshnessCandidates());
-		const reader = name === undefined ? undefined : this.#addresses.get(name);
-		if (name === undefined || !reader) {
-			return undefined;
-		}
-
-		const freshness = await this.#requestFreshnessFrom(reader);
-		if (!freshness || !isRecent(freshness)) {
-			this.#peersInBackoff.set(name, monotonicNow() + peerBackoffMs);
-		}
-
-		return freshness;
-	}
-
-	/** Asks some of the other gateways for the versions of the configuration in force there, a second time if none answers; resolves to the highest one, or to undefined. */
-	async requestNewestConfiguration(): Promise<number | undefined> {
-		await Promise.race([
-			this.#firstPeers,
-			delay(firstPeersTimeoutMs, undefined, {ref: false}),
-		]);
-		for (let round = 0; round < 2; round++) {
-			const versions = await this.#requestVersions();
-			if (versions.length > 0) {
-				return Math.max(...versions);
-			}
-		}
-
-		return undefined;
-	}
-
-	async #requestVersions(): Promise<number[]> {
-		const asked = this.#peers
-			.toSorted(() => Math.random() - 0.5)
-			.slice(0, maxAskedPeers);
-		const answers = await Promise.all(
-			asked.map(async (address) => {
-				const {host, port} = splitAddress(address);
-				return this.#requestFreshnessFrom({address: host, port});
-			}),
-		);
-		return answers.flatMap((freshness) =>
-			freshness ? [freshness.configurationVersion] : [],
-		);
-	}
-
-	async #requestFreshnessFrom(
-		reader: PeerAddress,
-	): Promise<CopyFreshness | undefined> {
-		this.#lastRequestNumber++;
-		const number = this.#lastRequestNumber;
-		return new Promise((resolve) => {
-			const timer = setTimeout(() => {
-				this.#pendingRevalidations.get(number)?.(undefined);
-			}, freshnessTimeoutMs);
-			this.#pendingRevalidations.set(number, (freshness) => {
-				clearTimeout(timer);
-				this.#pendingRevalidations.delete(number);
-				resolve(freshness);
-			});
-			const request = encodeMessage({type: 'proof ask', number});
-			this.#send(request, reader.address, reader.port);
-		});
-	}
-
 	dispose(): void {
 		clearTimeout(this.#timer);
 		this.notices.dispose();
 		this.#addresses.clear();
-		for (const resolve of this.#pendingRevalidations.values()) {
-			resolve(undefined);
-		}
-
+		this.freshness.dispose();
 		for (const {number} of this.#pendingReservations.values()) {
 			this.#completeReservation(number, {type: 'unanswered'});
 		}
@@ -335,23 +235,6 @@
 		this.#socket.close();
 	}
 
-	/** Hashes of the names of the gateways that have reported recently, without those in back-off. */
-	#freshnessCandidates(): ReadonlyMap<string, number> {
-		const now = monotonicNow();
-		for (const [name, until] of this.#peersInBackoff) {
-			if (until <= now) {
-				this.#peersInBackoff.delete(name);
-			}
-		}
-
-		const recentPeers = this.#options.loads.nameHashes(now);
-		return this.#peersInBackoff.size === 0
-			? recentPeers
-			: new Map(
-					[...recentPeers].filter(([name]) => !this.#peersInBackoff.has(name)),
-				);
-	}
-
 	#completeReservation(number: number, result: ReservationResult): void {
 		const pending = this.#pendingReservations.get(number);
 		if (pending) {
@@ -513,22 +396,12 @@
 			}
 
 			case 'proof ask': {
-				this.#lastRevalidationRequestAt = now;
-				const proof = this.#options.proof();
-				if (proof) {
-					const {number} = message;
-					this.#send(
-						encodeMessage({type: 'proof', number, proof}),
-						from.address,
-						from.port,
-					);
-				}
-
+				this.freshness.answer(message.number, from);
 				break;
 			}
 
 			case 'proof': {
-				this.#pendingRevalidations.get(message.number)?.(message.proof);
+				this.freshness.receive(message.number, message.proof);
 				break;
 			}
 		}
--- a/src/daemons/gateway/request-placement.ts
+++ b/src/daemons/gateway/request-placement.ts
@@ -18,7 +18,7 @@
 import {monotonicNow} from '../state-machine.js';
 import type {CallerRequest, ExchangeContext} from './exchange-context.js';
 import type {Connection} from './connection-pool.js';
-import type {PeerAddress} from './peer-exchange.js';
+import type {PeerAddress} from './peer-freshness.js';
 
 /** Fraction of its latency objective after which a request that could not be placed is refused. */
 const maxWaitObjectiveFraction = 1;
