Send raw answers to HTTP/1.0 callers of an entry with their length

An HTTP/1.0 caller of an entry, the older router, got a part of a plain service's answer as a complete one when the answer was broken off or the entry ended.

Change: for such a caller the body is collected and sent with its length; an answer that breaks off is an error.

--- a/src/daemons/entry/answer.ts
+++ b/src/daemons/entry/answer.ts
@@ -54,7 +54,7 @@
 				'cache-control': 'no-store',
 				'x-request-id': requestId,
 			});
-		} else if (form === 'raw') {
+		} else if (!this.#isCollected) {
 			this.#response.writeHead(head.status, {
 				...head.headers,
 				'x-request-id': requestId,
@@ -97,9 +97,14 @@
 		}
 	}
 
+	/** Whether the answer is sent as a whole. A caller that understands no chunks could not tell the end of a raw body from a broken connection. */
 	get #isCollected(): boolean {
 		const {form} = this.#options;
-		return form === 'json' || (form === 'stream' && this.#head?.status !== 200);
+		return (
+			form === 'json' ||
+			(form === 'stream' && this.#head?.status !== 200) ||
+			(form === 'raw' && !this.#response.useChunkedEncodingByDefault)
+		);
 	}
 
 	#endStreamed(outcome: Outcome, failure: Failure | undefined): void {
@@ -122,6 +127,17 @@
 
 	#endCollected(outcome: Outcome, offers: number): void {
 		const status = this.#head?.status ?? 502;
+		if (this.#options.form === 'raw') {
+			const body = decodeRaw(this.#collected);
+			this.#response.writeHead(status, {
+				...this.#head?.headers,
+				'x-request-id': this.#options.requestId,
+				'content-length': body.length,
+			});
+			this.#response.end(body);
+			return;
+		}
+
 		const body =
 			status === 200
 				? assembleCompletion(this.#collected)
@@ -156,9 +172,7 @@
 
 		const data =
 			this.#options.form === 'raw'
-				? Buffer.concat(
-						this.#pending.map((text) => Buffer.from(text, 'base64')),
-					)
+				? decodeRaw(this.#pending)
 				: this.#pending.join('');
 		const upTo = this.#sequence;
 		const size = this.#pendingSize;
@@ -186,6 +200,10 @@
 	}
 }
 
+function decodeRaw(parts: readonly string[]): Buffer {
+	return Buffer.concat(parts.map((text) => Buffer.from(text, 'base64')));
+}
+
 function errorAnswer(outcome: Outcome, failure: Failure): ErrorAnswer {
 	return {
 		...failure,
