Never take the older configuration of a restored store

Cause: after half a minute without a new write the gateways gave up the newer configuration on purpose, so that they agreed with those that had started since and knew only the older one.

Change: the newer configuration stays until the operator has written the same version again or a higher one.

--- a/src/daemons/gateway/platform-copy.ts
+++ b/src/daemons/gateway/platform-copy.ts
@@ -349,11 +349,7 @@
 		const {log} = this.#options;
 		const {version} = configuration;
 		const before = this.routing?.configuration.version ?? -1;
-		const decision = this.#configuration.offer(
-			configuration,
-			writtenAt,
-			monotonicNow(),
-		);
+		const decision = this.#configuration.offer(configuration, writtenAt);
 		switch (decision) {
 			case 'applied': {
 				this.#onDidChangeRouting.fire(this.routing!);
--- a/src/services/gateway/configuration-copy.ts
+++ b/src/services/gateway/configuration-copy.ts
@@ -4,9 +4,6 @@
 /** Time after a restore of the store within which its writers write again what the backup lacks, in milliseconds: 2 s are specified, and a lost packet has to be sent again. */
 const rewriteMs = 2500;
 
-/** Time after which the backup's older configuration is accepted although the newer one has not been written again, in milliseconds: gateways that started since know only the older one, and all gateways must come to agree. */
-const restoredAcceptDelayMs = 30_000;
-
 /** A restore of the store from an older backup. */
 type Restoration = {
 	/** Version of the store at the first read of the new era; what was written later is not from the backup. */
@@ -27,7 +24,8 @@
 /**
  * The configuration in force. A store that is restored from an older backup may
  * hold an older version until the operator has written again; the newer one stays
- * in force meanwhile, so that a key revoked in the lost seconds stays revoked.
+ * in force, however long that takes, so that a key revoked in the lost seconds
+ * stays revoked.
  */
 export class ConfigurationCopy {
 	#routing: RoutingTable | undefined;
@@ -52,7 +50,6 @@
 	offer(
 		configuration: Configuration,
 		writtenAt: number,
-		now: number,
 	): ConfigurationDecision {
 		const current = this.#routing?.configuration;
 		if (!current || configuration.version > current.version) {
@@ -72,10 +69,7 @@
 			return 'known';
 		}
 
-		const isAccepted =
-			(isRewritten && configuration.version === current.version) ||
-			now - restoration.readAt > restoredAcceptDelayMs;
-		if (!isAccepted) {
+		if (!isRewritten || configuration.version !== current.version) {
 			return 'awaited';
 		}
 
--- a/src/services/gateway/store-history.test.ts
+++ b/src/services/gateway/store-history.test.ts
@@ -116,7 +116,7 @@
 			now,
 			isRestored ? restoredEntryDeadline(now) : now,
 		);
-		this.configuration.offer(configuration, configurationAt, now);
+		this.configuration.offer(configuration, configurationAt);
 	}
 
 	serving(now: number): ListedEndpoint[] {
