--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -496,10 +496,10 @@
 
 		const {method = 'GET', url = '/', rawHeaders} = request;
 		const head = this.#options.format.parseRequest(rawHeaders);
-		const {routing, ageMs, isConfirmed} = this.#platform;
+		const {routing, ageMs, isCompared} = this.#platform;
 		const {revocationMs} = this.#bounds;
 		const admission = admit(request.headers.host ?? '', url, head, {
-			routing: isConfirmed ? routing : undefined,
+			routing: isCompared ? routing : undefined,
 			ageMs,
 			revocationMs,
 			drain: this.#drain,
--- a/src/daemons/gateway/platform-copy.ts
+++ b/src/daemons/gateway/platform-copy.ts
@@ -20,6 +20,7 @@
 import type {Log} from '../log.js';
 import {monotonicNow} from '../state-machine.js';
 import {readClocks} from './clocks.js';
+import {FirstConfiguration} from './first-configuration.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import {TableWatch, type TableWatchOptions} from './table-watch.js';
 import {UnreadableRows} from './unreadable-rows.js';
@@ -79,10 +80,7 @@
 
 	/** It has been logged that the store holds an older configuration than the one in force. */
 	#hasLoggedAwaited = false;
-	/** It has been logged that another gateway has a newer configuration than the store. */
-	#hasLoggedBehind = false;
-	/** The first configuration has been compared with those of the other gateways. */
-	#isCompared = false;
+	readonly #firstConfiguration: FirstConfiguration;
 
 	constructor(options: PlatformCopyOptions) {
 		this.#options = options;
@@ -101,6 +99,11 @@
 			(name) => this.routing?.service(name),
 			options.loads,
 		);
+		this.#firstConfiguration = new FirstConfiguration({
+			requestNewest: async () =>
+				options.freshnessSource().requestNewestConfiguration(),
+			log,
+		});
 		this.#logEndpoints();
 	}
 
@@ -112,9 +115,9 @@
 		return this.#configuration.routing;
 	}
 
-	/** Whether the configuration in force may decide on requests: the first one that is read may be older than that of other gateways, when the store was restored from a backup. */
-	get isConfirmed(): boolean {
-		return this.#isCompared;
+	/** Whether the configuration in force may decide on requests. */
+	get isCompared(): boolean {
+		return this.#firstConfiguration.isCompared;
 	}
 
 	/** Both tables have been read. */
@@ -299,35 +302,14 @@
 	async #confirmConfiguration(sentAt: Clocks): Promise<void> {
 		if (
 			this.#configuration.isRecovered(monotonicNow()) &&
-			(this.#isCompared || (await this.#compareConfiguration()))
+			(await this.#firstConfiguration.compare(
+				() => this.routing?.configuration.version,
+			))
 		) {
 			confirmIfLater(this.#configurationConfirmation, sentAt);
 		}
 	}
 
-	/** Resolves to whether no other gateway has a newer configuration than the first one that was read. */
-	async #compareConfiguration(): Promise<boolean> {
-		const newest = await this.#options
-			.freshnessSource()
-			.requestNewestConfiguration();
-		const version = this.routing?.configuration.version;
-		if (version === undefined) {
-			return false;
-		}
-
-		if (newest === undefined || newest <= version) {
-			this.#isCompared = true;
-			return true;
-		}
-
-		if (!this.#hasLoggedBehind) {
-			this.#hasLoggedBehind = true;
-			this.#options.log.warn('configuration_behind', {version, newest});
-		}
-
-		return false;
-	}
-
 	#onConfiguration(change: ConfigurationChange): void {
 		switch (change.type) {
 			case 'unreadable': {
