--- a/src/daemons/gateway/crash-evidence.ts
+++ b/src/daemons/gateway/crash-evidence.ts
@@ -80,6 +80,7 @@
 				break;
 			}
 
+			case 'superseded':
 			case 'withdrawn':
 			case 'expired':
 			case 'abandoned': {
--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -2,9 +2,12 @@
 import {
 	backupFor,
 	expiresAt,
+	isAnswer,
+	minServerErrorStatus,
 	nextStep,
 	sendTimeouts,
 	stoppingRefusal,
+	type DecisiveEnd,
 	type RequestState,
 	type NextStep,
 	type SendEnd,
@@ -15,7 +18,8 @@
 import type {CallerRequest, ExchangeContext} from './exchange-context.js';
 import {sendLocalReply} from './local-reply.js';
 import {CrashEvidence} from './crash-evidence.js';
-import {RequestMove} from './request-move.js';
+import {HedgedSends} from './hedged-sends.js';
+import {RequestHedge} from './request-hedge.js';
 import {
 	RequestPlacement,
 	withheldReason,
@@ -38,7 +42,10 @@
 /** Statuses whose responses have no body. */
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
-/** Handles one request of a caller: places it, sends it to endpoints, retries where allowed and responds. */
+/** The send that decides what follows, and how it ended. */
+type DecisiveSend = {readonly send: Send; readonly end: DecisiveEnd};
+
+/** Handles one request of a caller: places it, sends it to endpoints, hedges and retries where allowed and responds. */
 export class Exchange implements Disposable {
 	readonly #context: ExchangeContext;
 	readonly #request: CallerRequest;
@@ -46,11 +53,10 @@
 	readonly #expiresAt: number;
 	readonly #position: StreamPosition;
 	readonly #placement: RequestPlacement;
-	readonly #move: RequestMove;
+	readonly #hedge: RequestHedge;
 	readonly #crashEvidence: CrashEvidence;
-	#send: Send | undefined;
-	/** Place for which the request has left its slow endpoint. */
-	#nextPlace: PlacedRequest | undefined;
+	readonly #inProgress = new HedgedSends();
+	/** Sends that have ended and may have reached an endpoint. */
 	#sends = 0;
 	#failedConnections = 0;
 	#mayHaveRun = false;
@@ -58,6 +64,8 @@
 	#wasBrokenOff = false;
 	/** Engine that holds a replica of the run's KV cache; undefined when there is none or it has been used. */
 	#backup: Upstream | undefined;
+	/** Answer of the send that decided what follows. */
+	#answer: BufferedAnswer | undefined;
 	#failedAnswer: BufferedAnswer | undefined;
 	#isAbandoned = false;
 	#firstByteAt: number | undefined;
@@ -79,7 +87,7 @@
 		);
 		this.#placement = new RequestPlacement(context, request, () => ({
 			sends: this.#sentCount,
-			mayHaveRun: this.#mayHaveRun || this.#isInProgress,
+			mayHaveRun: this.#mayHaveRun || this.#inProgress.sentCount > 0,
 			hasAnswer: output.hasSentHeaders,
 			isAbandoned: this.#isAbandoned,
 			expiresAt: this.#expiresAt,
@@ -89,7 +97,7 @@
 			request,
 			this.#placement.fingerprints,
 		);
-		this.#move = new RequestMove({
+		this.#hedge = new RequestHedge({
 			context,
 			requestId: request.head.requestId,
 			isOnce: request.route.retryMode === 'once',
@@ -133,8 +141,12 @@
 	dispose(): void {
 		this.#isAbandoned = true;
 		const {route} = this.#request;
-		if (route.isStream || route.retryMode !== 'once' || !this.#send?.isSent) {
-			this.#send?.cancel({type: 'abandoned'});
+		if (
+			route.isStream ||
+			route.retryMode !== 'once' ||
+			this.#inProgress.sentCount === 0
+		) {
+			this.#inProgress.cancel({type: 'abandoned'});
 		}
 	}
 
@@ -145,7 +157,10 @@
 
 	/** Ends the request because the gateway stops. One that waits for capacity is refused by its placement. */
 	stop(): void {
-		this.#send?.cancel({type: 'withdrawn', reason: stoppingRefusal.reason});
+		this.#inProgress.cancel({
+			type: 'withdrawn',
+			reason: stoppingRefusal.reason,
+		});
 	}
 
 	/** Aborts the response when the process ends. */
@@ -153,7 +168,7 @@
 		this.#output.cut();
 	}
 
-	/** Cancels a send that an endpoint has not begun to answer when the request turns out to crash endpoints. One that has left a slow endpoint after a part of its answer is not cut: it has crashed none. */
+	/** Cancels the sends that endpoints have not begun to answer when the request turns out to crash endpoints. One that goes on at another endpoint after a part of its answer, because the first is slow, is not cut: it has crashed none. */
 	withdrawSuspect(): void {
 		if (this.#output.hasSentHeaders && !this.#wasBrokenOff) {
 			return;
@@ -164,15 +179,18 @@
 			monotonicNow(),
 			true,
 		);
-		if (verdict.type === 'withheld' && this.#send?.firstByteAt === undefined) {
-			this.#send?.cancel({type: 'withdrawn', reason: withheldReason});
+		if (verdict.type === 'withheld') {
+			this.#inProgress.cancelUnanswered({
+				type: 'withdrawn',
+				reason: withheldReason,
+			});
 		}
 	}
 
-	/** Gives up the current send, unless its answer has arrived while this process was busy. */
+	/** Gives up the sends in progress, unless an answer has arrived while this process was busy. */
 	async #expire(): Promise<void> {
 		await this.#context.loopLag.readSockets();
-		this.#send?.cancel({type: 'expired'});
+		this.#inProgress.cancel({type: 'expired'});
 	}
 
 	async #sendOnce(): Promise<NextStep> {
@@ -184,7 +202,7 @@
 			return nextStep({type: 'expired'}, this.#requestState(), () => false);
 		}
 
-		const placement = this.#takeNextPlace() ?? (await this.#placement.wait());
+		const placement = await this.#placement.wait();
 		switch (placement.type) {
 			case 'refuse': {
 				const {reason, retryAfterMs} = placement;
@@ -196,8 +214,7 @@
 			}
 
 			case 'send': {
-				const end = await this.#sendTo(placement);
-				return this.#chooseNextStep(end);
+				return this.#chooseNextStep(await this.#sendTo(placement));
 			}
 		}
 	}
@@ -222,7 +239,7 @@
 			priority: this.#request.priority,
 			last_event: this.#position.lastEventId ?? '',
 		});
-		const end = await this.#sendTo({
+		const decisive = await this.#sendTo({
 			type: 'send',
 			upstream,
 			expectedMs,
@@ -230,10 +247,11 @@
 			activeRequest,
 			resumeUpstream: upstream,
 		});
-		return this.#chooseNextStep(end);
+		return this.#chooseNextStep(decisive);
 	}
 
-	async #sendTo(placement: PlacedRequest): Promise<SendEnd> {
+	/** Sends the request to a place, and hedges it elsewhere while that endpoint is slow. Resolves when nothing is in progress any more that could still answer the caller. */
+	async #sendTo(placement: PlacedRequest): Promise<DecisiveSend> {
 		const {
 			upstream,
 			expectedMs,
@@ -253,8 +271,9 @@
 		} = this.#context;
 		const {method, target, headers, body, head, route, workspace, priority} =
 			this.#request;
-		const canSendAgain = this.#sends + 1 < route.maxSends;
-		const send = new Send({
+		const canSendAgain = this.#sentCount + 1 < route.maxSends;
+		let hedge: Promise<DecisiveSend> | undefined;
+		const send: Send = new Send({
 			format,
 			upstream,
 			connections: connections.poolFor(upstream),
@@ -267,17 +286,23 @@
 			checkLiveness: async (silentSince) =>
 				livenessChecks.check(upstream, silentSince, 'open'),
 			readSockets: async () => loopLag.readSockets(),
-			tryMove: async (reason, isIdle) =>
-				this.#move.try(isIdle, (place) => {
-					this.#nextPlace = place;
-					send.cancel({type: 'moved', reason});
-				}),
+			tryHedge: async (reason, isIdle) =>
+				this.#hedge.try(
+					() => isIdle() && this.#inProgress.isNewest(send),
+					(place) => {
+						this.#recordRepeat('slow', reason);
+						hedge = this.#sendTo(place);
+					},
+				),
+			onWillForward: () => {
+				this.#inProgress.keep(send);
+			},
 			onHead(status, answerHead, isOwn) {
 				signals.applyHead(upstream, status, answerHead, isOwn);
 			},
 			...sendTimeouts(route, expectedMs, canSendAgain),
 		});
-		this.#send = send;
+		this.#inProgress.add(send);
 		const startedAt = monotonicNow();
 		const survival = this.#crashEvidence.watchSurvival();
 		send.onDidReceiveOutput = () => {
@@ -314,30 +339,47 @@
 			body: body.length > 0 ? body : null,
 		});
 		const end = await send.ended;
+		this.#inProgress.delete(send);
 		survival.dispose();
 		upstream.end(activeRequest);
 		this.#recordEnd(send, end, placement, startedAt);
+		if (hedge !== undefined || this.#inProgress.size > 0) {
+			this.#log('hedge_ended', {
+				endpoint: upstream.id,
+				end: end.type,
+				reason: 'reason' in end ? end.reason : '',
+				in_progress: this.#inProgress.size,
+			});
+		}
+
 		this.#crashEvidence.record(end, upstream, {
 			isUnanswered: send.isSent && !survival.hasSurvived,
 		});
 		queue.dispatchSoon();
-		return end;
+		return this.#decide(send, end, hedge);
 	}
 
-	#takeNextPlace(): PlacedRequest | undefined {
-		const place = this.#nextPlace;
-		this.#nextPlace = undefined;
-		return place;
-	}
+	/** Chooses between a send that has ended and the one that hedges it. */
+	async #decide(
+		send: Send,
+		end: SendEnd,
+		hedge: Promise<DecisiveSend> | undefined,
+	): Promise<DecisiveSend> {
+		if (end.type === 'moved') {
+			return hedge!;
+		}
 
-	/** Gives up the place of a request that has left its endpoint and ends before it is sent again. */
-	#releaseNextPlace(): void {
-		const place = this.#takeNextPlace();
-		if (place) {
-			const {upstream, activeRequest, connection} = place;
-			upstream.end(activeRequest);
-			this.#context.connections.poolFor(upstream).discard(connection!);
+		if (isAnswer(end, this.#output.hasSentHeaders)) {
+			this.#inProgress.keep(send);
+			await hedge;
+			return {send, end};
 		}
+
+		if (this.#inProgress.size > 0 && isServerError(end)) {
+			this.#failedAnswer = send.answer;
+		}
+
+		return hedge && this.#inProgress.size > 0 ? hedge : {send, end};
 	}
 
 	#hasRetry(): boolean {
@@ -415,26 +457,31 @@
 		}
 	}
 
-	#chooseNextStep(end: SendEnd): NextStep {
-		const {service} = this.#request;
+	#chooseNextStep({send, end}: DecisiveSend): NextStep {
 		const step = nextStep(end, this.#requestState(), () => this.#takeRetry());
+		this.#answer = send.answer;
 		if (end.type === 'answered' && step.type === 'send') {
-			this.#failedAnswer = this.#send!.answer;
+			this.#failedAnswer = send.answer;
 		}
 
 		if (step.type === 'send' || step.type === 'resume') {
-			this.#context.metrics.repeated(service.name);
-			this.#log('repeated', {
-				after: end.type,
-				reason: 'reason' in end ? end.reason : '',
-				sends: this.#sends,
-				last_event: this.#position.lastEventId ?? '',
-			});
+			this.#recordRepeat(end.type, 'reason' in end ? end.reason : '');
 		}
 
 		return step;
 	}
 
+	/** Records that the request is sent once more: after an end of a send, or beside one to a slow endpoint. */
+	#recordRepeat(after: DecisiveEnd['type'] | 'slow', reason: string): void {
+		this.#context.metrics.repeated(this.#request.service.name);
+		this.#log('repeated', {
+			after,
+			reason,
+			sends: this.#sentCount,
+			last_event: this.#position.lastEventId ?? '',
+		});
+	}
+
 	#giveUp(reason: string, retryAfterMs: number): NextStep {
 		if (this.#output.hasSentHeaders) {
 			return {type: 'cut', reason};
@@ -450,11 +497,10 @@
 	}
 
 	#finish(step: Exclude<NextStep, {type: 'send' | 'resume'}>): void {
-		this.#releaseNextPlace();
 		let outcome: string = step.type;
 		switch (step.type) {
 			case 'deliver': {
-				outcome = this.#deliver(this.#send!.answer!);
+				outcome = this.#deliver(this.#answer!);
 				break;
 			}
 
@@ -557,13 +603,9 @@
 		};
 	}
 
-	get #isInProgress(): boolean {
-		return this.#send?.isInProgress === true;
-	}
-
-	/** Sends that may have reached an endpoint, with the one in progress. */
+	/** Sends that may have reached an endpoint, with those in progress. */
 	get #sentCount(): number {
-		return this.#sends + Number(this.#isInProgress);
+		return this.#sends + this.#inProgress.sentCount;
 	}
 
 	/** Time at which the request expires, or gets its final answer because the gateway stops. */
@@ -587,6 +629,10 @@
 	}
 }
 
+function isServerError(end: SendEnd): boolean {
+	return end.type === 'answered' && end.status >= minServerErrorStatus;
+}
+
 function withJitter(ms: number): number {
 	return ms * (1 + retryAfterJitter * (Math.random() - 0.5));
 }
--- a/src/daemons/gateway/request-move.ts
+++ b/src/daemons/gateway/request-hedge.ts
@@ -1,5 +1,5 @@
 import {
-	mayMove,
+	mayHedge,
 	type RequestState,
 	type Upstream,
 } from '../../services/gateway/index.js';
@@ -8,32 +8,32 @@
 import type {ExchangeContext} from './exchange-context.js';
 import type {PlacedRequest, RequestPlacement} from './request-placement.js';
 
-export type RequestMoveOptions = {
+export type RequestHedgeOptions = {
 	readonly context: ExchangeContext;
 	readonly requestId: string;
 	readonly isOnce: boolean;
 	readonly placement: RequestPlacement;
-	/** State of the request; its current send counts among the sends. */
+	/** State of the request; the sends in progress count among its sends. */
 	readonly state: () => RequestState;
 	readonly hasRetry: () => boolean;
 	readonly takeRetry: () => boolean;
 };
 
-/** Moves a request from its slow endpoint to another one, but only once that one has reserved capacity and accepted a connection: until then the first endpoint may go on. */
-export class RequestMove {
-	readonly #options: RequestMoveOptions;
+/** Finds another endpoint for a request whose endpoint is slow. The request is sent there as well, but only once that one has reserved capacity and accepted a connection. */
+export class RequestHedge {
+	readonly #options: RequestHedgeOptions;
 
-	constructor(options: RequestMoveOptions) {
+	constructor(options: RequestHedgeOptions) {
 		this.#options = options;
 	}
 
-	/** Calls `leave` with the new place if the request gets one while `isIdle` holds. The retry is taken last, so that a request that stays takes none. Capacity that is not used is free again with the next reports, and the estimate of the prefill backlog as time passes. */
+	/** Calls `send` with the new place if the request gets one while `isIdle` holds. The retry is taken last, so that a request that gets no place takes none. Capacity that is not used is free again with the next reports, and the estimate of the prefill backlog as time passes. */
 	async try(
 		isIdle: () => boolean,
-		leave: (place: PlacedRequest) => void,
+		send: (place: PlacedRequest) => void,
 	): Promise<void> {
 		const {context, placement, state, hasRetry, takeRetry} = this.#options;
-		if (!mayMove(state(), hasRetry)) {
+		if (!mayHedge(state(), hasRetry)) {
 			return;
 		}
 
@@ -46,16 +46,16 @@
 		const connection = await this.#connect(upstream);
 		// The slow endpoint may have answered in the meantime.
 		await context.loopLag.readSockets();
-		// Nothing is awaited from here on, so that the request holds the place or stays.
+		// Nothing is awaited from here on, so that the request either holds the place or is not sent there.
 		const place =
 			connection &&
 			isIdle() &&
 			placement.mayUse(assignment) &&
-			mayMove(state(), takeRetry)
+			mayHedge(state(), takeRetry)
 				? placement.registerPlacement(assignment)
 				: undefined;
 		if (place) {
-			leave({...place, connection});
+			send({...place, connection});
 			return;
 		}
 
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -76,8 +76,10 @@
 	readonly checkMs: number | undefined;
 	readonly checkLiveness: IdleWatchOptions['checkLiveness'];
 	readonly readSockets: IdleWatchOptions['readSockets'];
-	/** Called after a timeout: ends this send once another endpoint has a place for the request, if `isIdle` then still holds. Never rejects. */
-	readonly tryMove: (reason: string, isIdle: () => boolean) => Promise<void>;
+	/** Called after a timeout: sends the request to another endpoint as well once that one has a place for it, if `isIdle` then still holds. Never rejects. */
+	readonly tryHedge: (reason: string, isIdle: () => boolean) => Promise<void>;
+	/** Called before a part of the answer is forwarded to the caller. */
+	readonly onWillForward: () => void;
 	/** Called with the head of each response on the connection; `isOwn` is false for one that belongs to another request. */
 	readonly onHead: (status: number, head: AnswerHead, isOwn: boolean) => void;
 };
@@ -122,7 +124,7 @@
 				if (this.isSent) {
 					// The head of an answer does not restart the idle watch, its body does.
 					const status = this.#status;
-					await options.tryMove(
+					await options.tryHedge(
 						reason,
 						() => isIdle() && this.#status === status,
 					);
@@ -445,6 +447,7 @@
 
 	#write(bytes: Uint8Array): void {
 		const controller = this.#controller!;
+		this.#options.onWillForward();
 		const canContinue = this.#options.output.write(bytes, () => {
 			controller.resume();
 			this.#idleWatch.restart(this.#options.gapMs);
--- a/src/services/gateway/next-step.test.ts
+++ b/src/services/gateway/next-step.test.ts
@@ -1,10 +1,11 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {
-	mayMove,
+	isAnswer,
+	mayHedge,
 	nextStep,
 	type RequestState,
-	type SendEnd,
+	type DecisiveEnd,
 } from './next-step.js';
 
 const state: RequestState = {
@@ -19,14 +20,13 @@
 	hasBackup: false,
 };
 
-const ends: SendEnd[] = [
+const ends: DecisiveEnd[] = [
 	{type: 'unsent', reason: ''},
 	{type: 'rejected', status: 503, retryAfterMs: undefined},
 	{type: 'answered', status: 500},
 	{type: 'broken', reason: ''},
 	{type: 'silent', reason: ''},
 	{type: 'gone', reason: ''},
-	{type: 'moved', reason: ''},
 	{type: 'expired'},
 ];
 
@@ -71,7 +71,7 @@
 // Guards against an answer that starts a second time, or that looks complete although it is not.
 test('a partly delivered answer is continued or aborted', () => {
 	const begun: RequestState = {...state, isPartlyDelivered: true};
-	const end: SendEnd = {type: 'broken', reason: 'reset'};
+	const end: DecisiveEnd = {type: 'broken', reason: 'reset'};
 	expect(nextStep(end, {...begun, retryMode: 'resumable'}, yes).type).toEqual(
 		'send',
 	);
@@ -79,7 +79,7 @@
 	expect(
 		nextStep(end, {...begun, retryMode: 'resumable', sends: 2}, yes).type,
 	).toEqual('cut');
-	const failure: SendEnd = {type: 'answered', status: 500};
+	const failure: DecisiveEnd = {type: 'answered', status: 500};
 	expect(nextStep(failure, {...begun, sends: 2}, yes).type).toEqual('cut');
 });
 
@@ -126,20 +126,39 @@
 	expect(nextStep(ends[3]!, late, yes).type).toEqual('cut');
 });
 
-// Guards against a request that is given up at a silent but sound endpoint although it cannot go elsewhere, and against a retry that is taken twice for one repeat.
-test('a request leaves a slow endpoint only with a retry, which is taken once', () => {
-	expect(mayMove(state, yes)).toEqual(true);
+// Guards against a request that is sent to more servers than it may be, and against a retry that is taken for a hedge that cannot be sent.
+test('a request is hedged only with a retry, which is taken last', () => {
+	expect(mayHedge(state, yes)).toEqual(true);
 	const begun: RequestState = {...state, isPartlyDelivered: true};
-	expect(mayMove({...begun, retryMode: 'resumable'}, yes)).toEqual(true);
+	expect(mayHedge({...begun, retryMode: 'resumable'}, yes)).toEqual(true);
+	let retriesTaken = 0;
+	const takeRetry = () => {
+		retriesTaken++;
+		return true;
+	};
+
 	for (const fixed of [
 		begun,
 		{...state, sends: 2},
 		{...state, remainingMs: 1},
 		{...state, retryMode: 'once'},
 	] as const) {
-		expect(mayMove(fixed, yes)).toEqual(false);
+		expect(mayHedge(fixed, takeRetry)).toEqual(false);
+	}
+
+	expect([mayHedge(state, no), retriesTaken]).toEqual([false, 0]);
+});
+
+// Guards against the answer of a sound server that is given up for another one's failure, or for an error in place of the rest of a stream.
+test('a failure, and an error in place of the rest of a stream, leave the other sends of a request in progress', () => {
+	for (const end of ends) {
+		expect([end.type, isAnswer(end, false)]).toEqual([end.type, false]);
 	}
 
-	expect(mayMove(state, no)).toEqual(false);
-	expect(nextStep({type: 'moved', reason: ''}, state, no).type).toEqual('send');
+	const refusal: DecisiveEnd = {type: 'answered', status: 404};
+	expect([isAnswer(refusal, false), isAnswer(refusal, true)]).toEqual([
+		true,
+		false,
+	]);
+	expect(isAnswer({type: 'delivered'}, true)).toEqual(true);
 });
--- a/src/services/gateway/next-step.ts
+++ b/src/services/gateway/next-step.ts
@@ -1,7 +1,7 @@
 import type {RetryMode} from '../../interfaces/index.js';
 
-/** How one send of a request to an endpoint ended. */
-export type SendEnd =
+/** How a send of a request to an endpoint ended that may decide what follows. */
+export type DecisiveEnd =
 	/** No byte of the request was sent: there was no connection. */
 	| {readonly type: 'unsent'; readonly reason: string}
 	/** The endpoint states that it did not run the request. */
@@ -18,17 +18,23 @@
 	| {readonly type: 'broken'; readonly reason: string}
 	/** The request may have run, and the endpoint has been silent for longer than a sound one; it may refuse connections as well. */
 	| {readonly type: 'silent'; readonly reason: string}
-	/** The request may be running at an endpoint that is slow, and another one gets it, where capacity is reserved; its retry has been taken. */
-	| {readonly type: 'moved'; readonly reason: string}
 	/** The request may have run, and the incarnation of the endpoint has ended. */
 	| {readonly type: 'gone'; readonly reason: string}
 	/** The gateway has cancelled it, because it may crash the endpoint or because the gateway stops. */
 	| {readonly type: 'withdrawn'; readonly reason: string}
 	/** The deadline of the request has passed. */
 	| {readonly type: 'expired'}
+	/** The endpoint to which the request was sent first was slow, and has answered after all. */
+	| {readonly type: 'superseded'}
 	/** The caller has disconnected. */
 	| {readonly type: 'abandoned'};
 
+/** How one send of a request to an endpoint ended. */
+export type SendEnd =
+	| DecisiveEnd
+	/** The endpoint was slow, and another one has begun to answer. */
+	| {readonly type: 'moved'; readonly reason: string};
+
 /** What has happened to a request so far; input of `nextStep`. */
 export type RequestState = {
 	readonly retryMode: RetryMode;
@@ -95,7 +101,7 @@
  * budget; it is called last, so that none is taken when there can be no retry.
  */
 export function nextStep(
-	end: SendEnd,
+	end: DecisiveEnd,
 	state: RequestState,
 	takeRetry: () => boolean,
 ): NextStep {
@@ -134,12 +140,6 @@
 			return sendAgain(state, takeRetry) ?? giveUp(state, 504, end.reason, 0);
 		}
 
-		case 'moved': {
-			return mayMove(state, () => true)
-				? {type: 'send'}
-				: giveUp(state, 504, end.reason, 0);
-		}
-
 		case 'withdrawn': {
 			return giveUp(state, 502, end.reason, rejectedRetryAfterMs);
 		}
@@ -148,14 +148,25 @@
 			return giveUp(state, 504, 'expired', rejectedRetryAfterMs);
 		}
 
+		case 'superseded':
 		case 'abandoned': {
 			return {type: 'done'};
 		}
 	}
 }
 
-/** Whether a request whose endpoint is slow may be sent to another one that has reserved capacity for it; its current send counts among the sends. Otherwise it goes on waiting, as its endpoint may be sound. `takeRetry` is called last. */
-export function mayMove(
+/** Whether an end of a send is the answer that the caller gets, so that no other send of the request is needed. */
+export function isAnswer(end: SendEnd, isPartlyDelivered: boolean): boolean {
+	return (
+		end.type === 'delivered' ||
+		(end.type === 'answered' &&
+			end.status < minServerErrorStatus &&
+			!isPartlyDelivered)
+	);
+}
+
+/** Whether a request whose endpoint is slow may be sent to another one as well; the sends in progress count among its sends. `takeRetry` is called last. */
+export function mayHedge(
 	state: RequestState,
 	takeRetry: () => boolean,
 ): boolean {
--- a/src/services/gateway/upstream.test.ts
+++ b/src/services/gateway/upstream.test.ts
@@ -34,6 +34,8 @@
 	expect(isEjected(moved, maxPauseMs)).toEqual(true);
 	expect(isEjected({type: 'silent', reason: ''}, maxPauseMs)).toEqual(true);
 	expect(isEjected({type: 'gone', reason: ''}, 400)).toEqual(true);
+	const ends: SendEnd[] = [{type: 'superseded'}, {type: 'expired'}];
+	expect(ends.some((end) => isEjected(end, 60_000))).toEqual(false);
 });
 
 // Guards against a sound endpoint that gets no requests for half a second and longer because the first packet of a connection was lost, and against requests to one that has ended.
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -251,6 +251,7 @@
 				break;
 			}
 
+			case 'superseded':
 			case 'withdrawn':
 			case 'expired':
 			case 'abandoned': {
