Never end an answer because its server is silent (LOST)

What callers saw: a stream that cannot go elsewhere is cut after 2.5 s without a byte or an answered probe, or answered 504 before its first event, although its connection is open and its server goes on.

Cause: mere silence of 2.5 s counted as the end of an endpoint, and each of its streams was ended. A process that is gone shows by a reset, a refused connection or a newer incarnation; silence shows nothing, for however long. The same acted on streams whose server was removed from the list while it was silent, and on resumable streams that found no place elsewhere.

Change: a check has a third result, silent. The endpoint then gets no new requests for a time, as before, and is checked again every second; a replicated run is resumed at the other engine as a hedge, so that a replica that is gone costs nothing; all other streams wait for the engine, for proof of its end or for the end of their own time. `endpoint_silent` is logged for each check.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -3,6 +3,7 @@
 	backupFor,
 	expiresAt,
 	isAnswer,
+	mayResume,
 	minServerErrorStatus,
 	nextStep,
 	sendTimeouts,
@@ -56,6 +57,8 @@
 	readonly #hedge: RequestHedge;
 	readonly #crashEvidence: CrashEvidence;
 	readonly #inProgress = new HedgedSends();
+	/** Sends of which a loss has been recorded. */
+	readonly #lost = new WeakSet<Send>();
 	/** Sends that have ended and may have reached an endpoint. */
 	#sends = 0;
 	#failedConnections = 0;
@@ -219,14 +222,41 @@
 		}
 	}
 
-	/** Resumes the run on the engine that holds the replica of its KV cache. */
+	/** Resumes the run when the engine that holds the replica of its KV cache has capacity. */
 	async #resume(): Promise<NextStep> {
 		const upstream = this.#backup!;
-		this.#backup = undefined;
-		if (!(await this.#placement.waitToResume(upstream))) {
-			return this.#giveUp('the copy of the run is out of reach', 0);
+		return (await this.#placement.waitToResume(upstream))
+			? this.#chooseNextStep(await this.#resumeAt(upstream))
+			: this.#giveUp('the copy of the run is out of reach', 0);
+	}
+
+	/** Calls `resume` when the run may continue from its replica, while its silent engine may still go on; `canHedge` must then hold. The retry is taken last. */
+	async #tryResume(
+		canHedge: () => boolean,
+		resume: (upstream: Upstream) => void,
+	): Promise<void> {
+		const upstream = this.#backup;
+		if (
+			!upstream ||
+			!canHedge() ||
+			!mayResume(this.#requestState(), () => this.#hasRetry()) ||
+			!(await this.#placement.waitToResume(upstream))
+		) {
+			return;
 		}
 
+		await this.#context.loopLag.readSockets();
+		if (
+			canHedge() &&
+			mayResume(this.#requestState(), () => this.#takeRetry())
+		) {
+			resume(upstream);
+		}
+	}
+
+	/** Resumes the run on the engine that holds the replica of its KV cache. */
+	async #resumeAt(upstream: Upstream): Promise<DecisiveSend> {
+		this.#backup = undefined;
 		const activeRequest = upstream.begin(
 			this.#placement.links,
 			0,
@@ -239,7 +269,7 @@
 			priority: this.#request.priority,
 			last_event: this.#position.lastEventId ?? '',
 		});
-		const decisive = await this.#sendTo({
+		return this.#sendTo({
 			type: 'send',
 			upstream,
 			expectedMs,
@@ -247,7 +277,6 @@
 			activeRequest,
 			resumeUpstream: upstream,
 		});
-		return this.#chooseNextStep(decisive);
 	}
 
 	/** Sends the request to a place, and hedges it elsewhere while that endpoint is slow. Resolves when nothing is in progress any more that could still answer the caller. */
@@ -294,6 +323,19 @@
 						hedge = this.#sendTo(place);
 					},
 				),
+			onDidFallSilent: async (isIdle) => {
+				this.#recordLoss(send);
+				await this.#tryResume(
+					() => isIdle() && this.#inProgress.isNewest(send),
+					(replicaAt) => {
+						this.#recordRepeat(
+							'silent',
+							'endpoint is silent on all connections',
+						);
+						hedge = this.#resumeAt(replicaAt);
+					},
+				);
+			},
 			onWillForward: () => {
 				this.#inProgress.keep(send);
 			},
@@ -450,10 +492,17 @@
 			this.#context.peers.notices.sendHealth();
 		}
 
-		if (this.#request.route.isStream && lossTypes.has(end.type)) {
-			this.#context.endpoints
-				.losses(this.#request.service.name)
-				.recordLoss(now);
+		if (lossTypes.has(end.type)) {
+			this.#recordLoss(send);
+		}
+	}
+
+	/** Records once that an engine may not finish the answer of a send, so that runs get replicas while this is likely. */
+	#recordLoss(send: Send): void {
+		const {route, service} = this.#request;
+		if (route.isStream && !this.#lost.has(send)) {
+			this.#lost.add(send);
+			this.#context.endpoints.losses(service.name).recordLoss(monotonicNow());
 		}
 	}
 
--- a/src/daemons/gateway/idle-watch.test.ts
+++ b/src/daemons/gateway/idle-watch.test.ts
@@ -33,6 +33,7 @@
 			timeouts.push(timeoutMs);
 		},
 		onDidLoseEndpoint: () => undefined,
+		onDidFallSilent: async () => undefined,
 	});
 	return {idleWatch, timeouts};
 }
--- a/src/daemons/gateway/liveness-checks.ts
+++ b/src/daemons/gateway/liveness-checks.ts
@@ -6,6 +6,7 @@
 	type ConnectionState,
 	type Gone,
 	type ProbeOutcome,
+	type Silent,
 	type Upstream,
 } from '../../services/gateway/index.js';
 import type {Log} from '../log.js';
@@ -36,10 +37,13 @@
 	readonly readSockets: () => Promise<void>;
 };
 
+/** Result of a check. */
+export type CheckedLiveness = Alive | Gone | Silent;
+
 type Check = {
 	/** On the monotonic clock, in milliseconds. */
 	readonly startedAt: number;
-	readonly result: Promise<Alive | Gone>;
+	readonly result: Promise<CheckedLiveness>;
 };
 
 /** Finds out whether silent engines are alive. One check at a time serves all requests at an engine whose connections are open, and one those whose connections were closed. */
@@ -54,12 +58,12 @@
 		this.#options = options;
 	}
 
-	/** Resolves once it is known whether an engine that has sent nothing since `silentSince`, on the monotonic clock, is alive; never rejects. A check that began before then may have been answered by an engine that has ended since. */
+	/** Resolves once it is known whether an engine that has sent nothing since `silentSince`, on the monotonic clock, is alive, or that it has been silent for longer than one that pauses; never rejects. A check that began before then may have been answered by an engine that has ended since. */
 	async check(
 		upstream: Upstream,
 		silentSince: number,
 		connection: ConnectionState,
-	): Promise<Alive | Gone> {
+	): Promise<CheckedLiveness> {
 		const checks = this.#checks[connection];
 		const earlier = checks.get(upstream);
 		if (earlier) {
@@ -82,23 +86,43 @@
 		upstream: Upstream,
 		silentSince: number,
 		connection: ConnectionState,
-	): Promise<Alive | Gone> {
+	): Promise<CheckedLiveness> {
 		const startedAt = monotonicNow();
 		const liveness = await this.#probe(upstream, silentSince, connection);
 		const now = monotonicNow();
 		const silentMs = Math.round(now - silentSince);
 		const {log} = this.#options;
 		const endpoint = upstream.id;
-		if (liveness.type === 'gone') {
-			const {cause} = liveness;
-			log.info('endpoint_gone', {
-				endpoint,
-				cause,
-				silent_ms: silentMs,
-				connection,
-			});
-		} else if (now - startedAt > usualAnswerMs) {
-			log.info('endpoint_was_silent', {endpoint, silent_ms: silentMs});
+		switch (liveness.type) {
+			case 'gone': {
+				const {cause} = liveness;
+				log.info('endpoint_gone', {
+					endpoint,
+					cause,
+					silent_ms: silentMs,
+					connection,
+				});
+				break;
+			}
+
+			case 'silent': {
+				upstream.recordCheckedSilent(now);
+				log.info('endpoint_silent', {
+					endpoint,
+					silent_ms: silentMs,
+					connection,
+				});
+				break;
+			}
+
+			case 'alive': {
+				upstream.recordCheckedAlive(now);
+				if (now - startedAt > usualAnswerMs) {
+					log.info('endpoint_was_silent', {endpoint, silent_ms: silentMs});
+				}
+
+				break;
+			}
 		}
 
 		return liveness;
@@ -109,7 +133,7 @@
 		upstream: Upstream,
 		silentSince: number,
 		connection: ConnectionState,
-	): Promise<Alive | Gone> {
+	): Promise<CheckedLiveness> {
 		const {probe, delay, readSockets} = this.#options;
 		const startedAt = monotonicNow();
 		const outcomes: ProbeOutcome[] = [{type: 'silent'}, {type: 'silent'}];
@@ -132,11 +156,7 @@
 					});
 					const hasReceivedData = upstream.lastReceivedAt > startedAt;
 					const liveness = withReceivedData(judged, hasReceivedData);
-					if (liveness.type !== 'silent') {
-						if (liveness.type === 'alive') {
-							upstream.recordCheckedAlive(monotonicNow());
-						}
-
+					if (liveness.type !== 'undecided') {
 						abort.abort();
 						resolve(liveness);
 						return;
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -34,7 +34,6 @@
 
 /** Reasons in the log and in answers for each way in which an endpoint is gone. */
 const reasons: Readonly<Record<GoneCause, string>> = {
-	silent: 'endpoint is silent on all connections',
 	refused: 'endpoint refuses connections',
 	'newer incarnation': 'endpoint has restarted',
 };
@@ -78,6 +77,8 @@
 	readonly readSockets: IdleWatchOptions['readSockets'];
 	/** Called after a timeout: sends the request to another endpoint as well once that one has a place for it, if `isIdle` then still holds. Never rejects. */
 	readonly tryHedge: (reason: string, isIdle: () => boolean) => Promise<void>;
+	/** Called when the endpoint has been silent on all connections for longer than one that pauses, and repeatedly from then on; `isIdle` as above. Never rejects. */
+	readonly onDidFallSilent: (isIdle: () => boolean) => Promise<void>;
 	/** Called before a part of the answer is forwarded to the caller. */
 	readonly onWillForward: () => void;
 	/** Called with the head of each response on the connection; `isOwn` is false for one that belongs to another request. */
@@ -132,6 +133,16 @@
 					this.cancel({type: 'unsent', reason});
 				}
 			},
+			onDidFallSilent: async (isIdle) => {
+				if (this.isSent) {
+					await options.onDidFallSilent(isIdle);
+				} else {
+					this.cancel({
+						type: 'unsent',
+						reason: 'endpoint is silent on all connections',
+					});
+				}
+			},
 			onDidLoseEndpoint: (cause) => {
 				const type = cause === 'newer incarnation' ? 'gone' : 'silent';
 				this.cancel({
--- a/src/services/gateway/liveness.ts
+++ b/src/services/gateway/liveness.ts
@@ -1,6 +1,6 @@
 import type {EngineReport} from '../../interfaces/index.js';
 
-/** Time without a byte or an answered probe on any connection after which an endpoint counts as gone, in milliseconds: a sound one may be silent for a second or so and go on, and callers abandon a stream after two seconds or more. */
+/** Time without a byte or an answered probe on any connection after which an endpoint gets no new requests, in milliseconds: a sound one may be silent for a second or so. Its answers are not ended, as it may still go on. */
 export const maxPauseMs = 2500;
 
 /** Result of a probe on a new connection. */
@@ -18,13 +18,16 @@
 	| {readonly type: 'silent'};
 
 /** Why an endpoint counts as gone. */
-export type GoneCause = 'silent' | 'refused' | 'newer incarnation';
+export type GoneCause = 'refused' | 'newer incarnation';
 
 export type Alive = {readonly type: 'alive'};
 export type Gone = {readonly type: 'gone'; readonly cause: GoneCause};
 
-/** Whether an incarnation of an endpoint is alive; `silent` as long as that is not known. */
-export type Liveness = Alive | Gone | {readonly type: 'silent'};
+/** It has been silent for longer than an endpoint that pauses, which does not show that it has ended. */
+export type Silent = {readonly type: 'silent'};
+
+/** Whether an incarnation of an endpoint is alive; `undecided` as long as it may only pause. */
+export type Liveness = Alive | Gone | Silent | {readonly type: 'undecided'};
 
 /** What is known of the connection that is silent. The connections of a process that ends are closed; only one whose machine or path has failed leaves them open, and then nothing is refused either. */
 export type ConnectionState = 'open' | 'closed';
@@ -60,7 +63,7 @@
 	}
 
 	if (silentMs < maxPauseMs) {
-		return {type: 'silent'};
+		return {type: 'undecided'};
 	}
 
 	// Only a running process closes connections for so long.
@@ -68,8 +71,9 @@
 		return {type: 'alive'};
 	}
 
-	const isRefused = outcomes.some(({type}) => type === 'refused');
-	return {type: 'gone', cause: isRefused ? 'refused' : 'silent'};
+	return outcomes.some(({type}) => type === 'refused')
+		? {type: 'gone', cause: 'refused'}
+		: {type: 'silent'};
 }
 
 /** Adds to what probes show whether data of the endpoint has been read since they began. It decides only where they do not: the last bytes of a process that has ended may be read after it refuses connections. */
@@ -77,5 +81,7 @@
 	judged: Liveness,
 	hasReceivedData: boolean,
 ): Liveness {
-	return judged.type === 'silent' && hasReceivedData ? {type: 'alive'} : judged;
+	return judged.type === 'undecided' && hasReceivedData
+		? {type: 'alive'}
+		: judged;
 }
--- a/src/services/gateway/next-step.ts
+++ b/src/services/gateway/next-step.ts
@@ -16,7 +16,7 @@
 	| {readonly type: 'delivered'}
 	/** The request may have run, and its answer is lost or unusable. */
 	| {readonly type: 'broken'; readonly reason: string}
-	/** The request may have run, and the endpoint has been silent for longer than a sound one; it may refuse connections as well. */
+	/** The request may have run, and the endpoint refuses connections after it has been silent for longer than one that pauses. */
 	| {readonly type: 'silent'; readonly reason: string}
 	/** The request may have run, and the incarnation of the endpoint has ended. */
 	| {readonly type: 'gone'; readonly reason: string}
@@ -211,7 +211,7 @@
 	state: RequestState,
 	takeRetry: () => boolean,
 ): NextStep | undefined {
-	if (canResume(state, takeRetry)) {
+	if (mayResume(state, takeRetry)) {
 		return {type: 'resume'};
 	}
 
@@ -223,8 +223,11 @@
 	return retryMode === 'once' && mayHaveRun;
 }
 
-/** A run that is resumed from its replica is no second run, so every retry mode allows it. */
-function canResume(state: RequestState, takeRetry: () => boolean): boolean {
+/** Whether the run may continue on the engine that keeps its replica. That is no second run, so every retry mode allows it. `takeRetry` is called last. */
+export function mayResume(
+	state: RequestState,
+	takeRetry: () => boolean,
+): boolean {
 	return state.hasBackup && state.remainingMs >= minSendMs && takeRetry();
 }
 
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -163,6 +163,11 @@
 		this.#lastCheckedAliveAt = now;
 	}
 
+	/** Records that a check has found it silent for longer than an endpoint that pauses: it gets no new requests for a time. */
+	recordCheckedSilent(now: number): void {
+		this.health.block(now);
+	}
+
 	begin(
 		links: readonly PrefixLink[],
 		uncachedTokens: number,
