Move the callers' server with its limits to a file of its own

No behaviour changes; the limit on bodies comes from the server, which gets the limits of each configuration as it comes into force.

platform/configuration-changes.test.ts, gateway-lifecycle.test.ts and planned-stop.test.ts pass (2, 9 and 9 tests, one run each).

--- /dev/null
+++ b/src/daemons/gateway/caller-server.ts
@@ -0,0 +1,71 @@
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+import type {Disposable} from '../../base/index.js';
+import type {CallerLimits} from '../../interfaces/index.js';
+import {listen} from '../listen.js';
+import {CallerConnections} from './caller-connections.js';
+
+/** Time for which a connection stays open beyond the idle timeout announced to callers, in milliseconds. */
+const keepAliveMarginMs = 2000;
+
+/** Maximum size of request headers in the HTTP parser, in bytes; set when the server is created, before the configuration has been read. */
+const maxHeaderBytes = 64 * 1024;
+
+/** Limits until the configuration has been read. */
+const initialLimits: CallerLimits = {
+	maxHeaderBytes: 16 * 1024,
+	maxBodyBytes: 4 * 1024 * 1024,
+	headerTimeoutMs: 3000,
+	idleTimeoutMs: 15_000,
+};
+
+/** HTTP server for callers: owns their connections and applies the limits of the configuration in force to them. */
+export class CallerServer implements Disposable {
+	readonly connections: CallerConnections;
+	readonly #server: Server;
+	#limits = initialLimits;
+
+	constructor(
+		onRequest: (request: IncomingMessage, response: ServerResponse) => void,
+	) {
+		this.#server = createServer(
+			{
+				maxHeaderSize: maxHeaderBytes,
+				requestTimeout: 0,
+				connectionsCheckingInterval: 1000,
+			},
+			onRequest,
+		);
+		this.connections = new CallerConnections(this.#server);
+		this.limits = initialLimits;
+	}
+
+	get limits(): CallerLimits {
+		return this.#limits;
+	}
+
+	set limits(limits: CallerLimits) {
+		this.#limits = limits;
+		this.#server.headersTimeout = limits.headerTimeoutMs;
+		this.#server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
+	}
+
+	/** Starts to listen; rejects when the address cannot be used. */
+	async listen(address: string): Promise<void> {
+		await listen(this.#server, address);
+	}
+
+	/** Accepts no more connections. */
+	stopListening(): void {
+		this.#server.close();
+	}
+
+	dispose(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+}
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -11,7 +11,6 @@
 	type Event,
 } from '../../base/index.js';
 import type {
-	CallerLimits,
 	ConfigurationChange,
 	EndpointChange,
 	HttpFormat,
@@ -37,8 +36,8 @@
 import {GatewayAdmin} from './admin-server.js';
 import {EndpointSignals} from './endpoint-signals.js';
 import {probeEngine} from './engine-probe.js';
-import {CallerConnections} from './caller-connections.js';
 import {CallerOutput} from './caller-output.js';
+import {CallerServer} from './caller-server.js';
 import {ConnectionPools} from './connection-pools.js';
 import {LivenessChecks} from './liveness-checks.js';
 import {CrashReports} from './crash-reports.js';
@@ -57,20 +56,6 @@
 /** Interval at which a drain closes connections that have become idle, in milliseconds. */
 const drainPollMs = 50;
 
-/** Time for which a connection stays open beyond the idle timeout announced to callers, in milliseconds. */
-const keepAliveMarginMs = 2000;
-
-/** Maximum size of request headers in the HTTP parser, in bytes; set when the server is created, before the configuration has been read. */
-const maxHeaderBytes = 64 * 1024;
-
-/** Limits until the configuration has been read. */
-const initialLimits: CallerLimits = {
-	maxHeaderBytes: 16 * 1024,
-	maxBodyBytes: 4 * 1024 * 1024,
-	headerTimeoutMs: 3000,
-	idleTimeoutMs: 15_000,
-};
-
 /** Limits that can be reloaded while the process runs. */
 export type GatewayBounds = {
 	/** Maximum time for which a removed API key may still be accepted, in milliseconds. */
@@ -109,8 +94,7 @@
 export class GatewayDaemon implements Disposable {
 	readonly #options: GatewayOptions;
 	readonly #disposables = new DisposableStore();
-	readonly #callerServer: Server;
-	readonly #callerConnections: CallerConnections;
+	readonly #callerServer: CallerServer;
 	readonly #readinessServer: Server;
 	readonly #context: ExchangeContext;
 	readonly #platform: PlatformCopy;
@@ -262,18 +246,19 @@
 			rateLimits.forget(upstream.key);
 		});
 		this.#platform.onDidChangeRouting(({configuration}) => {
-			applyLimits(this.#callerServer, configuration.limits);
+			this.#callerServer.limits = configuration.limits;
 		});
-		this.#callerServer = this.#createCallerServer();
-		this.#callerConnections = new CallerConnections(this.#callerServer);
+		this.#callerServer = this.#disposables.add(
+			new CallerServer((request, response) => {
+				void this.#onRequest(request, response);
+			}),
+		);
 		this.#readinessServer = createServer((request, response) => {
 			const isReady = request.url === options.readinessPath && this.isReady;
 			response.writeHead(isReady ? 200 : 503).end();
 		});
 		this.#disposables.add(
 			toDisposable(() => {
-				this.#callerServer.close();
-				this.#callerServer.closeAllConnections();
 				this.#readinessServer.close();
 				this.#readinessServer.closeAllConnections();
 			}),
@@ -291,7 +276,7 @@
 
 	async start(): Promise<void> {
 		const {callerAddress, readinessAddress, log} = this.#options;
-		await listen(this.#callerServer, callerAddress);
+		await this.#callerServer.listen(callerAddress);
 		await listen(this.#readinessServer, readinessAddress);
 		await this.#startAdmin();
 		this.#platform.start();
@@ -329,7 +314,7 @@
 		await this.#stopExchanges();
 		await this.#closeIdleCallers(drain.exitAt);
 		// A connection accepted from now on would be cut when the process exits.
-		this.#callerServer.close();
+		this.#callerServer.stopListening();
 		await this.#closeIdleCallers(drain.exitAt);
 		log.info('stopped', {
 			requests: this.#exchanges.size,
@@ -377,13 +362,13 @@
 
 	/** A caller is connected, or a request is in progress; one that may run only once outlasts its caller. */
 	get #isBusy(): boolean {
-		return this.#callerConnections.size > 0 || this.#exchanges.size > 0;
+		return this.#callerServer.connections.size > 0 || this.#exchanges.size > 0;
 	}
 
 	/** Closes idle connections. On a busy process a request may have arrived that has not been read yet, so that its connection only seems idle. */
 	async #closeIdle(): Promise<void> {
 		await this.#loopLag.readSockets();
-		this.#callerConnections.closeIdle();
+		this.#callerServer.connections.closeIdle();
 	}
 
 	async #startAdmin(): Promise<void> {
@@ -431,37 +416,21 @@
 		};
 	}
 
-	#createCallerServer(): Server {
-		const server = createServer(
-			{
-				maxHeaderSize: maxHeaderBytes,
-				requestTimeout: 0,
-				connectionsCheckingInterval: 1000,
-			},
-			(request, response) => {
-				void this.#onRequest(request, response);
-			},
-		);
-		applyLimits(server, initialLimits);
-		return server;
-	}
-
 	async #onRequest(
 		request: IncomingMessage,
 		response: ServerResponse,
 	): Promise<void> {
 		const {socket} = request;
 		const receivedAt = monotonicNow();
-		if (!(await this.#callerConnections.waitForTurn(socket, response))) {
+		if (!(await this.#callerServer.connections.waitForTurn(socket, response))) {
 			// No response can be sent, so the request is not forwarded.
 			socket.destroySoon();
 			return;
 		}
 
 		const output = new CallerOutput(response);
-		const limits =
-			this.#platform.routing?.configuration.limits ?? initialLimits;
-		const body = await readBody(request, limits.maxBodyBytes);
+		const {maxBodyBytes} = this.#callerServer.limits;
+		const body = await readBody(request, maxBodyBytes);
 		await this.#loopLag.catchUp();
 		if (request.socket.destroyed) {
 			this.#options.log.info('caller_left', {
@@ -595,11 +564,6 @@
 	}
 }
 
-function applyLimits(server: Server, limits: CallerLimits): void {
-	server.headersTimeout = limits.headerTimeoutMs;
-	server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
-}
-
 async function delay(ms: number): Promise<void> {
 	return new Promise((resolve) => {
 		setTimeout(resolve, ms);
