Read an idle connection before its timer closes it, and keep raised limits

Callers saw: a request on a kept connection reset with no byte of an answer, and connections closed 4 s after their last answer although the idle limit had been raised from 1 s to 15 s meanwhile.

Cause: the end of an idle connection was left to the timer of Node.js. It takes the limit that is in force when an answer ends, so a changed limit reaches no connection that is idle, and one that falls while an answer is in progress closes the connection before the time in its Keep-Alive header. After a pause of the process timers run before sockets are read, and the timer destroys the socket with a whole request unread.

CallerConnections now decides the end. A listener for 'timeout' keeps Node.js from destroying the socket; it reads the sockets, and closes the connection in order if no byte has come and its time is over: the largest limit that has been in force since its last request arrived, and 3 s as before. Otherwise it starts the timer for what is left. The only work is one callback at each end of an idle time, and one pass over the connections for each change of the limits. A caller that keeps its side open is cut after 1 s, as the socket would otherwise stay half open.

--- a/src/daemons/gateway/caller-connections.ts
+++ b/src/daemons/gateway/caller-connections.ts
@@ -1,39 +1,65 @@
 import {once} from 'node:events';
-import type {Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {readSockets} from '../read-sockets.js';
+import {monotonicNow} from '../state-machine.js';
 
-/** Tracks the open connections of callers and the number of requests in progress on each. */
+/** Time that the Keep-Alive header adds to the idle timeout of the configuration, in milliseconds. */
+const announcedMarginMs = 2000;
+
+/** Time for which an idle connection stays open beyond that timeout, in milliseconds: a second more than announced, for requests on the way. */
+const closeMarginMs = 3000;
+
+/** Time for which the caller may keep its side of a connection open that has been closed here, in milliseconds. */
+const lingerMs = 1000;
+
+type Connection = {
+	/** Responses that have not ended, in the order of their requests. */
+	readonly responses: Set<ServerResponse>;
+	lastResponse: ServerResponse | undefined;
+	/** Bytes that had been read at the end of the last request. */
+	bytesRead: number;
+	/** Time on the monotonic clock at which the connection fell idle, in milliseconds. */
+	idleSince: number;
+	/** Largest idle timeout that has been in force since the last request arrived, in milliseconds: the caller may know any of them. */
+	idleTimeoutMs: number;
+};
+
+/** Tracks the open connections of callers and the requests in progress on each, and closes those that are idle for too long. */
 export class CallerConnections {
-	readonly #sockets = new Set<Socket>();
-	readonly #requestCounts = new Map<Socket, number>();
-	readonly #lastResponses = new Map<Socket, ServerResponse>();
-	/** Bytes that had been read from each connection at the end of its last request. */
-	readonly #bytesRead = new Map<Socket, number>();
+	readonly #server: Server;
+	readonly #connections = new Map<Socket, Connection>();
+	#idleTimeoutMs = 0;
 
-	constructor(server: Server) {
+	constructor(server: Server, idleTimeoutMs: number) {
+		this.#server = server;
+		this.setIdleTimeout(idleTimeoutMs);
 		server.on('connection', (socket) => {
-			this.#sockets.add(socket);
-			socket.once('close', () => {
-				this.#sockets.delete(socket);
-				this.#requestCounts.delete(socket);
-				this.#bytesRead.delete(socket);
-				this.#lastResponses.delete(socket);
-			});
+			this.#add(socket);
 		});
-		server.on('request', (request, response: ServerResponse) => {
-			const {socket} = request;
-			this.#requestCounts.set(
-				socket,
-				(this.#requestCounts.get(socket) ?? 0) + 1,
-			);
-			response.once('close', () => {
-				this.#release(socket);
-			});
+		server.on('request', ({socket}: IncomingMessage, response) => {
+			this.#begin(socket, response);
+		});
+		// With a listener, Node.js leaves the end of the connection to it.
+		server.on('timeout', (socket: Socket) => {
+			void this.#closeExpired(socket);
 		});
 	}
 
 	get size(): number {
-		return this.#sockets.size;
+		return this.#connections.size;
+	}
+
+	/** Sets the time for which connections may be idle, in milliseconds. A lower one applies to a connection from its next request. */
+	setIdleTimeout(idleTimeoutMs: number): void {
+		this.#idleTimeoutMs = idleTimeoutMs;
+		this.#server.keepAliveTimeout = idleTimeoutMs + announcedMarginMs;
+		for (const connection of this.#connections.values()) {
+			connection.idleTimeoutMs = Math.max(
+				connection.idleTimeoutMs,
+				idleTimeoutMs,
+			);
+		}
 	}
 
 	/**
@@ -45,8 +71,13 @@
 		socket: Socket,
 		response: ServerResponse,
 	): Promise<boolean> {
-		const previous = this.#lastResponses.get(socket);
-		this.#lastResponses.set(socket, response);
+		const connection = this.#connections.get(socket);
+		if (!connection) {
+			return false;
+		}
+
+		const previous = connection.lastResponse;
+		connection.lastResponse = response;
 		if (previous && !previous.writableFinished && !previous.destroyed) {
 			await once(previous, 'close');
 		}
@@ -56,27 +87,88 @@
 
 	/** Closes connections on which no request is in progress or has begun to arrive, after their buffered response bytes have been sent; `server.closeIdleConnections` would drop these. */
 	closeIdle(): void {
-		for (const socket of this.#sockets) {
-			if (this.#isIdle(socket) && !socket.writableEnded) {
+		for (const [socket, connection] of this.#connections) {
+			if (isIdle(socket, connection) && !socket.writableEnded) {
 				socket.end();
 			}
 		}
 	}
 
-	#isIdle(socket: Socket): boolean {
-		return (
-			!this.#requestCounts.has(socket) &&
-			socket.bytesRead === (this.#bytesRead.get(socket) ?? 0)
-		);
+	#add(socket: Socket): void {
+		this.#connections.set(socket, {
+			responses: new Set(),
+			lastResponse: undefined,
+			bytesRead: 0,
+			idleSince: monotonicNow(),
+			idleTimeoutMs: this.#idleTimeoutMs,
+		});
+		socket.once('close', () => {
+			this.#connections.delete(socket);
+		});
+	}
+
+	#begin(socket: Socket, response: ServerResponse): void {
+		const connection = this.#connections.get(socket);
+		if (!connection) {
+			return;
+		}
+
+		if (connection.responses.size === 0) {
+			connection.idleTimeoutMs = this.#idleTimeoutMs;
+		}
+
+		connection.responses.add(response);
+		response.once('close', () => {
+			connection.responses.delete(response);
+			if (connection.responses.size === 0) {
+				connection.bytesRead = socket.bytesRead;
+				connection.idleSince = monotonicNow();
+			}
+		});
 	}
 
-	#release(socket: Socket): void {
-		const count = (this.#requestCounts.get(socket) ?? 0) - 1;
-		if (count > 0) {
-			this.#requestCounts.set(socket, count);
+	/** Closes a connection when its idle time is over. The timer of Node.js may know a shorter one, and may run before a request that has arrived is read. */
+	async #closeExpired(socket: Socket): Promise<void> {
+		const connection = this.#connections.get(socket);
+		if (!connection || socket.writableEnded) {
+			return;
+		}
+
+		const {bytesRead} = socket;
+		await readSockets();
+		if (
+			socket.destroyed ||
+			socket.writableEnded ||
+			socket.bytesRead !== bytesRead
+		) {
+			// Node.js has stopped the timer when it read the bytes.
+			return;
+		}
+
+		const remainingMs =
+			connection.idleSince +
+			connection.idleTimeoutMs +
+			closeMarginMs -
+			monotonicNow();
+		if (remainingMs > 0) {
+			socket.setTimeout(Math.ceil(remainingMs));
 		} else {
-			this.#requestCounts.delete(socket);
-			this.#bytesRead.set(socket, socket.bytesRead);
+			closeInOrder(socket);
 		}
 	}
 }
+
+function isIdle(socket: Socket, {responses, bytesRead}: Connection): boolean {
+	return responses.size === 0 && socket.bytesRead === bytesRead;
+}
+
+/** Ends this side of a connection and, after a while, the connection. A close of both sides at once would reset a request on the way. */
+function closeInOrder(socket: Socket): void {
+	socket.end();
+	const timer = setTimeout(() => {
+		socket.destroy();
+	}, lingerMs);
+	socket.once('close', () => {
+		clearTimeout(timer);
+	});
+}
--- a/src/daemons/gateway/caller-server.ts
+++ b/src/daemons/gateway/caller-server.ts
@@ -9,9 +9,6 @@
 import {listen} from '../listen.js';
 import {CallerConnections} from './caller-connections.js';
 
-/** Time for which a connection stays open beyond the idle timeout announced to callers, in milliseconds. */
-const keepAliveMarginMs = 2000;
-
 /** Maximum size of request headers in the HTTP parser, in bytes; set when the server is created, before the configuration has been read. */
 const maxHeaderBytes = 64 * 1024;
 
@@ -40,7 +37,10 @@
 			},
 			onRequest,
 		);
-		this.connections = new CallerConnections(this.#server);
+		this.connections = new CallerConnections(
+			this.#server,
+			initialLimits.idleTimeoutMs,
+		);
 		this.limits = initialLimits;
 	}
 
@@ -51,7 +51,7 @@
 	set limits(limits: CallerLimits) {
 		this.#limits = limits;
 		this.#server.headersTimeout = limits.headerTimeoutMs;
-		this.#server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
+		this.connections.setIdleTimeout(limits.idleTimeoutMs);
 	}
 
 	/** Starts to listen; rejects when the address cannot be used. */
--- a/src/daemons/gateway/loop-lag.ts
+++ b/src/daemons/gateway/loop-lag.ts
@@ -1,4 +1,5 @@
 import type {Disposable} from '../../base/index.js';
+import {readSockets} from '../read-sockets.js';
 import {monotonicNow} from '../state-machine.js';
 
 /** Time between two samples of the event loop's lag, in milliseconds. */
@@ -52,8 +53,7 @@
 
 	/** Resolves when all socket events that are pending now have been handled. */
 	async readSockets(): Promise<void> {
-		await nextEventLoopTurn();
-		await nextEventLoopTurn();
+		await readSockets();
 	}
 
 	async #trackCatchUp(): Promise<void> {
@@ -66,9 +66,3 @@
 		clearInterval(this.#timer);
 	}
 }
-
-async function nextEventLoopTurn(): Promise<void> {
-	return new Promise((resolve) => {
-		setImmediate(resolve);
-	});
-}
--- a/src/lab/block.ts
+++ b/src/lab/block.ts
@@ -5,3 +5,17 @@
 		// Busy wait.
 	}
 }
+
+/** Blocks the event loop right after an action, in a phase after which timers run before sockets are read. */
+export async function blockBeforeTimers(
+	ms: number,
+	action: () => void,
+): Promise<void> {
+	return new Promise((resolve) => {
+		setImmediate(() => {
+			action();
+			block(ms);
+			resolve();
+		});
+	});
+}
