Read the sockets before a head is refused as late

Callers saw: 408 and a closed connection although they had sent the whole head in time, when the process stood still until the check of Node.js, once a second, found the time for the head over.

Cause: the check runs as a timer, so before the sockets are read, and ends the connection at once.

A listener for 'clientError' reads the sockets first and goes on if a head has been read by then. Node.js measures the first head of a connection from its start, so one that has begun meanwhile gets its whole time; that time is then kept here, as the check forgets a connection once it has found it late. The parser is not touched: the answer to a head that came late, a further request on the connection, and the check of that one work as before. All other errors get the answers that Node.js gives by default (400, 408, 413, 431), now with a length, and the connection is closed in order; one line, caller_refused, has the status and the code.

--- a/src/daemons/gateway/caller-connections.test.ts
+++ b/src/daemons/gateway/caller-connections.test.ts
@@ -10,7 +10,10 @@
 	const server = createServer((_request, response) => {
 		response.end();
 	});
-	const connections = new CallerConnections(server, 0);
+	const connections = new CallerConnections(server, {
+		idleTimeoutMs: 0,
+		onDidRefuse: () => undefined,
+	});
 	const port = await freePort();
 	server.listen(port, '127.0.0.1');
 	await once(server, 'listening');
--- a/src/daemons/gateway/caller-connections.ts
+++ b/src/daemons/gateway/caller-connections.ts
@@ -1,8 +1,15 @@
 import {once} from 'node:events';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
+import {Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {readSockets} from '../read-sockets.js';
 import {monotonicNow} from '../state-machine.js';
+import {
+	lateHeadCode,
+	refusalOf,
+	refusalText,
+	type CallerRefusal,
+} from './caller-refusal.js';
 
 /** Time that the Keep-Alive header adds to the idle timeout of the configuration, in milliseconds. */
 const announcedMarginMs = 2000;
@@ -13,7 +20,16 @@
 /** Time for which the caller may keep its side of a connection open that has been closed here, in milliseconds. */
 const lingerMs = 1000;
 
+export type CallerConnectionsOptions = {
+	/** Time for which connections may be idle at first, in milliseconds. */
+	readonly idleTimeoutMs: number;
+	/** Called for each connection that is refused. */
+	readonly onDidRefuse: (refusal: CallerRefusal) => void;
+};
+
 type Connection = {
+	/** Number of requests whose heads have been read. */
+	heads: number;
 	/** Responses that have not ended, in the order of their requests. */
 	readonly responses: Set<ServerResponse>;
 	lastResponse: ServerResponse | undefined;
@@ -25,14 +41,19 @@
 	idleTimeoutMs: number;
 };
 
-/** Tracks the open connections of callers and the requests in progress on each, and closes those that are idle for too long. */
+/** Tracks the open connections of callers and the requests in progress on each, and closes those that are idle for too long or carry no valid requests. */
 export class CallerConnections {
 	readonly #server: Server;
+	readonly #onDidRefuse: CallerConnectionsOptions['onDidRefuse'];
 	readonly #connections = new Map<Socket, Connection>();
 	#idleTimeoutMs = 0;
 
-	constructor(server: Server, idleTimeoutMs: number) {
+	constructor(
+		server: Server,
+		{idleTimeoutMs, onDidRefuse}: CallerConnectionsOptions,
+	) {
 		this.#server = server;
+		this.#onDidRefuse = onDidRefuse;
 		this.setIdleTimeout(idleTimeoutMs);
 		server.on('connection', (socket) => {
 			this.#add(socket);
@@ -40,10 +61,15 @@
 		server.on('request', ({socket}: IncomingMessage, response) => {
 			this.#begin(socket, response);
 		});
-		// With a listener, Node.js leaves the end of the connection to it.
+		// With listeners, Node.js leaves the end of the connection to them.
 		server.on('timeout', (socket: Socket) => {
 			void this.#closeExpired(socket);
 		});
+		server.on('clientError', (error, socket) => {
+			if (socket instanceof Socket) {
+				void this.#onError(error, socket);
+			}
+		});
 	}
 
 	get size(): number {
@@ -96,6 +122,7 @@
 
 	#add(socket: Socket): void {
 		this.#connections.set(socket, {
+			heads: 0,
 			responses: new Set(),
 			lastResponse: undefined,
 			bytesRead: 0,
@@ -117,6 +144,7 @@
 			connection.idleTimeoutMs = this.#idleTimeoutMs;
 		}
 
+		connection.heads++;
 		connection.responses.add(response);
 		response.once('close', () => {
 			connection.responses.delete(response);
@@ -156,6 +184,56 @@
 			closeInOrder(socket);
 		}
 	}
+
+	async #onError(error: NodeJS.ErrnoException, socket: Socket): Promise<void> {
+		const connection = this.#connections.get(socket);
+		if (!connection) {
+			socket.destroy();
+			return;
+		}
+
+		if (
+			error.code !== lateHeadCode ||
+			!(await this.#hasArrived(socket, connection))
+		) {
+			this.#refuse(error, socket, connection);
+		}
+	}
+
+	/** Whether a late head turns out to have arrived while this process was busy. The first head on a connection may at least have begun to, and then has its whole time: Node.js measures the time from the start of the connection. */
+	async #hasArrived(socket: Socket, connection: Connection): Promise<boolean> {
+		const {heads} = connection;
+		const wasSilent = socket.bytesRead === 0;
+		await readSockets();
+		if (wasSilent && socket.bytesRead > 0 && connection.heads === heads) {
+			await delay(this.#server.headersTimeout, undefined, {ref: false});
+			await readSockets();
+		}
+
+		return connection.heads > heads;
+	}
+
+	#refuse(
+		error: NodeJS.ErrnoException,
+		socket: Socket,
+		{responses}: Connection,
+	): void {
+		if (socket.destroyed || socket.writableEnded) {
+			return;
+		}
+
+		const [current] = responses;
+		if (!socket.writable || current?.headersSent) {
+			// The refusal would become a part of that response.
+			socket.destroy();
+			return;
+		}
+
+		const refusal = refusalOf(error);
+		socket.write(refusalText(refusal));
+		closeInOrder(socket);
+		this.#onDidRefuse(refusal);
+	}
 }
 
 function isIdle(socket: Socket, {responses, bytesRead}: Connection): boolean {
--- a/src/daemons/gateway/caller-server.ts
+++ b/src/daemons/gateway/caller-server.ts
@@ -7,6 +7,7 @@
 import type {Disposable} from '../../base/index.js';
 import type {CallerLimits} from '../../interfaces/index.js';
 import {listen} from '../listen.js';
+import type {Log} from '../log.js';
 import {CallerConnections} from './caller-connections.js';
 
 /** Maximum size of request headers in the HTTP parser, in bytes; set when the server is created, before the configuration has been read. */
@@ -27,6 +28,7 @@
 	#limits = initialLimits;
 
 	constructor(
+		log: Log,
 		onRequest: (request: IncomingMessage, response: ServerResponse) => void,
 	) {
 		this.#server = createServer(
@@ -37,10 +39,12 @@
 			},
 			onRequest,
 		);
-		this.connections = new CallerConnections(
-			this.#server,
-			initialLimits.idleTimeoutMs,
-		);
+		this.connections = new CallerConnections(this.#server, {
+			idleTimeoutMs: initialLimits.idleTimeoutMs,
+			onDidRefuse(refusal) {
+				log.info('caller_refused', refusal);
+			},
+		});
 		this.limits = initialLimits;
 	}
 
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -249,7 +249,7 @@
 			this.#callerServer.limits = configuration.limits;
 		});
 		this.#callerServer = this.#disposables.add(
-			new CallerServer((request, response) => {
+			new CallerServer(options.log, (request, response) => {
 				void this.#onRequest(request, response);
 			}),
 		);
