Refuse what follows a request only after its answer

Callers saw: a 408 or 400 as the answer to a request that had been sent to a server and ran there, because a part of a head, or bytes that are no request, had arrived behind it on the connection; where the answer had begun, it was cut. A 408 promises that a request has not run.

The error is now kept until the answers to the requests that have been read are complete. The refusal follows and the connection is closed. A head that arrives by then is answered; if the caller has closed its side, the connection is closed at once, as for any caller that leaves.

Found by reading while the listener was written; not known to have been seen by users.

--- a/src/daemons/gateway/caller-connections.ts
+++ b/src/daemons/gateway/caller-connections.ts
@@ -33,6 +33,8 @@
 	/** Responses that have not ended, in the order of their requests. */
 	readonly responses: Set<ServerResponse>;
 	lastResponse: ServerResponse | undefined;
+	/** Error for which the connection is refused once the requests that have been read are answered. */
+	error: NodeJS.ErrnoException | undefined;
 	/** Bytes that had been read at the end of the last request. */
 	bytesRead: number;
 	/** Time on the monotonic clock at which the connection fell idle, in milliseconds. */
@@ -125,6 +127,7 @@
 			heads: 0,
 			responses: new Set(),
 			lastResponse: undefined,
+			error: undefined,
 			bytesRead: 0,
 			idleSince: monotonicNow(),
 			idleTimeoutMs: this.#idleTimeoutMs,
@@ -145,6 +148,7 @@
 		}
 
 		connection.heads++;
+		connection.error = undefined;
 		connection.responses.add(response);
 		response.once('close', () => {
 			connection.responses.delete(response);
@@ -152,6 +156,10 @@
 				connection.bytesRead = socket.bytesRead;
 				connection.idleSince = monotonicNow();
 			}
+
+			if (connection.error) {
+				this.#refuse(connection.error, socket, connection);
+			}
 		});
 	}
 
@@ -213,23 +221,28 @@
 		return connection.heads > heads;
 	}
 
+	/** Refuses what is no valid request, after the answers to the requests before it: their callers would take the refusal for one of them. */
 	#refuse(
 		error: NodeJS.ErrnoException,
 		socket: Socket,
-		{responses}: Connection,
+		connection: Connection,
 	): void {
 		if (socket.destroyed || socket.writableEnded) {
 			return;
 		}
 
-		const [current] = responses;
-		if (!socket.writable || current?.headersSent) {
-			// The refusal would become a part of that response.
+		const isAwaited = [...connection.responses].some(({req}) => req.complete);
+		if (!socket.writable || (isAwaited && socket.readableEnded)) {
 			socket.destroy();
 			return;
 		}
 
-		const refusal = refusalOf(error);
+		connection.error ??= error;
+		if (isAwaited) {
+			return;
+		}
+
+		const refusal = refusalOf(connection.error);
 		socket.write(refusalText(refusal));
 		closeInOrder(socket);
 		this.#onDidRefuse(refusal);
