Read an answer of another gateway before it counts as lost

After a pause of the process the timers of a reservation (60 ms) and of a revalidation (100 ms) run before the answer that has arrived is read. The request is then placed as if the owner of the engine had not answered: at an engine that seems idle, although the owner has said that it is full, or not for another 40 ms although it has granted the place, which stays reserved. Without the revalidation the table is read from the store, and the other gateway is asked nothing for 3 s; a gateway that starts may take an older configuration for the newest.

Both timers now read the sockets first, as those for endpoints do.

--- a/src/daemons/gateway/peer-exchange.test.ts
+++ b/src/daemons/gateway/peer-exchange.test.ts
@@ -1,7 +1,8 @@
-import {createSocket} from 'node:dgram';
+import {createSocket, type Socket} from 'node:dgram';
 import {once} from 'node:events';
 import {test} from 'node:test';
 import {expect} from 'earl';
+import {block} from '../../lab/block.js';
 import {freePort, waitUntil} from '../../lab/fleet/loopback.js';
 import {
 	CrashSuspects,
@@ -16,6 +17,17 @@
 
 const host = '127.0.0.1';
 
+/** Time for which the process is busy when an answer arrives, in milliseconds: longer than requests to other gateways wait for theirs. */
+const busyMs = 250;
+
+const proof = {
+	era: 0,
+	configurationVersion: 7,
+	configurationAgeMs: 0,
+	endpointsDigest: 1,
+	endpointsAgeMs: 0,
+};
+
 function createExchange(
 	address: string,
 	{
@@ -141,3 +153,77 @@
 	);
 	expect(unreadable.length).toEqual(1);
 });
+
+/** Gateway that answers one revalidation or reservation request and then keeps the process busy for longer than their timeouts. */
+async function startBusyPeer(): Promise<{socket: Socket; port: number}> {
+	const socket = createSocket('udp4');
+	let hasAnswered = false;
+	socket.on('message', (bytes, from) => {
+		const message = decodeMessage(bytes);
+		const answer =
+			message?.type === 'proof ask'
+				? encodeMessage({type: 'proof', number: message.number, proof})
+				: message?.type === 'ask'
+					? encodeMessage({
+							type: 'answer',
+							number: message.number,
+							answer: {type: 'full'},
+						})
+					: undefined;
+		if (answer && !hasAnswered) {
+			hasAnswered = true;
+			socket.send(answer, from.port, from.address, () => {
+				block(busyMs);
+			});
+		}
+	});
+	socket.bind(0, host);
+	await once(socket, 'listening');
+	return {socket, port: socket.address().port};
+}
+
+// Guards against requests that wait, or are sent to a full engine, because an answer of its owner counts as lost.
+test('the answer to a reservation request counts although the process reads it late', async () => {
+	const peer = await startBusyPeer();
+	const gateway = createExchange(`${host}:${await freePort()}`);
+	gateway.start();
+	const endpoints = new EndpointSet(() => undefined, new PeerLoads());
+	endpoints.apply(
+		{
+			type: 'listed',
+			endpoint: {
+				id: 'e1',
+				service: 's',
+				address: '10.0.0.1:80',
+				dataCentre: 'd',
+				isDraining: false,
+				slots: 4,
+				startedAt: 1,
+				warmUpMs: 0,
+			},
+			version: 1,
+		},
+		0,
+	);
+	const [upstream] = endpoints.all();
+	const isGranted = await gateway.ask(
+		{address: host, port: peer.port},
+		upstream!,
+		{uncachedTokens: 1000, kvCacheTokens: 1000, rank: 0},
+	);
+	gateway.dispose();
+	peer.socket.close();
+	expect(isGranted).toEqual(false);
+});
+
+// Guards against a gateway that reads the store, or starts with an older configuration, because the answer of another one counts as lost.
+test('the answer to a revalidation request counts although the process reads it late', async () => {
+	const peer = await startBusyPeer();
+	const gateway = createExchange(`${host}:${await freePort()}`);
+	gateway.start();
+	gateway.setPeers([`${host}:${peer.port}`]);
+	const version = await gateway.freshness.requestNewestConfiguration();
+	gateway.dispose();
+	peer.socket.close();
+	expect(version).toEqual(proof.configurationVersion);
+});
--- a/src/daemons/gateway/peer-exchange.ts
+++ b/src/daemons/gateway/peer-exchange.ts
@@ -12,6 +12,7 @@
 	type Upstream,
 } from '../../services/gateway/index.js';
 import {splitAddress} from '../listen.js';
+import {readSockets} from '../read-sockets.js';
 import {monotonicNow} from '../state-machine.js';
 import {decodeMessage, encodeMessage} from './peer-messages.js';
 import {UnreadableRows} from './unreadable-rows.js';
@@ -208,7 +209,7 @@
 		upstream.beginReservation(uncachedTokens);
 		const result = await new Promise<ReservationResult>((resolve) => {
 			const timer = setTimeout(() => {
-				this.#completeReservation(number, {type: 'unanswered'});
+				void this.#expireReservation(number);
 			}, reservationTimeoutMs);
 			this.#pendingReservations.set(number, {number, timer, resolve});
 		});
@@ -235,6 +236,12 @@
 		this.#socket.close();
 	}
 
+	/** Gives up a reservation, unless its answer has arrived while this process was busy. */
+	async #expireReservation(number: number): Promise<void> {
+		await readSockets();
+		this.#completeReservation(number, {type: 'unanswered'});
+	}
+
 	#completeReservation(number: number, result: ReservationResult): void {
 		const pending = this.#pendingReservations.get(number);
 		if (pending) {
--- a/src/daemons/gateway/peer-freshness.ts
+++ b/src/daemons/gateway/peer-freshness.ts
@@ -7,6 +7,7 @@
 	type PeerLoads,
 } from '../../services/gateway/index.js';
 import {splitAddress} from '../listen.js';
+import {readSockets} from '../read-sockets.js';
 import {monotonicNow} from '../state-machine.js';
 import type {PeerMessage} from './peer-messages.js';
 
@@ -150,7 +151,7 @@
 		const number = this.#lastNumber;
 		return new Promise((resolve) => {
 			const timer = setTimeout(() => {
-				this.#pending.get(number)?.(undefined);
+				void this.#expire(number);
 			}, timeoutMs);
 			this.#pending.set(number, (freshness) => {
 				clearTimeout(timer);
@@ -161,6 +162,12 @@
 		});
 	}
 
+	/** Gives up a request, unless its answer has arrived while this process was busy. */
+	async #expire(number: number): Promise<void> {
+		await readSockets();
+		this.#pending.get(number)?.(undefined);
+	}
+
 	/** Hashes of the names of the gateways that have reported recently, without those in back-off. */
 	#candidates(): ReadonlyMap<string, number> {
 		const now = monotonicNow();
