Read idle connections of the other HTTP servers before they are closed

The servers for readiness, metrics and state, and the entry of the older router, left the end of an idle connection to the timer of Node.js as well: after a pause of the process it destroys the socket with a request unread, and the caller, the platform's check or a scrape gets a reset.

closeIdleInOrder reads the sockets first and ends the connection in order; CallerConnections uses its parts. The limits of these servers do not change, so they need no more. The link server keeps no idle connections of HTTP.

The admin server of the older router has the same line and no test of its own.

--- a/src/daemons/admin/admin-server.ts
+++ b/src/daemons/admin/admin-server.ts
@@ -1,5 +1,6 @@
 import {createServer, type Server} from 'node:http';
 import type {Disposable} from '../../base/index.js';
+import {closeIdleInOrder} from '../idle-end.js';
 import {listen} from '../listen.js';
 
 export type AdminOptions = {
@@ -23,6 +24,7 @@
 			response.writeHead(status, {'content-type': 'application/json'});
 			response.end(JSON.stringify(body, undefined, '\t') + '\n');
 		});
+		closeIdleInOrder(this.#server);
 	}
 
 	/** Starts listening and resolves to the port; rejects when the address cannot be used. */
--- a/src/daemons/entry/caller-server.ts
+++ b/src/daemons/entry/caller-server.ts
@@ -9,6 +9,7 @@
 import type {Disposable} from '../../base/index.js';
 import type {Limits} from '../../interfaces/index.js';
 import type {Catalogue} from '../../services/index.js';
+import {closeIdleInOrder} from '../idle-end.js';
 import {listen} from '../listen.js';
 import type {Log} from '../log.js';
 import {ApiError, errorAnswerOf, errorBody, sendError} from './api-error.js';
@@ -63,6 +64,7 @@
 			},
 		);
 		this.#server.maxConnections = limits.connections;
+		closeIdleInOrder(this.#server);
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			refuseConnection(error, socket);
 		});
--- a/src/daemons/gateway/admin-server.ts
+++ b/src/daemons/gateway/admin-server.ts
@@ -1,5 +1,6 @@
 import {createServer, type Server} from 'node:http';
 import type {Disposable} from '../../base/index.js';
+import {closeIdleInOrder} from '../idle-end.js';
 import {listen} from '../listen.js';
 
 export type GatewayAdminOptions = {
@@ -24,6 +25,7 @@
 				response.writeHead(status, {'Content-Type': type}).end(body);
 			});
 		});
+		closeIdleInOrder(this.#server);
 	}
 
 	async start(): Promise<void> {
--- a/src/daemons/gateway/caller-connections.ts
+++ b/src/daemons/gateway/caller-connections.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
+import {closeInOrder, hasStayedIdle} from '../idle-end.js';
 import {readSockets} from '../read-sockets.js';
 import {monotonicNow} from '../state-machine.js';
 import {
@@ -17,9 +18,6 @@
 /** Time for which an idle connection stays open beyond that timeout, in milliseconds: a second more than announced, for requests on the way. */
 const closeMarginMs = 3000;
 
-/** Time for which the caller may keep its side of a connection open that has been closed here, in milliseconds. */
-const lingerMs = 1000;
-
 export type CallerConnectionsOptions = {
 	/** Time for which connections may be idle at first, in milliseconds. */
 	readonly idleTimeoutMs: number;
@@ -166,18 +164,7 @@
 	/** Closes a connection when its idle time is over. The timer of Node.js may know a shorter one, and may run before a request that has arrived is read. */
 	async #closeExpired(socket: Socket): Promise<void> {
 		const connection = this.#connections.get(socket);
-		if (!connection || socket.writableEnded) {
-			return;
-		}
-
-		const {bytesRead} = socket;
-		await readSockets();
-		if (
-			socket.destroyed ||
-			socket.writableEnded ||
-			socket.bytesRead !== bytesRead
-		) {
-			// Node.js has stopped the timer when it read the bytes.
+		if (!connection || !(await hasStayedIdle(socket))) {
 			return;
 		}
 
@@ -252,14 +239,3 @@
 function isIdle(socket: Socket, {responses, bytesRead}: Connection): boolean {
 	return responses.size === 0 && socket.bytesRead === bytesRead;
 }
-
-/** Ends this side of a connection and, after a while, the connection. A close of both sides at once would reset a request on the way. */
-function closeInOrder(socket: Socket): void {
-	socket.end();
-	const timer = setTimeout(() => {
-		socket.destroy();
-	}, lingerMs);
-	socket.once('close', () => {
-		clearTimeout(timer);
-	});
-}
--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -30,6 +30,7 @@
 	RetryAllowance,
 	type RetryBounds,
 } from '../../services/gateway/index.js';
+import {closeIdleInOrder} from '../idle-end.js';
 import {listen} from '../listen.js';
 import type {Log} from '../log.js';
 import {monotonicNow} from '../state-machine.js';
@@ -257,6 +258,7 @@
 			const isReady = request.url === options.readinessPath && this.isReady;
 			response.writeHead(isReady ? 200 : 503).end();
 		});
+		closeIdleInOrder(this.#readinessServer);
 		this.#disposables.add(
 			toDisposable(() => {
 				this.#readinessServer.close();
