Read a request of the older router before it is refused as late

The entry of the older router refused a request with 408 after a pause of the process although it had arrived whole in time: the checks of Node.js on the time for heads and for whole requests run before the sockets are read. The sockets are now read first, and a request that is whole by then goes on.

--- a/src/daemons/entry/caller-server.ts
+++ b/src/daemons/entry/caller-server.ts
@@ -12,6 +12,7 @@
 import {closeIdleInOrder} from '../idle-end.js';
 import {listen} from '../listen.js';
 import type {Log} from '../log.js';
+import {readSockets} from '../read-sockets.js';
 import {ApiError, errorAnswerOf, errorBody, sendError} from './api-error.js';
 import {
 	authenticate,
@@ -26,6 +27,9 @@
 /** Retry delay sent to callers when the entry has reached its request limit, in milliseconds. */
 const busyRetryMs = 1000;
 
+/** Code of the error by which Node.js reports a request that has not arrived in time. */
+const timeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+
 export type CallerServerOptions = {
 	readonly catalogue: Catalogue;
 	readonly limits: Limits;
@@ -44,6 +48,8 @@
 	readonly #server: Server;
 	readonly #bodies: BodyReader;
 	readonly #responses = new Set<ServerResponse>();
+	/** Last request on each connection. */
+	readonly #lastRequests = new WeakMap<Duplex, IncomingMessage>();
 	#leaving = false;
 	#onIdle: (() => void) | undefined;
 
@@ -66,7 +72,7 @@
 		this.#server.maxConnections = limits.connections;
 		closeIdleInOrder(this.#server);
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-			refuseConnection(error, socket);
+			void this.#onClientError(error, socket);
 		});
 	}
 
@@ -118,6 +124,7 @@
 		response: ServerResponse,
 	): Promise<void> {
 		const id = `req-${randomUUID()}`;
+		this.#lastRequests.set(message.socket, message);
 		this.#track(response);
 		try {
 			await this.#route(message, response, id);
@@ -134,6 +141,28 @@
 		}
 	}
 
+	async #onClientError(
+		error: NodeJS.ErrnoException,
+		socket: Duplex,
+	): Promise<void> {
+		if (error.code !== timeoutCode || !(await this.#hasArrived(socket))) {
+			refuseConnection(error, socket);
+		}
+	}
+
+	/** Whether a request that counts as late turns out to have arrived while this process was busy. */
+	async #hasArrived(socket: Duplex): Promise<boolean> {
+		const before = this.#lastRequests.get(socket);
+		const wasComplete = before?.complete;
+		await readSockets();
+		const request = this.#lastRequests.get(socket);
+		return (
+			request !== undefined &&
+			request.complete &&
+			!(request === before && wasComplete)
+		);
+	}
+
 	#track(response: ServerResponse): void {
 		this.#responses.add(response);
 		if (this.#leaving) {
@@ -272,7 +301,7 @@
 	const [status, phrase, code] =
 		error.code === 'HPE_HEADER_OVERFLOW'
 			? ([431, 'Request Header Fields Too Large', 'headers_too_large'] as const)
-			: error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+			: error.code === timeoutCode
 				? ([408, 'Request Timeout', 'request_timeout'] as const)
 				: ([400, 'Bad Request', 'bad_request'] as const);
 	const body = errorBody({
