Reject a request that names several hosts

What callers saw: after one request with two Host lines, sound requests of other callers were refused with 503 for half a second and longer.

Cause: undici sends no request with two Host lines and reports it like a connection that failed before anything was sent. The gateway took that for a fault of the server, ejected it and tried the next one, so a single request took three servers out of use.

Why the fix works: such a request is rejected before it is placed, with the 400 that HTTP/1.1 asks for, so no server is tried.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -498,7 +498,8 @@
 		const head = this.#options.format.parseRequest(rawHeaders);
 		const {routing, ageMs, isCompared} = this.#platform;
 		const {revocationMs} = this.#bounds;
-		const admission = admit(request.headers.host ?? '', url, head, {
+		const hosts = request.headersDistinct.host ?? [];
+		const admission = admit(hosts, url, head, {
 			routing: isCompared ? routing : undefined,
 			ageMs,
 			revocationMs,
--- a/src/services/gateway/admission.test.ts
+++ b/src/services/gateway/admission.test.ts
@@ -68,7 +68,7 @@
 		receivedAt: now,
 		now,
 	};
-	const admission = admit('h', target, head(key), view);
+	const admission = admit(['h'], target, head(key), view);
 	return admission.type === 'rejected' ? admission.status : admission.type;
 }
 
@@ -101,7 +101,7 @@
 
 // Guards against a 404 for an existing route from a gateway that has just started.
 test('without a configuration every request is deferred', () => {
-	const admission = admit('h', '/keyed/', head('k'), {
+	const admission = admit(['h'], '/keyed/', head('k'), {
 		routing: undefined,
 		ageMs: Number.POSITIVE_INFINITY,
 		revocationMs: 5000,
@@ -117,7 +117,7 @@
 	const drain = new DrainSchedule(now, 20_000);
 	const at = (remainingMs: number, deadlineMs?: number, bodyMs = 0) => {
 		const readAt = drain.answersEndAt - remainingMs;
-		return admit('h', '/keyed/', head('k', deadlineMs), {
+		return admit(['h'], '/keyed/', head('k', deadlineMs), {
 			routing,
 			ageMs: 0,
 			revocationMs: 5000,
--- a/src/services/gateway/admission.ts
+++ b/src/services/gateway/admission.ts
@@ -54,7 +54,7 @@
 	  }
 	| {
 			readonly type: 'rejected';
-			readonly status: 401 | 404;
+			readonly status: 400 | 401 | 404;
 			readonly reason: string;
 	  }
 	/** This gateway cannot decide now. The request was not sent, so the caller may retry it. */
@@ -65,18 +65,23 @@
 	  };
 
 /**
- * Checks the route and API key of a request. A route or key that is missing
- * from an old configuration may exist in a newer one, so only a fresh
- * configuration rejects. Keys are accepted only while the configuration is
- * recent enough that no key can have been revoked for longer than
- * `revocationMs`.
+ * Checks the hosts, route and API key of a request. One that names several
+ * hosts is rejected, as an endpoint might use another one than the route was
+ * chosen by. A route or key that is missing from an old configuration may exist
+ * in a newer one, so only a fresh configuration rejects. Keys are accepted only
+ * while the configuration is recent enough that no key can have been revoked for
+ * longer than `revocationMs`.
  */
 export function admit(
-	host: string,
+	[host = '', ...otherHosts]: readonly string[],
 	target: string,
 	head: RequestHead,
 	{routing, ageMs, revocationMs, drain, receivedAt, now}: AdmissionState,
 ): Admission {
+	if (otherHosts.length > 0) {
+		return {type: 'rejected', status: 400, reason: 'more than one host'};
+	}
+
 	if (!routing) {
 		return deferred('no configuration yet', startupRetryAfterMs);
 	}
