Find the route of a request with an absolute target

What callers saw: 404 for a request whose target is a whole URL, as a caller sends it to a proxy, although its route exists. HTTP/1.1 asks every server to accept this form.

Cause: the routing table compared the path prefixes with the whole target.

Why the fix works: host and target are combined in one place before the route is chosen. The endpoint gets the path and query, and a target whose host differs from the Host header is rejected like a second host, so that the endpoint cannot read another host than the route was chosen by.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -523,12 +523,12 @@
 			}
 
 			case 'admitted': {
-				const {route, service, workspace, priority, rank} = admission;
+				const {target, route, service, workspace, priority, rank} = admission;
 				const exchange = new Exchange(
 					this.#context,
 					{
 						method,
-						target: url,
+						target,
 						headers: rawHeaders,
 						body: body.bytes,
 						head: this.#withoutOddPrompt(head, service),
--- a/src/services/gateway/admission.ts
+++ b/src/services/gateway/admission.ts
@@ -5,6 +5,7 @@
 	Service,
 } from '../../interfaces/ports/index.js';
 import type {DrainSchedule} from './drain-schedule.js';
+import {requestTarget} from './request-target.js';
 import type {RoutingTable} from './routing-table.js';
 
 /** Age of the configuration in milliseconds up to which an unknown route or key is rejected; an older configuration may just not have it yet. */
@@ -44,6 +45,8 @@
 export type Admission =
 	| {
 			readonly type: 'admitted';
+			/** Path and query. */
+			readonly target: string;
 			readonly route: Route;
 			readonly service: Service;
 			readonly workspace: KeyHolder | undefined;
@@ -65,20 +68,20 @@
 	  };
 
 /**
- * Checks the hosts, route and API key of a request. One that names several
- * hosts is rejected, as an endpoint might use another one than the route was
- * chosen by. A route or key that is missing from an old configuration may exist
- * in a newer one, so only a fresh configuration rejects. Keys are accepted only
- * while the configuration is recent enough that no key can have been revoked for
- * longer than `revocationMs`.
+ * Checks the host, route and API key of a request. A route or key that is missing
+ * from an old configuration may exist in a newer one, so only a fresh
+ * configuration rejects. Keys are accepted only while the configuration is
+ * recent enough that no key can have been revoked for longer than
+ * `revocationMs`.
  */
 export function admit(
-	[host = '', ...otherHosts]: readonly string[],
+	hosts: readonly string[],
 	target: string,
 	head: RequestHead,
 	{routing, ageMs, revocationMs, drain, receivedAt, now}: AdmissionState,
 ): Admission {
-	if (otherHosts.length > 0) {
+	const named = requestTarget(hosts, target);
+	if (!named) {
 		return {type: 'rejected', status: 400, reason: 'more than one host'};
 	}
 
@@ -86,7 +89,7 @@
 		return deferred('no configuration yet', startupRetryAfterMs);
 	}
 
-	const route = routing.route(host, target);
+	const route = routing.route(named.host, named.target);
 	if (!route) {
 		return rejectIfFresh(404, 'no such route', ageMs);
 	}
@@ -112,6 +115,7 @@
 	return service
 		? {
 				type: 'admitted',
+				target: named.target,
 				route,
 				service,
 				workspace,
