--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -469,7 +469,8 @@
 		const head = this.#options.format.parseRequest(rawHeaders);
 		const {routing, ageMs, isCompared} = this.#platform;
 		const {revocationMs} = this.#bounds;
-		const admission = admit(request.headers.host ?? '', url, head, {
+		const hosts = request.headersDistinct.host ?? [];
+		const admission = admit(hosts, url, head, {
 			routing: isCompared ? routing : undefined,
 			ageMs,
 			revocationMs,
@@ -493,12 +494,12 @@
 			}
 
 			case 'admitted': {
-				const {route, service, workspace, priority, rank} = admission;
+				const {target, route, service, workspace, priority, rank} = admission;
 				const exchange = new Exchange(
 					this.#context,
 					{
 						method,
-						target: url,
+						target,
 						headers: rawHeaders,
 						body: body.bytes,
 						head: this.#withoutOddPrompt(head, service),
--- a/src/services/gateway/admission.ts
+++ b/src/services/gateway/admission.ts
@@ -5,6 +5,7 @@
 	Service,
 } from '../../interfaces/ports/index.js';
 import type {DrainSchedule} from './drain-schedule.js';
+import {requestTarget} from './request-target.js';
 import type {RoutingTable} from './routing-table.js';
 
 /** Age of the configuration in milliseconds up to which an unknown route or key is rejected; an older configuration may just not have it yet. */
@@ -44,6 +45,8 @@
 export type Admission =
 	| {
 			readonly type: 'admitted';
+			/** Path and query. */
+			readonly target: string;
 			readonly route: Route;
 			readonly service: Service;
 			readonly workspace: KeyHolder | undefined;
@@ -54,7 +57,7 @@
 	  }
 	| {
 			readonly type: 'rejected';
-			readonly status: 401 | 404;
+			readonly status: 400 | 401 | 404;
 			readonly reason: string;
 	  }
 	/** This gateway cannot decide now. The request was not sent, so the caller may retry it. */
@@ -65,23 +68,28 @@
 	  };
 
 /**
- * Checks the route and API key of a request. A route or key that is missing
+ * Checks the host, route and API key of a request. A route or key that is missing
  * from an old configuration may exist in a newer one, so only a fresh
  * configuration rejects. Keys are accepted only while the configuration is
  * recent enough that no key can have been revoked for longer than
  * `revocationMs`.
  */
 export function admit(
-	host: string,
+	hosts: readonly string[],
 	target: string,
 	head: RequestHead,
 	{routing, ageMs, revocationMs, drain, receivedAt, now}: AdmissionState,
 ): Admission {
+	const named = requestTarget(hosts, target);
+	if (!named) {
+		return {type: 'rejected', status: 400, reason: 'more than one host'};
+	}
+
 	if (!routing) {
 		return deferred('no configuration yet', startupRetryAfterMs);
 	}
 
-	const route = routing.route(host, target);
+	const route = routing.route(named.host, named.target);
 	if (!route) {
 		return rejectIfFresh(404, 'no such route', ageMs);
 	}
@@ -107,6 +115,7 @@
 	return service
 		? {
 				type: 'admitted',
+				target: named.target,
 				route,
 				service,
 				workspace,
