End a request for a restart only at the incarnation before it (LOST)

What callers saw: a stream sent to a server that has just restarted under its id is cut, or answered 502 or 504, after 0.4 s without a byte, although the new incarnation runs it. It lasts until the new entry has arrived, and longer for the requests sent before that; a store that is away prolongs it.

Cause: a health check answered by a later incarnation than the listed one counted as the end of every request there, also of one that went to the later incarnation, whose address and id are the same.

Change: such a check ends a request only if its connection was opened before a probe that the listed incarnation still answered, which shows that it leads there. Any other connection may lead to the new one and counts as silent: the request is hedged or resumed where it may be, and else waits for its connection, which a process that ends closes.

--- a/src/daemons/gateway/connection-pool.ts
+++ b/src/daemons/gateway/connection-pool.ts
@@ -21,6 +21,8 @@
 	/** The connection was reset, or its orderly end cannot be verified: a response that is delimited by its close is incomplete. */
 	isReset = false;
 	isConnected = false;
+	/** Time on the monotonic clock at which the connection was established, in milliseconds. */
+	openedAt = Number.POSITIVE_INFINITY;
 	/** It has carried an earlier request, whose answer may arrive once more. */
 	isReused = false;
 	/** Time on the monotonic clock at which the connection was last released, in milliseconds. */
@@ -109,6 +111,7 @@
 		socket.once('connect', () => {
 			clearTimeout(timer);
 			socket.off('error', onFailure);
+			this.openedAt = monotonicNow();
 			socket.on('error', () => {
 				this.isReset = true;
 			});
--- a/src/daemons/gateway/engine-probe.ts
+++ b/src/daemons/gateway/engine-probe.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {AnswerHead, HttpFormat} from '../../interfaces/index.js';
 import type {ProbeOutcome, Upstream} from '../../services/gateway/index.js';
+import {monotonicNow} from '../state-machine.js';
 import type {EndpointSignals} from './endpoint-signals.js';
 import type {ConnectionPools} from './connection-pools.js';
 import {decodeRawHeaders} from './raw-headers.js';
@@ -34,6 +35,7 @@
 ): Promise<ProbeOutcome> {
 	const pool = pools.poolFor(upstream);
 	const connection = isNewConnection ? pool.open() : pool.acquire(true);
+	const sentAt = monotonicNow();
 	return new Promise((resolve) => {
 		const chunks: Uint8Array[] = [];
 		let status = 0;
@@ -99,6 +101,13 @@
 						Buffer.concat(chunks).toString(),
 					);
 					const startedAt = report?.startedAt;
+					if (
+						startedAt !== undefined &&
+						startedAt === upstream.listed.startedAt
+					) {
+						upstream.recordListedAlive(sentAt);
+					}
+
 					// Ignores the headers of another engine that has reused the address.
 					if (
 						head &&
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -7,6 +7,7 @@
 } from '../../interfaces/index.js';
 import {
 	EventSplitter,
+	livenessOfConnection,
 	type GoneCause,
 	type SendEnd,
 	type Upstream,
@@ -120,6 +121,12 @@
 		this.#options = options;
 		this.#idleWatch = new IdleWatch({
 			...options,
+			checkLiveness: async (silentSince) =>
+				livenessOfConnection(
+					await options.checkLiveness(silentSince),
+					this.#connection.openedAt,
+					options.upstream.listedAliveAt,
+				),
 			onDidTimeOut: async (timeoutMs, isIdle) => {
 				const reason = `nothing for ${Math.round(timeoutMs)} ms`;
 				if (this.isSent) {
--- a/src/services/gateway/liveness.test.ts
+++ b/src/services/gateway/liveness.test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'earl';
 import {
 	judgeLiveness as judgeEndpoint,
+	livenessOfConnection,
 	maxPauseMs,
 	type ConnectionState,
 	withReceivedData,
@@ -107,3 +108,14 @@
 	expect(withReceivedData(undecided, true)).toEqual(alive);
 	expect(withReceivedData(undecided, false)).toEqual(undecided);
 });
+
+// Guards against a request that is ended at the incarnation that runs it, and against one that is waited for at an incarnation that has ended.
+test('a newer incarnation ends only what was sent to the one before', () => {
+	const restarted: Liveness = {type: 'gone', cause: 'newer incarnation'};
+	expect(livenessOfConnection(restarted, 1000, 1400)).toEqual(restarted);
+	expect(livenessOfConnection(restarted, 1500, 1400)).toEqual(silent);
+	const over: Liveness = {type: 'gone', cause: 'refused'};
+	for (const checked of [alive, silent, over]) {
+		expect(livenessOfConnection(checked, 1500, 1400)).toEqual(checked);
+	}
+});
--- a/src/services/gateway/liveness.ts
+++ b/src/services/gateway/liveness.ts
@@ -76,6 +76,25 @@
 		: {type: 'silent'};
 }
 
+/**
+ * What a check shows for one connection of an endpoint. That a newer incarnation
+ * answers ends only what was sent to the one that is listed: a connection opened
+ * at `openedAt` is known to lead to that one if it answered a probe sent later, at
+ * `listedAliveAt`. Any other connection may lead to the newer one, whose entry
+ * takes a while to arrive. Times are on the monotonic clock.
+ */
+export function livenessOfConnection<T extends Liveness>(
+	checked: T,
+	openedAt: number,
+	listedAliveAt: number,
+): T | Silent {
+	const mayBeNewer =
+		checked.type === 'gone' &&
+		checked.cause === 'newer incarnation' &&
+		openedAt >= listedAliveAt;
+	return mayBeNewer ? {type: 'silent'} : checked;
+}
+
 /** Adds to what probes show whether data of the endpoint has been read since they began. It decides only where they do not: the last bytes of a process that has ended may be read after it refuses connections. */
 export function withReceivedData(
 	judged: Liveness,
--- a/src/services/gateway/upstream.ts
+++ b/src/services/gateway/upstream.ts
@@ -69,6 +69,7 @@
 	#slownessUpdatedAt = 0;
 	#lastReceivedAt = 0;
 	#lastCheckedAliveAt = 0;
+	#listedAliveAt = Number.NEGATIVE_INFINITY;
 	#reservingTokens = 0;
 	#ownUnreadTokens = 0;
 	/** Requests whose answers are in progress. */
@@ -159,6 +160,15 @@
 		return Math.max(this.#lastReceivedAt, this.#lastCheckedAliveAt);
 	}
 
+	/** Latest time at which a probe was sent that the listed incarnation has answered. */
+	get listedAliveAt(): number {
+		return this.#listedAliveAt;
+	}
+
+	recordListedAlive(probedAt: number): void {
+		this.#listedAliveAt = Math.max(this.#listedAliveAt, probedAt);
+	}
+
 	recordCheckedAlive(now: number): void {
 		this.#lastCheckedAliveAt = now;
 	}
