Log requests that end unanswered behind another one

A request that has been read and waits behind another one on its connection is not forwarded when that connection ends first.

The line "unanswered" names the request and the side that closed the connection. There is one line for each such request.

--- a/src/daemons/gateway/gateway-daemon.ts
+++ b/src/daemons/gateway/gateway-daemon.ts
@@ -454,6 +454,7 @@
 		const receivedAt = monotonicNow();
 		if (!(await this.#callerConnections.waitForTurn(socket, response))) {
 			// No response can be sent, so the request is not forwarded.
+			this.#logUnanswered(request);
 			socket.destroySoon();
 			return;
 		}
@@ -583,6 +584,17 @@
 		return {...head, prompt: undefined};
 	}
 
+	/** Logs that a request behind others on its connection ends without an answer, and which side has closed the connection. */
+	#logUnanswered({rawHeaders, socket, complete}: IncomingMessage): void {
+		const {requestId} = this.#options.format.parseRequest(rawHeaders);
+		const isClosedHere = socket.writableEnded && !socket.readableEnded;
+		this.#options.log.info('unanswered', {
+			request: requestId,
+			closed_by: isClosedHere ? 'gateway' : 'caller',
+			whole: String(complete),
+		});
+	}
+
 	#reject(head: RequestHead, output: CallerOutput, answer: LocalReply): void {
 		this.#options.log.info('rejected', {
 			request: head.requestId,
