--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -34,7 +34,6 @@
 
 /** Reasons in the log and in answers for each way in which an endpoint is gone. */
 const reasons: Readonly<Record<GoneCause, string>> = {
-	silent: 'endpoint is silent on all connections',
 	refused: 'endpoint refuses connections',
 	'newer incarnation': 'endpoint has restarted',
 };
@@ -76,8 +75,12 @@
 	readonly checkMs: number | undefined;
 	readonly checkLiveness: IdleWatchOptions['checkLiveness'];
 	readonly readSockets: IdleWatchOptions['readSockets'];
-	/** Called after a timeout: ends this send once another endpoint has a place for the request, if `isIdle` then still holds. Never rejects. */
-	readonly tryMove: (reason: string, isIdle: () => boolean) => Promise<void>;
+	/** Called after a timeout: sends the request to another endpoint as well once that one has a place for it, if `isIdle` then still holds. Never rejects. */
+	readonly tryHedge: (reason: string, isIdle: () => boolean) => Promise<void>;
+	/** Called when the endpoint has been silent on all connections for longer than one that pauses, and repeatedly from then on; `isIdle` as above. Never rejects. */
+	readonly onDidFallSilent: (isIdle: () => boolean) => Promise<void>;
+	/** Called before a part of the answer is forwarded to the caller. */
+	readonly onWillForward: () => void;
 	/** Called with the head of each response on the connection; `isOwn` is false for one that belongs to another request. */
 	readonly onHead: (status: number, head: AnswerHead, isOwn: boolean) => void;
 };
@@ -122,7 +125,7 @@
 				if (this.isSent) {
 					// The head of an answer does not restart the idle watch, its body does.
 					const status = this.#status;
-					await options.tryMove(
+					await options.tryHedge(
 						reason,
 						() => isIdle() && this.#status === status,
 					);
@@ -130,6 +133,16 @@
 					this.cancel({type: 'unsent', reason});
 				}
 			},
+			onDidFallSilent: async (isIdle) => {
+				if (this.isSent) {
+					await options.onDidFallSilent(isIdle);
+				} else {
+					this.cancel({
+						type: 'unsent',
+						reason: 'endpoint is silent on all connections',
+					});
+				}
+			},
 			onDidLoseEndpoint: (cause) => {
 				const type = cause === 'newer incarnation' ? 'gone' : 'silent';
 				this.cancel({
@@ -445,6 +458,7 @@
 
 	#write(bytes: Uint8Array): void {
 		const controller = this.#controller!;
+		this.#options.onWillForward();
 		const canContinue = this.#options.output.write(bytes, () => {
 			controller.resume();
 			this.#idleWatch.restart(this.#options.gapMs);
