Complete a stream that its caller resumes after its last event

Cause: a stream without an event counted as broken off, also where nothing is left of it. Found by the search for requests that end without an answer.

Change: such a stream is complete if its caller has said where it goes on and a length or chunks mark its end.

--- a/src/daemons/gateway/raw-headers.ts
+++ b/src/daemons/gateway/raw-headers.ts
@@ -14,7 +14,17 @@
 
 /** Whether the length of the body is stated. */
 export function hasContentLength(headers: RawHeaders): boolean {
+	return hasHeader(headers, 'content-length');
+}
+
+/** Whether a length or chunks mark the end of the body, and not only the close of the connection. */
+export function isDelimited(headers: RawHeaders): boolean {
+	return hasContentLength(headers) || hasHeader(headers, 'transfer-encoding');
+}
+
+/** `lowerCaseName` is in lower case. */
+function hasHeader(headers: RawHeaders, lowerCaseName: string): boolean {
 	return headers.some(
-		(name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length',
+		(name, index) => index % 2 === 0 && name.toLowerCase() === lowerCaseName,
 	);
 }
--- a/src/daemons/gateway/send.ts
+++ b/src/daemons/gateway/send.ts
@@ -16,7 +16,11 @@
 import type {CallerOutput} from './caller-output.js';
 import {IdleWatch, type IdleWatchOptions} from './idle-watch.js';
 import type {Connection, ConnectionPool} from './connection-pool.js';
-import {decodeRawHeaders, hasContentLength} from './raw-headers.js';
+import {
+	decodeRawHeaders,
+	hasContentLength,
+	isDelimited,
+} from './raw-headers.js';
 
 /** Maximum size of a response, or of an event of a stream, that is buffered until it is complete, in bytes. A larger response is forwarded as it arrives, and a retry can no longer replace it; a larger event or refusal is aborted. */
 const maxBufferedBytes = 256 * 1024;
@@ -349,10 +353,23 @@
 	}
 
 	#classifyStreamEnd(): SendEnd {
-		return this.#splitter.pendingLength > 0 ||
-			!this.#options.output.hasSentHeaders
-			? incompleteEvent
-			: {type: 'delivered'};
+		const {output, position} = this.#options;
+		if (this.#splitter.pendingLength > 0) {
+			return incompleteEvent;
+		}
+
+		if (!output.hasSentHeaders) {
+			// Nothing may be left of a stream that its caller resumes; without a marked end it may also have been broken off.
+			const isResumed = position.lastEventId !== undefined;
+			if (!isResumed || !isDelimited(this.#headers)) {
+				return incompleteEvent;
+			}
+
+			this.#options.onWillForward();
+			this.#writeHead();
+		}
+
+		return {type: 'delivered'};
 	}
 
 	#readEvents(chunk: Uint8Array): void {
