Close all idle connections of a removed endpoint at once

Every second idle connection of an endpoint that has been removed stayed open for up to 8 s, because the pool removed them from the array that it iterated.

--- a/src/daemons/gateway/connection-pool.test.ts
+++ b/src/daemons/gateway/connection-pool.test.ts
@@ -1,6 +1,7 @@
 import {createServer as createHttpServer} from 'node:http';
 import {connect, createServer, type AddressInfo, type Server} from 'node:net';
 import {test} from 'node:test';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {expect} from 'earl';
 import {DisposableStore} from '../../base/index.js';
 import {block} from '../../lab/block.js';
@@ -21,11 +22,14 @@
 	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-/** Endpoint that answers every request, with a pool of connections to it; `received` counts what has arrived. */
-async function startEndpoint(disposables: DisposableStore) {
-	const received = {requests: 0, connections: 0};
+/** Endpoint that answers every request, with a pool of connections to it; `received` counts what has arrived, and the connections that have been closed. */
+async function startEndpoint(disposables: DisposableStore, maxIdle = 0) {
+	const received = {requests: 0, connections: 0, closed: 0};
 	const server = createServer((socket) => {
 		received.connections++;
+		socket.once('close', () => {
+			received.closed++;
+		});
 		socket.on('data', () => {
 			received.requests++;
 			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
@@ -39,7 +43,7 @@
 		},
 	});
 	const lag = disposables.add(new LoopLag());
-	const pool = disposables.add(new ConnectionPool(address, lag, () => 0));
+	const pool = disposables.add(new ConnectionPool(address, lag, () => maxIdle));
 	return {pool, received};
 }
 
@@ -102,3 +106,21 @@
 	disposables.dispose();
 	expect(received.requests).toEqual(0);
 });
+
+// Guards against connections to an endpoint that stay open for seconds after it has been removed.
+test('a pool closes all of its idle connections', async () => {
+	const disposables = new DisposableStore();
+	const {pool, received} = await startEndpoint(disposables, 4);
+	const connections = [1, 2, 3, 4].map(() => pool.open());
+	await Promise.all(connections.map(async (each) => send(each)));
+	await nextTurn();
+	for (const connection of connections) {
+		pool.release(connection);
+	}
+
+	expect([received.closed, pool.size]).toEqual([0, 4]);
+	pool.dispose();
+	expect(connections.includes(pool.acquire(false))).toEqual(false);
+	await waitUntil('closed', () => received.closed === 4);
+	disposables.dispose();
+});
--- a/src/daemons/gateway/connection-pool.ts
+++ b/src/daemons/gateway/connection-pool.ts
@@ -239,7 +239,7 @@
 
 	/** Closes the idle connections; those in use are closed when they are released. */
 	dispose(): void {
-		for (const connection of this.#idle) {
+		for (const connection of this.#idle.splice(0)) {
 			this.discard(connection);
 		}
 
