Count no cancelled hedge against its server

What callers saw: nothing at once. A server to which a slow request had been sent as well counted as slow itself when the first server answered: it got fewer requests, one on trial after an ejection was ejected again for up to 8 s, and an engine was checked for a crash under the request.

Cause: a send that had ended with a whole answer was deleted before the others were cancelled, so that all of them counted as earlier ones, which another endpoint has overtaken. Only answers that are forwarded as they arrive were not affected.

The sends are now cancelled while the answering one is still among them, so that the later ones end as superseded.

--- a/src/daemons/gateway/exchange.ts
+++ b/src/daemons/gateway/exchange.ts
@@ -381,6 +381,10 @@
 			body: body.length > 0 ? body : null,
 		});
 		const end = await send.ended;
+		if (isAnswer(end, this.#output.hasSentHeaders)) {
+			this.#inProgress.keep(send);
+		}
+
 		this.#inProgress.delete(send);
 		survival.dispose();
 		upstream.end(activeRequest);
@@ -412,7 +416,6 @@
 		}
 
 		if (isAnswer(end, this.#output.hasSentHeaders)) {
-			this.#inProgress.keep(send);
 			await hedge;
 			return {send, end};
 		}
--- a/src/daemons/gateway/hedged-sends.ts
+++ b/src/daemons/gateway/hedged-sends.ts
@@ -46,7 +46,7 @@
 		}
 	}
 
-	/** Cancels all but the send that answers the caller. */
+	/** Cancels all but the send that answers the caller, which must not have been deleted: the later ones only hedge it. */
 	keep(kept: Send): void {
 		let isEarlier = true;
 		for (const send of this.#inProgress) {
