Resume the send that waits for a slow caller

What callers saw: a resumable stream that stops for good, until its timeout, after its caller has not read for a while and its server has broken off meanwhile.

Cause: the first send to fill the caller's buffer registered for its drain. The send that goes on after it found the buffer full as well and was paused, but only the first one, which had ended, was resumed.

The output now resumes the send of the last write. Two sends never write in turn, so that is the one in progress.

--- a/src/daemons/gateway/caller-output.ts
+++ b/src/daemons/gateway/caller-output.ts
@@ -7,7 +7,8 @@
  */
 export class CallerOutput {
 	readonly #response: ServerResponse;
-	#isPaused = false;
+	/** Called when writing may continue: that of the last write, as a stream may have gone on at another endpoint since. */
+	#onDrain: (() => void) | undefined;
 
 	constructor(response: ServerResponse) {
 		this.#response = response;
@@ -44,14 +45,15 @@
 			return true;
 		}
 
-		if (!this.#isPaused) {
-			this.#isPaused = true;
+		if (!this.#onDrain) {
 			this.#response.once('drain', () => {
-				this.#isPaused = false;
-				onDrain();
+				const resume = this.#onDrain;
+				this.#onDrain = undefined;
+				resume?.();
 			});
 		}
 
+		this.#onDrain = onDrain;
 		return false;
 	}
 
