Look for no further place while a hedge is in progress

What callers saw: nothing. A request with three attempts whose second send was in progress reserved capacity at a third server every 250 ms, opened a connection there (or took an idle one from the pool) and closed it again: places that other requests lacked, and connections that are priced.

Cause: the timeout of the first send goes on while its hedge is in progress. That only the newest send may be hedged was checked after the place had been reserved and connected, and only the number of sends before.

Whether the send may be hedged is now checked first as well.

--- a/src/daemons/gateway/request-hedge.ts
+++ b/src/daemons/gateway/request-hedge.ts
@@ -33,7 +33,7 @@
 		send: (place: PlacedRequest) => void,
 	): Promise<void> {
 		const {context, placement, state, hasRetry, takeRetry} = this.#options;
-		if (!mayHedge(state(), hasRetry)) {
+		if (!isIdle() || !mayHedge(state(), hasRetry)) {
 			return;
 		}
 
