Repeat no request whose answer cannot be replaced

What callers saw: a large answer whose server breaks off is cut only after the request has run at another server, whose answer cannot be delivered, and a retry that other requests could have used.

Cause: after a break-off a request that may be repeated was sent again although its caller had a part of the answer. Hedges already asked for this; every repeat does now.

--- a/src/services/gateway/next-step.ts
+++ b/src/services/gateway/next-step.ts
@@ -170,9 +170,7 @@
 	state: RequestState,
 	takeRetry: () => boolean,
 ): boolean {
-	const mustContinue =
-		state.isPartlyDelivered && state.retryMode !== 'resumable';
-	return !mustContinue && canRepeat(state, takeRetry);
+	return canRepeat(state, takeRetry);
 }
 
 function afterAnswer(
@@ -202,8 +200,12 @@
 	return state.sends < state.maxSends && state.remainingMs >= minSendMs;
 }
 
+/** Whether the request may run once more. A run of one that cannot be resumed could not replace an answer that has begun. */
 function canRepeat(state: RequestState, takeRetry: () => boolean): boolean {
-	return state.retryMode !== 'once' && canSend(state) && takeRetry();
+	const mayRun =
+		state.retryMode === 'resumable' ||
+		(state.retryMode === 'idempotent' && !state.isPartlyDelivered);
+	return mayRun && canSend(state) && takeRetry();
 }
 
 /** Next send after one that may have run; undefined when none is allowed. */
