Do not end answers at a server that closes its listener to leave

What callers saw: a stream at a server that is draining and no longer accepts connections is cut, or answered 504, when the server sends nothing for 2.5 s, although its connection is open and it goes on.

Cause: refused connections after 2.5 s of silence counted as the end of the process on an open connection too. A server that is leaving may close its listener and finish its answers; nothing then shows that it has ended but the close of the connection itself.

At a server that is known to be leaving, refusals on an open connection now count as silence. One that is still listed as ready is judged as before, and so is one whose entry was removed.

--- a/src/daemons/gateway/liveness-checks.ts
+++ b/src/daemons/gateway/liveness-checks.ts
@@ -153,6 +153,7 @@
 						startedAt: upstream.listed.startedAt,
 						silentMs: this.#silentMs(upstream, silentSince),
 						connection,
+						isLeaving: upstream.isLeaving,
 					});
 					const hasReceivedData = upstream.lastReceivedAt > startedAt;
 					const liveness = withReceivedData(judged, hasReceivedData);
--- a/src/services/gateway/liveness.test.ts
+++ b/src/services/gateway/liveness.test.ts
@@ -29,8 +29,14 @@
 	startedAt: number | undefined,
 	silentMs: number,
 	connection: ConnectionState = 'open',
+	isLeaving = false,
 ): Liveness {
-	return judgeEndpoint(outcomes, {startedAt, silentMs, connection});
+	return judgeEndpoint(outcomes, {
+		startedAt,
+		silentMs,
+		connection,
+		isLeaving,
+	});
 }
 
 // Guards against answers that are ended at a sound server because it pauses, and against new requests to a dead one.
@@ -107,3 +113,15 @@
 	expect(withReceivedData(undecided, true)).toEqual(alive);
 	expect(withReceivedData(undecided, false)).toEqual(undecided);
 });
+
+// Guards against answers that are ended at a server that has closed its listener to finish them.
+test('a server that is leaving and refuses connections has only ended when its own connection is closed', () => {
+	const refusals = [refused, refused];
+	expect(judgeLiveness(refusals, startedAt, maxPauseMs, 'open', true)).toEqual(
+		silent,
+	);
+	expect(judgeLiveness(refusals, startedAt, 0, 'closed', true)).toEqual({
+		type: 'gone',
+		cause: 'refused',
+	});
+});
--- a/src/services/gateway/liveness.ts
+++ b/src/services/gateway/liveness.ts
@@ -39,12 +39,14 @@
 	/** Time since its last sign of life on any connection, while bytes were due, in milliseconds. */
 	readonly silentMs: number;
 	readonly connection: ConnectionState;
+	/** It takes no new requests, and may have closed its listener while it finishes its answers. */
+	readonly isLeaving: boolean;
 };
 
 /** Judges an incarnation of an endpoint by the latest outcomes of probes that began at the same time, as a packet of one may be lost. */
 export function judgeLiveness(
 	outcomes: readonly ProbeOutcome[],
-	{startedAt, silentMs, connection}: SilentEndpoint,
+	{startedAt, silentMs, connection, isLeaving}: SilentEndpoint,
 ): Liveness {
 	const starts = outcomes.flatMap((outcome) =>
 		outcome.type === 'answered' ? [outcome.report?.startedAt] : [],
@@ -71,7 +73,7 @@
 		return {type: 'alive'};
 	}
 
-	return outcomes.some(({type}) => type === 'refused')
+	return !isLeaving && outcomes.some(({type}) => type === 'refused')
 		? {type: 'gone', cause: 'refused'}
 		: {type: 'silent'};
 }
