--- a/src/services/gateway/liveness.test.ts
+++ b/src/services/gateway/liveness.test.ts
@@ -30,8 +30,14 @@
 	startedAt: number | undefined,
 	silentMs: number,
 	connection: ConnectionState = 'open',
+	isLeaving = false,
 ): Liveness {
-	return judgeEndpoint(outcomes, {startedAt, silentMs, connection});
+	return judgeEndpoint(outcomes, {
+		startedAt,
+		silentMs,
+		connection,
+		isLeaving,
+	});
 }
 
 // Guards against answers that are ended at a sound server because it pauses, and against new requests to a dead one.
@@ -119,3 +125,15 @@
 		expect(livenessOfConnection(checked, 1500, 1400)).toEqual(checked);
 	}
 });
+
+// Guards against answers that are ended at a server that has closed its listener to finish them.
+test('a server that is leaving and refuses connections has only ended when its own connection is closed', () => {
+	const refusals = [refused, refused];
+	expect(judgeLiveness(refusals, startedAt, maxPauseMs, 'open', true)).toEqual(
+		silent,
+	);
+	expect(judgeLiveness(refusals, startedAt, 0, 'closed', true)).toEqual({
+		type: 'gone',
+		cause: 'refused',
+	});
+});
