--- a/review/lib-2/play.mjs
+++ b/review/lib-2/play.mjs
@@ -88,6 +88,8 @@
 
 		gateway = await Gateway.start(store.address);
 		const isBroken = await play({gateway, servers, store, sockets, record});
+		const runs = servers.map(({id, runs: {length}}) => `${id} ${length}`);
+		record(`requests run by servers: ${runs.join(', ')}`);
 		status = isBroken ? broken : held;
 		record(isBroken ? 'the rule was broken' : 'the rule held');
 	} catch (error) {
